membership: view of the other hosts, with round trips by echoed clocks

Any message of a peer moved the time from which an echo's holding time was counted, so waiting was counted as network time. Before: TestEchoHeldCountsFromHeartbeat got 100 ms held, wanted 400 ms. After: it passes; the holding time counts from the heartbeat itself. Conclusion: the clock pair of an echo must come from one message.

--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,142 @@
+// Package membership tracks which other hosts are reachable, under which
+// incarnation, and the round-trip time to each.
+//
+// The package is pure: every method takes the current time; it does no I/O,
+// starts no goroutine and reads no clock.
+package membership
+
+import (
+	"sort"
+	"time"
+)
+
+// Incarnation is the random identity of one process start.
+type Incarnation string
+
+// Host is one configured entry host.
+type Host struct {
+	Name          string
+	FailureDomain string
+	Region        string
+	Address       string // of the peer listener
+}
+
+// Peer is what is known about one other host.
+type Peer struct {
+	Host
+	Incarnation Incarnation
+	LastHeard   time.Time
+	RoundTrip   time.Duration // smoothed, zero before the first measurement
+	ConfigSeen  uint64        // configuration version the peer reported
+
+	up       bool
+	lastSent time.Duration // the peer's clock reading in its last heartbeat
+	beatAt   time.Time     // when that heartbeat arrived
+}
+
+// Up reports whether the peer was heard from within the timeout.
+func (p *Peer) Up() bool { return p.up }
+
+// Change is a transition of one peer.
+type Change struct {
+	Peer    *Peer
+	Up      bool
+	Restart bool // up under another incarnation than before
+}
+
+// View holds the other hosts.
+type View struct {
+	timeout time.Duration
+	peers   map[string]*Peer
+}
+
+// NewView returns a view in which a peer is down after a silence of timeout.
+func NewView(timeout time.Duration, peers []Host) *View {
+	v := &View{timeout: timeout, peers: make(map[string]*Peer, len(peers))}
+	for _, h := range peers {
+		v.peers[h.Name] = &Peer{Host: h}
+	}
+	return v
+}
+
+// Get returns the named peer, or nil.
+func (v *View) Get(name string) *Peer { return v.peers[name] }
+
+// Heard records a message of a peer and returns the transition it caused.
+func (v *View) Heard(now time.Time, name string, inc Incarnation) (Change, bool) {
+	p := v.peers[name]
+	if p == nil {
+		return Change{}, false
+	}
+	restart := p.Incarnation != "" && p.Incarnation != inc
+	changed := !p.up || restart
+	p.Incarnation = inc
+	p.LastHeard = now
+	p.up = true
+	return Change{Peer: p, Up: true, Restart: restart}, changed
+}
+
+// Echo is the peer's returned clock reading.
+type Echo struct {
+	SentAt time.Duration // this host's clock when it sent, returned unchanged
+	Held   time.Duration // time the peer kept it
+}
+
+// Measured records the clock readings of a heartbeat that arrived at now.
+// elapsed is this host's clock.
+func (v *View) Measured(now time.Time, name string, sentAt, elapsed time.Duration, echo Echo) {
+	p := v.peers[name]
+	if p == nil {
+		return
+	}
+	p.lastSent = sentAt
+	p.beatAt = now
+	if echo.SentAt == 0 {
+		return
+	}
+	trip := elapsed - echo.SentAt - echo.Held
+	if trip < 0 {
+		return
+	}
+	p.RoundTrip = smooth(p.RoundTrip, trip)
+}
+
+// smooth is an exponentially weighted mean with a weight of 1/8.
+func smooth(mean, sample time.Duration) time.Duration {
+	const weight = 8
+	if mean == 0 {
+		return sample
+	}
+	return mean + (sample-mean)/weight
+}
+
+// EchoFor returns the clock reading to send back to the peer.
+func (v *View) EchoFor(now time.Time, name string) Echo {
+	p := v.peers[name]
+	if p == nil || p.lastSent == 0 {
+		return Echo{}
+	}
+	return Echo{SentAt: p.lastSent, Held: now.Sub(p.beatAt)}
+}
+
+// Tick marks silent peers as down and returns the transitions.
+func (v *View) Tick(now time.Time) []Change {
+	var out []Change
+	for _, p := range v.peers {
+		if p.up && now.Sub(p.LastHeard) > v.timeout {
+			p.up = false
+			out = append(out, Change{Peer: p})
+		}
+	}
+	return out
+}
+
+// All returns the peers ordered by name.
+func (v *View) All() []*Peer {
+	out := make([]*Peer, 0, len(v.peers))
+	for _, p := range v.peers {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
+	return out
+}
