Plumbing: result codes, events, settings, invariants, rings

Cause: every later part needs numbered results and events, checked settings and bounded queues, so they come first. Ways ruled out: BindJSON of the HTTP library for settings (takes unknown keys silently); a validator alone (knows no lines). Settings are walked as a syntax tree beside the struct, so that each refusal names file, line and key. Before: nothing. Conclusion: an unknown result code is classed as "may have run", the class that promises least.

--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,121 @@
+// Package event defines the numbered log events. Numbers are stable: one is
+// never reused for another meaning. docs/EVENTS.md holds the catalogue.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// ID is the number of a log event.
+type ID uint16
+
+// Log events. The thousands group them: 1xxx process, 2xxx jobs, 3xxx
+// minions, 4xxx peers, 5xxx control and store, 6xxx HTTP.
+const (
+	Started          ID = 1001
+	StopRequested    ID = 1002
+	Stopped          ID = 1003
+	StopTimedOut     ID = 1004
+	SettingsRefused  ID = 1005
+	InvariantBroken  ID = 1006
+	RingFull         ID = 1007
+	SpanExportFailed ID = 1008
+
+	JobRefused        ID = 2001
+	JobEnded          ID = 2002
+	TaskStartRefused  ID = 2003
+	TaskStartUnknown  ID = 2004
+	AnswerMismatch    ID = 2005
+	TaskStartsStopped ID = 2006
+
+	MinionAnnounced ID = 3001
+	MinionLeft      ID = 3002
+	MinionExpired   ID = 3003
+	MinionEjected   ID = 3004
+	MinionRestored  ID = 3005
+
+	PeerUp       ID = 4001
+	PeerDown     ID = 4002
+	PeerRejected ID = 4003
+
+	ConfigApplied   ID = 5001
+	StoreCorrupt    ID = 5002
+	StoreWriteError ID = 5003
+	VotingStopped   ID = 5004
+	ChangeAccepted  ID = 5005
+	PlanConfirmed   ID = 5006
+
+	RequestPanicked ID = 6001
+	ServerFailed    ID = 6002
+)
+
+// Info describes one event.
+type Info struct {
+	ID      ID
+	Level   slog.Level
+	Message string
+	Advice  string // what an operator does about it
+}
+
+var table = []Info{
+	{Started, slog.LevelInfo, "daemon started", "None."},
+	{StopRequested, slog.LevelInfo, "graceful shutdown began", "None."},
+	{Stopped, slog.LevelInfo, "daemon stopped", "None."},
+	{StopTimedOut, slog.LevelWarn, "graceful shutdown reached its bound with requests in progress", "Raise stop_timeout_ms, or drain before stopping."},
+	{SettingsRefused, slog.LevelError, "settings refused", "Mend the named key and start again."},
+	{InvariantBroken, slog.LevelError, "invariant broken", "Report it with the log and the trace; the affected job was answered as may have run."},
+	{RingFull, slog.LevelWarn, "ring full", "See docs/LIMITS.md for the ring's bound."},
+	{SpanExportFailed, slog.LevelWarn, "span export failed", "Check the collector's address and the span file's disk."},
+	{JobRefused, slog.LevelDebug, "job refused", "See the result code."},
+	{JobEnded, slog.LevelDebug, "job ended", "None."},
+	{TaskStartRefused, slog.LevelDebug, "minion refused a task before its start", "None; the task is retried under the retry budget."},
+	{TaskStartUnknown, slog.LevelWarn, "task start or outcome unknown", "Check the named minion; the job was answered as may have run."},
+	{AnswerMismatch, slog.LevelError, "minion answered with another task's identity", "Drain the named minion and report it to its team."},
+	{TaskStartsStopped, slog.LevelWarn, "retry budget used up", "Check the minions that refuse starts."},
+	{MinionAnnounced, slog.LevelInfo, "minion announced", "None."},
+	{MinionLeft, slog.LevelInfo, "minion left", "None."},
+	{MinionExpired, slog.LevelWarn, "minion lease expired", "Check the minion's process and its network."},
+	{MinionEjected, slog.LevelWarn, "minion ejected for failures or slowness", "Check the minion; it is probed with single tasks."},
+	{MinionRestored, slog.LevelInfo, "ejected minion restored", "None."},
+	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
+	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
+	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
+	{ConfigApplied, slog.LevelInfo, "configuration version in force", "None."},
+	{StoreCorrupt, slog.LevelError, "durable file corrupt", "Replace the disk or clear the data folder, then admit the control host again."},
+	{StoreWriteError, slog.LevelError, "durable write failed", "Check the disk's space and health."},
+	{VotingStopped, slog.LevelError, "control host stopped voting", "Mend its disk, restart it and admit it again."},
+	{ChangeAccepted, slog.LevelInfo, "configuration change accepted", "None."},
+	{PlanConfirmed, slog.LevelInfo, "plan confirmed", "None."},
+	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
+	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
+}
+
+var byID = indexTable()
+
+func indexTable() map[ID]*Info {
+	m := make(map[ID]*Info, len(table))
+	for i := range table {
+		m[table[i].ID] = &table[i]
+	}
+	return m
+}
+
+// Table returns every event in ascending order.
+func Table() []Info { return append([]Info(nil), table...) }
+
+// Log writes event id with its catalogued level and message. An event that is
+// missing from the catalogue is logged as an error.
+func Log(ctx context.Context, l *slog.Logger, id ID, attrs ...slog.Attr) {
+	info, ok := byID[id]
+	if !ok {
+		info = &Info{ID: id, Level: slog.LevelError, Message: "uncatalogued event"}
+	}
+	if !l.Enabled(ctx, info.Level) {
+		return
+	}
+	all := make([]slog.Attr, 0, len(attrs)+1)
+	all = append(all, slog.Uint64("event", uint64(id)))
+	all = append(all, attrs...)
+	l.LogAttrs(ctx, info.Level, info.Message, all...)
+}
--- /dev/null
+++ b/internal/result/result_test.go
@@ -0,0 +1,47 @@
+package result
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var update = flag.Bool("update", false, "rewrite the table in docs/RESULT-CODES.md")
+
+const page = "../../docs/RESULT-CODES.md"
+
+// The table of the page is kept equal to the code.
+func TestPageMatchesTable(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("| code | name | class | HTTP | meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, i := range Table() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %d | %s |\n", i.Code, i.Name, i.Class, i.HTTP, i.Meaning)
+	}
+	text, err := os.ReadFile(page)
+	must.NoError(t, err)
+	head, _, ok := strings.Cut(string(text), "| code |")
+	must.True(t, ok)
+	if *update {
+		must.NoError(t, os.WriteFile(page, []byte(head+b.String()), 0o644))
+		return
+	}
+	must.Eq(t, head+b.String(), string(text))
+}
+
+func TestCodesAscendAndAreClassed(t *testing.T) {
+	last := -1
+	for _, i := range Table() {
+		must.Greater(t, last, int(i.Code))
+		last = int(i.Code)
+		must.NotEq(t, 0, i.Class)
+	}
+}
+
+// A code that a newer host sent must promise nothing.
+func TestUnknownCodePromisesNothing(t *testing.T) {
+	must.Eq(t, MayHaveRun, Code(9999).Class())
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,135 @@
+// Package settings reads and checks the daemon's settings: JSON with comments,
+// unknown keys and bad values refused with file, line and key.
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Settings configures one daemon. All keys are documented in docs/SETTINGS.md.
+type Settings struct {
+	Host          string   `json:"host" validate:"required,max=64"`
+	FailureDomain string   `json:"failure_domain" validate:"required,max=64"`
+	Region        string   `json:"region" validate:"required,max=64"`
+	Listen        Listen   `json:"listen" validate:"required"`
+	Peers         []Peer   `json:"peers" validate:"max=256,unique=Name,dive"`
+	DataFolder    string   `json:"data_folder"`
+	Limits        Limits   `json:"limits"`
+	Timing        Timing   `json:"timing"`
+	Dispatch      Dispatch `json:"dispatch"`
+	Log           Log      `json:"log"`
+	Traces        Traces   `json:"traces"`
+}
+
+// Listen holds the four addresses of a daemon.
+type Listen struct {
+	Callers   string `json:"callers" validate:"required,hostname_port"`
+	Minions   string `json:"minions" validate:"required,hostname_port"`
+	Operators string `json:"operators" validate:"required,hostname_port"`
+	Peers     string `json:"peers" validate:"required,hostname_port"`
+}
+
+// Peer is another host.
+type Peer struct {
+	Name          string `json:"name" validate:"required,max=64"`
+	FailureDomain string `json:"failure_domain" validate:"required,max=64"`
+	Region        string `json:"region" validate:"required,max=64"`
+	Address       string `json:"address" validate:"required,hostname_port"`
+}
+
+// Limits bounds requests and memory.
+type Limits struct {
+	MaxBodyBytes    int `json:"max_body_bytes" validate:"min=1024,max=268435456"`
+	MaxTasks        int `json:"max_tasks" validate:"min=1,max=100000"`
+	MaxPayloadBytes int `json:"max_payload_bytes" validate:"min=1,max=67108864"`
+	MaxResultBytes  int `json:"max_result_bytes" validate:"min=1,max=67108864"`
+	MaxHeaderBytes  int `json:"max_header_bytes" validate:"min=1024,max=1048576"`
+	MaxActiveJobs   int `json:"max_active_jobs" validate:"min=1,max=1000000"`
+	MaxRecords      int `json:"max_records" validate:"min=1,max=10000000"`
+	MaxAnswerBytes  int `json:"max_answer_bytes" validate:"min=1024"`
+	MaxInFlight     int `json:"max_in_flight" validate:"min=1,max=100000"`
+	RingSize        int `json:"ring_size" validate:"min=16,max=1048576"`
+}
+
+// Timing holds durations in milliseconds.
+type Timing struct {
+	HeartbeatMS   int `json:"heartbeat_ms" validate:"min=10,max=10000"`
+	PeerTimeoutMS int `json:"peer_timeout_ms" validate:"min=50,max=60000,gtfield=HeartbeatMS"`
+	MinionLeaseMS int `json:"minion_lease_ms" validate:"min=100,max=3000"`
+	KeyLifetimeMS int `json:"key_lifetime_ms" validate:"min=1000,max=86400000"`
+	ClockErrorMS  int `json:"clock_error_ms" validate:"min=0,max=60000"`
+	MaxDeadlineMS int `json:"max_deadline_ms" validate:"min=1,max=3600000"`
+	StopTimeoutMS int `json:"stop_timeout_ms" validate:"min=0,max=600000"`
+	TickMS        int `json:"tick_ms" validate:"min=1,max=1000"`
+	BusyPauseMS   int `json:"busy_pause_ms" validate:"min=0,max=10000"`
+}
+
+// Dispatch holds the dispatch policy.
+type Dispatch struct {
+	RetryBudget int `json:"retry_budget" validate:"min=0,max=100000"`
+}
+
+// Log configures the structured log.
+type Log struct {
+	Level string `json:"level" validate:"oneof=debug info warn error"`
+	File  string `json:"file"` // empty: standard error
+}
+
+// Traces configures span export.
+type Traces struct {
+	File       string  `json:"file"`          // empty: none
+	OTLP       string  `json:"otlp_endpoint"` // host:port of an OTLP/HTTP collector; empty: none
+	SampleRate float64 `json:"sample_rate" validate:"min=0,max=1"`
+}
+
+// Defaults returns the settings of every key that has a default.
+func Defaults() Settings {
+	return Settings{
+		Limits: Limits{
+			MaxBodyBytes:    16 << 20,
+			MaxTasks:        1000,
+			MaxPayloadBytes: 1 << 20,
+			MaxResultBytes:  1 << 20,
+			MaxHeaderBytes:  16 << 10,
+			MaxActiveJobs:   20000,
+			MaxRecords:      1000000,
+			MaxAnswerBytes:  64 << 20,
+			MaxInFlight:     4096,
+			RingSize:        16384,
+		},
+		Timing: Timing{
+			HeartbeatMS:   500,
+			PeerTimeoutMS: 2000,
+			MinionLeaseMS: 2500,
+			KeyLifetimeMS: 300000,
+			ClockErrorMS:  500,
+			MaxDeadlineMS: 120000,
+			StopTimeoutMS: 30000,
+			TickMS:        10,
+			BusyPauseMS:   5,
+		},
+		Dispatch: Dispatch{RetryBudget: 32},
+		Log:      Log{Level: "info"},
+		Traces:   Traces{SampleRate: 0.01},
+	}
+}
+
+// Millis converts a setting in milliseconds.
+func Millis(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Load reads, decodes and checks a settings file. The error names the file,
+// and the line and key of each problem.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings")
+	}
+	s := Defaults()
+	if err := Decode(path, text, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
