Pure decisions: jobs, dispatch, minions, and the engine that composes them

Cause: the promises (one start, whole answers, true refusals) must be testable without clocks, sockets or goroutines. Ways considered: decisions inside HTTP handlers under locks (not replayable); one actor per job (order between jobs is what dispatch decides). Chosen: one state machine per host, inputs with a time, consequences taken by Ready. Before: nothing. After: job table tests cover one start per task, deadline codes by what started, repetitions, expiry and bounded answers. Conclusion: starts are counted against disproofs per task; a second start is a broken invariant, not an error to handle. Not done yet: a repetition at another host is refused as "owner unknown".

--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,303 @@
+// Package engine composes the decisions of one entry host: jobs, dispatch,
+// minions and membership.
+//
+// An Engine is a pure state machine. The caller feeds it inputs with the
+// current time, and takes what follows from them by Ready: task starts and
+// cancellations to send to minions, answers for callers, messages to peers and
+// log events. It does no I/O, starts no goroutine and reads no clock, and it
+// isn't safe for concurrent use.
+package engine
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/dispatch"
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// Config is the fixed part of an Engine.
+type Config struct {
+	Host        membership.Host
+	Incarnation membership.Incarnation
+	Peers       []membership.Host
+	StartedAt   time.Time
+
+	Jobs           job.Limits
+	MinionLease    time.Duration
+	HeartbeatEvery time.Duration
+	PeerTimeout    time.Duration
+	RetryBudget    int           // disproved starts per job
+	BusyPause      time.Duration // rest of a minion that refused for lack of slots
+}
+
+// Start is a task to send to a minion.
+type Start struct {
+	Task     job.TaskID
+	Service  string
+	Payload  []byte
+	Size     job.Size
+	NoRepeat bool
+	Minion   string
+	Address  string
+	Deadline time.Time
+}
+
+// Cancel is a request to a minion to stop a task.
+type Cancel struct {
+	Task    job.TaskID
+	Address string
+}
+
+// Outgoing is a message to a peer.
+type Outgoing struct {
+	To   string
+	Body peer.Body
+}
+
+// Record is a log event.
+type Record struct {
+	ID    event.ID
+	Attrs []slog.Attr
+}
+
+// Ready is what follows from the inputs since the last call.
+type Ready struct {
+	Starts   []Start
+	Cancels  []Cancel
+	Answers  []*job.Answer
+	Messages []Outgoing
+	Events   []Record
+}
+
+// Engine is the decision core of one host.
+type Engine struct {
+	cfg           Config
+	jobs          *job.Table
+	queue         *dispatch.Queue
+	minions       *minion.Registry
+	members       *membership.View
+	configVersion uint64
+	stopping      bool
+	nextBeat      time.Time
+	ready         Ready
+}
+
+// New returns an Engine with no jobs and no minions.
+func New(cfg Config) *Engine {
+	return &Engine{
+		cfg:     cfg,
+		jobs:    job.NewTable(cfg.Jobs, cfg.StartedAt),
+		queue:   dispatch.NewQueue(),
+		minions: minion.NewRegistry(cfg.MinionLease),
+		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
+	}
+}
+
+// Ready returns and clears what is to be done.
+func (e *Engine) Ready() Ready {
+	r := e.ready
+	e.ready = Ready{}
+	return r
+}
+
+// Jobs returns the job table, for reading.
+func (e *Engine) Jobs() *job.Table { return e.jobs }
+
+// Minions returns the minion registry, for reading.
+func (e *Engine) Minions() *minion.Registry { return e.minions }
+
+// Members returns the view of the other hosts, for reading.
+func (e *Engine) Members() *membership.View { return e.members }
+
+// Host returns the host's own identity.
+func (e *Engine) Host() membership.Host { return e.cfg.Host }
+
+// Incarnation returns the identity of this process start.
+func (e *Engine) Incarnation() membership.Incarnation { return e.cfg.Incarnation }
+
+// Stopping reports whether new work is refused.
+func (e *Engine) Stopping() bool { return e.stopping }
+
+// Stop refuses new submissions from now on; jobs in progress go on.
+func (e *Engine) Stop() { e.stopping = true }
+
+// Idle reports whether no job is in progress.
+func (e *Engine) Idle() bool { return e.jobs.Active() == 0 }
+
+func (e *Engine) log(id event.ID, attrs ...slog.Attr) {
+	e.ready.Events = append(e.ready.Events, Record{ID: id, Attrs: attrs})
+}
+
+func (e *Engine) send(to string, b peer.Body) {
+	e.ready.Messages = append(e.ready.Messages, Outgoing{To: to, Body: b})
+}
+
+func (e *Engine) answer(a *job.Answer) {
+	if a == nil {
+		return
+	}
+	e.ready.Answers = append(e.ready.Answers, a)
+	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
+	e.cancelStarted(a.ID)
+}
+
+// cancelStarted asks the minions of a job's tasks in progress to stop them.
+func (e *Engine) cancelStarted(id job.ID) {
+	j := e.jobs.Get(id)
+	if j == nil {
+		return
+	}
+	j.Started(func(index int, name string) {
+		m := e.minions.Get(name)
+		if m == nil {
+			return
+		}
+		e.ready.Cancels = append(e.ready.Cancels, Cancel{Task: job.TaskID{Job: id, Index: index}, Address: m.Address})
+	})
+}
+
+// Submit admits, attaches or refuses a submission. A final answer is returned
+// at once; otherwise it follows in Ready.Answers.
+func (e *Engine) Submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
+	if err := e.admit(now, s); err != nil {
+		return nil, err
+	}
+	j, admission, err := e.jobs.Submit(now, s)
+	if err != nil {
+		e.log(event.JobRefused, slog.String("job", s.ID.String()), slog.Int("code", int(err.Code)))
+		return nil, err
+	}
+	switch admission {
+	case job.Replayed:
+		return j.Answer(), nil
+	case job.Accepted:
+		e.queue.Add(j)
+		e.dispatch(now)
+	}
+	return nil, nil
+}
+
+// admit refuses what can be refused without a job record. Repetitions pass:
+// their answer exists or is on its way.
+func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
+	if e.jobs.Get(s.ID) != nil || s.Attempt != 1 {
+		return nil // the job table knows what is true of an earlier attempt
+	}
+	if e.stopping {
+		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
+	}
+	for i := range s.Tasks {
+		offered, fits := e.minions.Placeable(now, s.Service, s.Tasks[i].Size)
+		if !offered {
+			return result.Errorf(result.UnknownService, "service %q in failure domain %s", s.Service, e.cfg.Host.FailureDomain)
+		}
+		if !fits {
+			return result.Errorf(result.Unplaceable, "task %d", i)
+		}
+	}
+	return nil
+}
+
+// Cancel withdraws a job's queued tasks and stops its started ones.
+func (e *Engine) Cancel(now time.Time, id job.ID) *result.Error {
+	a, err := e.jobs.Cancel(now, id)
+	if err != nil {
+		return err
+	}
+	e.cancelStarted(id)
+	e.answer(a)
+	return nil
+}
+
+// dispatch starts every task that a free minion can take.
+func (e *Engine) dispatch(now time.Time) {
+	for {
+		a, ok := e.queue.Next(now, e.minions)
+		if !ok {
+			return
+		}
+		if !e.jobs.Start(now, a.Task, a.Minion.Name) {
+			return
+		}
+		e.minions.Acquire(a.Minion)
+		e.ready.Starts = append(e.ready.Starts, e.start(a))
+	}
+}
+
+func (e *Engine) start(a dispatch.Assignment) Start {
+	j := e.jobs.Get(a.Task.Job)
+	t := &j.Tasks[a.Task.Index]
+	return Start{
+		Task:     a.Task,
+		Service:  j.Service,
+		Payload:  t.Payload,
+		Size:     t.Size,
+		NoRepeat: t.NoRepeat,
+		Minion:   a.Minion.Name,
+		Address:  a.Minion.Address,
+		Deadline: j.Deadline,
+	}
+}
+
+// TaskFinished records the outcome of a start that reached its minion.
+func (e *Engine) TaskFinished(now time.Time, id job.TaskID, name string, o job.Outcome) {
+	e.release(id, name, time.Time{})
+	switch o.Code {
+	case result.AnswerMismatch:
+		e.log(event.AnswerMismatch, slog.String("job", id.Job.String()), slog.Int("task", id.Index), slog.String("minion", name))
+	case result.StartUnknown:
+		e.log(event.TaskStartUnknown, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
+			slog.String("minion", name), slog.String("detail", o.Detail))
+	}
+	a := e.jobs.Finish(now, id, o)
+	if o.Code != result.OK && a == nil {
+		e.cancelStarted(id.Job)
+	}
+	e.answer(a)
+	e.dispatch(now)
+}
+
+// TaskDisproved records a start that certainly did not happen.
+func (e *Engine) TaskDisproved(now time.Time, id job.TaskID, name string, reason result.Code) {
+	e.release(id, name, now.Add(e.cfg.BusyPause))
+	e.log(event.TaskStartRefused, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
+		slog.String("minion", name), slog.Int("code", int(reason)))
+	e.answer(e.jobs.Disprove(now, id))
+	if j := e.jobs.Get(id.Job); j != nil && !j.Ended() && j.Retries() > e.cfg.RetryBudget+len(j.Tasks) {
+		e.log(event.TaskStartsStopped, slog.String("job", id.Job.String()))
+		e.answer(e.jobs.Refuse(now, id.Job, result.TaskNotStarted, "retry budget used up"))
+	}
+	e.dispatch(now)
+}
+
+func (e *Engine) release(id job.TaskID, name string, retryAt time.Time) {
+	e.minions.Release(name, retryAt)
+	e.queue.Finished(id.Job.Team)
+}
+
+// Tick advances time: deadlines, leases, heartbeats.
+func (e *Engine) Tick(now time.Time) {
+	for _, a := range e.jobs.Tick(now) {
+		e.answer(a)
+	}
+	for _, m := range e.minions.Tick(now) {
+		e.log(event.MinionExpired, slog.String("minion", m.Name))
+	}
+	for _, c := range e.members.Tick(now) {
+		e.log(event.PeerDown, slog.String("host", c.Peer.Name))
+	}
+	if !now.Before(e.nextBeat) {
+		e.nextBeat = now.Add(e.cfg.HeartbeatEvery)
+		e.heartbeat(now)
+	}
+	e.dispatch(now)
+}
+
+// ConfigVersion returns the configuration version in force.
+func (e *Engine) ConfigVersion() uint64 { return e.configVersion }
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,240 @@
+// Package job is the state machine of submitted jobs on one host. It decides
+// whether a submission is new, a repetition or a conflict, allows each task at
+// most one start that was not disproved, and composes the answer, which is
+// either complete or a failure.
+//
+// The package is pure: every method takes the current time and returns what
+// follows; it does no I/O, starts no goroutine and reads no clock.
+package job
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// ID identifies a job: the key is chosen by the caller and scoped by the team.
+type ID struct {
+	Team string
+	Key  string
+}
+
+// String returns "team/key".
+func (id ID) String() string { return id.Team + "/" + id.Key }
+
+// TaskID identifies one task of a job.
+type TaskID struct {
+	Job   ID
+	Index int
+}
+
+// Size is the declared need of one task.
+type Size struct {
+	MilliCPU     int // thousandths of a processor
+	MemoryMB     int
+	Accelerators int
+	Run          time.Duration // declared run time, zero when not declared
+}
+
+// Task is one unit of work of a submission.
+type Task struct {
+	Payload  []byte
+	Size     Size
+	NoRepeat bool // the caller marked the task as not idempotent
+}
+
+// Submission is a caller's request.
+type Submission struct {
+	ID          ID
+	Attempt     int // 1 for the first; 0 when the caller does not say
+	Service     string
+	SubmittedAt time.Time // the caller's clock
+	Deadline    time.Time // the host's clock
+	Digest      uint64    // hash of the body, to detect a key used twice
+	Tasks       []Task
+}
+
+// State is the state of one task.
+type State uint8
+
+// Task states. Queued is the only one from which a task may start.
+const (
+	Queued State = iota
+	Started
+	Done
+	Failed
+	Unknown   // may have run, outcome never learned
+	Withdrawn // will not start
+)
+
+// Outcome is what became of one start.
+type Outcome struct {
+	Code   result.Code   // OK, TaskFailed, StartUnknown or AnswerMismatch
+	Result []byte        // the minion's answer
+	Detail string        // failure text
+	Run    time.Duration // the minion's own run time, zero when not given
+	Trip   time.Duration // from sending to the answer, on the host's clock
+}
+
+// Answer is the whole answer to one submission.
+type Answer struct {
+	ID        ID
+	Code      result.Code
+	Detail    string
+	Results   [][]byte // one per task, only when Code is result.OK
+	Breakdown Breakdown
+}
+
+// Breakdown tells where the time of the answer's last task went. All
+// durations are differences on the host's own clock, but for Run.
+type Breakdown struct {
+	Total   time.Duration // from acceptance to the answer
+	Queue   time.Duration // from acceptance, or the last disproved start, to the start
+	Trip    time.Duration // from sending the task to its answer
+	Run     time.Duration // the minion's own run time, zero when not given
+	Minion  string        // minion of the last task
+	Task    int           // index of the last task
+	Retries int           // disproved starts in the whole job
+}
+
+type task struct {
+	state    State
+	starts   int
+	disprove int
+	minion   string
+	queued   time.Time
+	started  time.Time
+	outcome  Outcome
+}
+
+// Job is one accepted submission.
+type Job struct {
+	Submission
+	Accepted time.Time
+
+	tasks     []task
+	queued    int
+	running   int
+	done      int
+	retries   int
+	stopCode  result.Code // first reason to stop; OK while none
+	detail    string
+	ended     bool
+	answer    *Answer
+	endedAt   time.Time
+	retention time.Time
+}
+
+// Queued returns the number of tasks that may still start.
+func (j *Job) Queued() int { return j.queued }
+
+// Running returns the number of tasks in progress.
+func (j *Job) Running() int { return j.running }
+
+// Done returns the number of finished tasks.
+func (j *Job) Done() int { return j.done }
+
+// Ended reports whether the answer is final.
+func (j *Job) Ended() bool { return j.ended }
+
+// Answer returns the final answer, nil while the job is in progress.
+func (j *Job) Answer() *Answer { return j.answer }
+
+// NextQueued returns the lowest index at or above from that may start, or -1.
+func (j *Job) NextQueued(from int) int {
+	for i := from; i < len(j.tasks); i++ {
+		if j.tasks[i].state == Queued {
+			return i
+		}
+	}
+	return -1
+}
+
+// Started calls f for each task in progress.
+func (j *Job) Started(f func(index int, minion string)) {
+	for i := range j.tasks {
+		if j.tasks[i].state == Started {
+			f(i, j.tasks[i].minion)
+		}
+	}
+}
+
+func (j *Job) withdraw() {
+	for i := range j.tasks {
+		if j.tasks[i].state == Queued {
+			j.tasks[i].state = Withdrawn
+		}
+	}
+	j.queued = 0
+}
+
+// stop records the first reason not to go on and withdraws queued tasks.
+func (j *Job) stop(code result.Code, detail string) {
+	if j.stopCode == result.OK {
+		j.stopCode = code
+		j.detail = detail
+	}
+	j.withdraw()
+}
+
+func (j *Job) anyRan() bool {
+	for i := range j.tasks {
+		if j.tasks[i].state == Done || j.tasks[i].state == Failed {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Job) anyUnknown() bool {
+	for i := range j.tasks {
+		if j.tasks[i].state == Started || j.tasks[i].state == Unknown {
+			return true
+		}
+	}
+	return false
+}
+
+// byProgress picks the code that is true of what has started so far.
+func (j *Job) byProgress(notRun, ran, maybe result.Code) result.Code {
+	switch {
+	case j.anyUnknown():
+		return maybe
+	case j.anyRan():
+		return ran
+	default:
+		return notRun
+	}
+}
+
+func (j *Job) breakdown(now time.Time, last int) Breakdown {
+	b := Breakdown{Total: now.Sub(j.Accepted), Task: last, Retries: j.retries}
+	t := &j.tasks[last]
+	b.Minion = t.minion
+	b.Trip = t.outcome.Trip
+	b.Run = t.outcome.Run
+	if t.starts > t.disprove {
+		b.Queue = t.started.Sub(t.queued)
+	} else {
+		b.Queue = now.Sub(t.queued)
+	}
+	return b
+}
+
+func (j *Job) end(now time.Time, code result.Code, detail string, last int) *Answer {
+	a := &Answer{ID: j.ID, Code: code, Detail: detail, Breakdown: j.breakdown(now, last)}
+	if code == result.OK {
+		a.Results = make([][]byte, len(j.tasks))
+		for i := range j.tasks {
+			a.Results[i] = j.tasks[i].outcome.Result
+		}
+	}
+	j.withdraw()
+	j.ended = true
+	j.answer = a
+	j.endedAt = now
+	return a
+}
+
+// Retries returns the number of disproved starts.
+func (j *Job) Retries() int { return j.retries }
--- /dev/null
+++ b/internal/job/table_test.go
@@ -0,0 +1,137 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/shoenig/test/must"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var limits = Limits{MaxActive: 2, MaxRecords: 10, MaxAnswerBytes: 4, KeyLifetime: time.Minute, ClockError: time.Second}
+
+func newTestTable() *Table { return NewTable(limits, t0.Add(-time.Hour)) }
+
+func submission(key string, tasks int) *Submission {
+	return &Submission{
+		ID: ID{Team: "t", Key: key}, Attempt: 1, Service: "s", SubmittedAt: t0,
+		Deadline: t0.Add(time.Second), Digest: 1, Tasks: make([]Task, tasks),
+	}
+}
+
+func accept(t *testing.T, table *Table, key string, tasks int) *Job {
+	t.Helper()
+	j, a, err := table.Submit(t0, submission(key, tasks))
+	must.Nil(t, err)
+	must.Eq(t, Accepted, a)
+	return j
+}
+
+func TestCompleteAnswerHasEveryResult(t *testing.T) {
+	table := newTestTable()
+	j := accept(t, table, "k", 2)
+	for i, r := range []string{"a", "b"} {
+		id := TaskID{Job: j.ID, Index: i}
+		must.True(t, table.Start(t0, id, "m"))
+		a := table.Finish(t0, id, Outcome{Code: result.OK, Result: []byte(r)})
+		must.Eq(t, i == 1, a != nil)
+	}
+	must.Eq(t, [][]byte{[]byte("a"), []byte("b")}, j.Answer().Results)
+}
+
+func TestSecondStartPanics(t *testing.T) {
+	table := newTestTable()
+	id := TaskID{Job: accept(t, table, "k", 1).ID}
+	must.True(t, table.Start(t0, id, "m"))
+	defer func() { must.NotNil(t, recover()) }()
+	table.Start(t0, id, "m")
+}
+
+func TestDisprovedStartMayStartAgain(t *testing.T) {
+	table := newTestTable()
+	id := TaskID{Job: accept(t, table, "k", 1).ID}
+	must.True(t, table.Start(t0, id, "m"))
+	must.Nil(t, table.Disprove(t0, id))
+	must.True(t, table.Start(t0, id, "n"))
+}
+
+func TestFailureWithdrawsTheRest(t *testing.T) {
+	table := newTestTable()
+	j := accept(t, table, "k", 3)
+	id := TaskID{Job: j.ID}
+	must.True(t, table.Start(t0, id, "m"))
+	a := table.Finish(t0, id, Outcome{Code: result.TaskFailed, Detail: "no"})
+	must.Eq(t, result.TaskFailed, a.Code)
+	must.Nil(t, a.Results)
+	must.Eq(t, 0, j.Queued())
+}
+
+func TestDeadlineCodesTellWhatStarted(t *testing.T) {
+	late := t0.Add(2 * time.Second)
+	cases := []struct {
+		name            string
+		started, ending int
+		want            result.Code
+	}{
+		{"none", 0, 0, result.DeadlineNotRun},
+		{"one done", 1, 1, result.DeadlineRan},
+		{"one in progress", 1, 0, result.DeadlineUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTestTable()
+			id := TaskID{Job: accept(t, table, "k", 2).ID}
+			if c.started > 0 {
+				must.True(t, table.Start(t0, id, "m"))
+			}
+			if c.ending > 0 {
+				table.Finish(t0, id, Outcome{Code: result.OK})
+			}
+			answers := table.Tick(late)
+			must.SliceLen(t, 1, answers)
+			must.Eq(t, c.want, answers[0].Code)
+			must.SliceEmpty(t, table.Tick(late))
+		})
+	}
+}
+
+func TestRepetitions(t *testing.T) {
+	table := newTestTable()
+	accept(t, table, "k", 1)
+	again := submission("k", 1)
+	again.Attempt = 2
+	_, a, err := table.Submit(t0, again)
+	must.Nil(t, err)
+	must.Eq(t, Attached, a)
+	again.Digest = 2
+	_, _, err = table.Submit(t0, again)
+	must.Eq(t, result.KeyConflict, err.Code)
+	_, _, err = table.Submit(t0, &Submission{ID: ID{Key: "x"}, Attempt: 2, SubmittedAt: t0})
+	must.Eq(t, result.OwnerUnknown, err.Code)
+}
+
+func TestOldSubmissionsAreRefused(t *testing.T) {
+	table := newTestTable()
+	_, _, err := table.Submit(t0.Add(2*time.Minute), submission("k", 1))
+	must.Eq(t, result.Expired, err.Code)
+	fresh := NewTable(limits, t0)
+	_, _, err = fresh.Submit(t0, submission("k", 1))
+	must.Eq(t, result.OwnerUnknown, err.Code)
+}
+
+// Answers beyond the byte bound are dropped oldest first; the key stays known.
+func TestAnswersAreBounded(t *testing.T) {
+	table := newTestTable()
+	for _, key := range []string{"a", "b"} {
+		id := TaskID{Job: accept(t, table, key, 1).ID}
+		must.True(t, table.Start(t0, id, "m"))
+		table.Finish(t0, id, Outcome{Code: result.OK, Result: []byte("123")})
+	}
+	table.Tick(t0)
+	must.Eq(t, result.AnswerReleased, table.Get(ID{"t", "a"}).Answer().Code)
+	must.Eq(t, result.OK, table.Get(ID{"t", "b"}).Answer().Code)
+	table.Tick(t0.Add(2 * time.Minute))
+	must.Eq(t, 0, table.Records())
+}
--- /dev/null
+++ b/internal/minion/registry.go
@@ -0,0 +1,254 @@
+// Package minion tracks the backend servers that announced themselves to a
+// failure domain: their leases, slots and readiness for new work.
+//
+// The package is pure: every method takes the current time; it does no I/O,
+// starts no goroutine and reads no clock.
+package minion
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+)
+
+// Announcement is what a minion says about itself.
+type Announcement struct {
+	Name          string   `json:"name" msgpack:"n" validate:"required,max=128"`
+	Worker        string   `json:"worker" msgpack:"w" validate:"required,max=128"`
+	Rack          string   `json:"rack" msgpack:"r" validate:"required,max=128"`
+	FailureDomain string   `json:"failure_domain" msgpack:"d" validate:"required,max=128"`
+	Services      []string `json:"services" msgpack:"s" validate:"required,min=1,max=64,dive,required,max=128"`
+	Slots         int      `json:"slots" msgpack:"l" validate:"min=1,max=4096"`
+	Connections   int      `json:"connections" msgpack:"c" validate:"min=1,max=65536"`
+	Address       string   `json:"address" msgpack:"a" validate:"required,hostname_port"`
+	MilliCPU      int      `json:"milli_cpu" msgpack:"p" validate:"min=0"`
+	MemoryMB      int      `json:"memory_mb" msgpack:"m" validate:"min=0"`
+	Accelerators  int      `json:"accelerators" msgpack:"x" validate:"min=0"`
+	// Generation orders announcements of one name: a restarted minion
+	// announces a higher one.
+	Generation uint64 `json:"generation" msgpack:"g"`
+}
+
+// Minion is the state of one announced backend server.
+type Minion struct {
+	Announcement
+	LeaseUntil time.Time
+	Leaving    bool // announced its leave; no new work
+	Draining   bool // drained by an operator; no new work
+	Local      bool // announced to this host, which relays its lease
+
+	inUse     int // tasks of this host in progress
+	freeAfter time.Time
+}
+
+// InUse returns the number of this host's tasks in progress on the minion.
+func (m *Minion) InUse() int { return m.inUse }
+
+// Ready reports whether the minion may be given new work at now.
+func (m *Minion) Ready(now time.Time) bool {
+	return !m.Leaving && !m.Draining && m.LeaseUntil.After(now)
+}
+
+// Offers reports whether the minion runs the service.
+func (m *Minion) Offers(service string) bool { return slices.Contains(m.Services, service) }
+
+// Fits reports whether one task of the given size fits the empty minion. A
+// minion that declares no capacity fits every size.
+func (m *Minion) Fits(s job.Size) bool {
+	return (m.MilliCPU == 0 || s.MilliCPU <= m.MilliCPU) &&
+		(m.MemoryMB == 0 || s.MemoryMB <= m.MemoryMB) &&
+		s.Accelerators <= m.Accelerators
+}
+
+// Registry holds the minions known to one host.
+type Registry struct {
+	lease   time.Duration
+	minions map[string]*Minion
+	drains  map[string]bool // minion names drained by the configuration
+}
+
+// NewRegistry returns an empty registry that grants leases of the given length.
+func NewRegistry(lease time.Duration) *Registry {
+	return &Registry{lease: lease, minions: make(map[string]*Minion), drains: make(map[string]bool)}
+}
+
+// Lease returns the length of a lease.
+func (r *Registry) Lease() time.Duration { return r.lease }
+
+// Get returns the named minion, or nil.
+func (r *Registry) Get(name string) *Minion { return r.minions[name] }
+
+// Len returns the number of known minions.
+func (r *Registry) Len() int { return len(r.minions) }
+
+// Announce adds or renews a minion. remaining is the rest of its lease: the
+// whole lease for a direct announcement, less for a relayed one. An
+// announcement with an older generation than the known one is ignored.
+func (r *Registry) Announce(now time.Time, a Announcement, remaining time.Duration, local bool) bool {
+	m := r.minions[a.Name]
+	if m != nil && a.Generation < m.Generation {
+		return false
+	}
+	if m == nil {
+		m = &Minion{}
+		r.minions[a.Name] = m
+	}
+	if a.Generation > m.Generation {
+		m.Leaving = false
+	}
+	m.Announcement = a
+	m.Local = local
+	m.Draining = r.drains[a.Name]
+	m.extend(now.Add(remaining))
+	return true
+}
+
+// Renew extends the lease of a known minion. It reports false when the name
+// and generation are not known, so that the sender announces in full.
+func (r *Registry) Renew(now time.Time, name string, generation uint64, remaining time.Duration, local bool) bool {
+	m := r.minions[name]
+	if m == nil || m.Generation != generation {
+		return false
+	}
+	if local {
+		m.Local = true
+	}
+	m.extend(now.Add(remaining))
+	return true
+}
+
+func (m *Minion) extend(until time.Time) {
+	if until.After(m.LeaseUntil) {
+		m.LeaseUntil = until
+	}
+}
+
+// Leave marks a minion as leaving. It reports whether this changed anything.
+func (r *Registry) Leave(name string, generation uint64) bool {
+	m := r.minions[name]
+	if m == nil || m.Generation > generation || m.Leaving {
+		return false
+	}
+	m.Leaving = true
+	return true
+}
+
+// SetDrains replaces the set of minions drained by the configuration.
+func (r *Registry) SetDrains(names []string) {
+	r.drains = make(map[string]bool, len(names))
+	for _, n := range names {
+		r.drains[n] = true
+	}
+	for _, m := range r.minions {
+		m.Draining = r.drains[m.Name]
+	}
+}
+
+// Tick forgets minions whose lease has ended and that run nothing for this
+// host, and returns those whose lease ended since the last call.
+func (r *Registry) Tick(now time.Time) []*Minion {
+	var gone []*Minion
+	for name, m := range r.minions {
+		if m.LeaseUntil.After(now) || m.inUse > 0 {
+			continue
+		}
+		gone = append(gone, m)
+		delete(r.minions, name)
+	}
+	return gone
+}
+
+// Acquire takes a slot of the minion for one start of this host.
+func (r *Registry) Acquire(m *Minion) { m.inUse++ }
+
+// Release gives a slot back. A busy minion is left alone until retryAt.
+func (r *Registry) Release(name string, retryAt time.Time) {
+	m := r.minions[name]
+	if m == nil {
+		return
+	}
+	if m.inUse > 0 {
+		m.inUse--
+	}
+	if retryAt.After(m.freeAfter) {
+		m.freeAfter = retryAt
+	}
+}
+
+// Pick returns the ready minion with the most free slots that offers the
+// service and fits the size, or nil.
+func (r *Registry) Pick(now time.Time, service string, size job.Size) *Minion {
+	var best *Minion
+	for _, m := range r.minions {
+		if m.inUse >= m.Slots || m.freeAfter.After(now) || !m.Ready(now) || !m.Offers(service) || !m.Fits(size) {
+			continue
+		}
+		if best == nil || better(m, best) {
+			best = m
+		}
+	}
+	return best
+}
+
+func better(a, b *Minion) bool {
+	if fa, fb := a.Slots-a.inUse, b.Slots-b.inUse; fa != fb {
+		return fa > fb
+	}
+	return a.Name < b.Name
+}
+
+// Placeable reports whether any minion offers the service, and whether any of
+// those fits the size.
+func (r *Registry) Placeable(now time.Time, service string, size job.Size) (offered, fits bool) {
+	for _, m := range r.minions {
+		if !m.Offers(service) || !m.Ready(now) {
+			continue
+		}
+		offered = true
+		if m.Fits(size) {
+			return true, true
+		}
+	}
+	return offered, false
+}
+
+// All returns the minions ordered by name.
+func (r *Registry) All() []*Minion {
+	out := make([]*Minion, 0, len(r.minions))
+	for _, m := range r.minions {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
+	return out
+}
+
+// State is a minion's readiness for new work.
+type State uint8
+
+// Minion states.
+const (
+	StateReady State = iota
+	StateLeaving
+	StateDraining
+	StateExpired
+)
+
+// String returns the state's wire name.
+func (s State) String() string {
+	return [...]string{"ready", "leaving", "draining", "expired"}[s]
+}
+
+// State returns the minion's state at now.
+func (m *Minion) State(now time.Time) State {
+	switch {
+	case !m.LeaseUntil.After(now):
+		return StateExpired
+	case m.Leaving:
+		return StateLeaving
+	case m.Draining:
+		return StateDraining
+	}
+	return StateReady
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,127 @@
+// Package peer is the protocol between hosts: message types, their msgpack
+// encoding and the framing on a TCP stream. docs/PROTOCOL.md describes it.
+package peer
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Version is the protocol version; hosts of different versions reject each other.
+const Version = 1
+
+// Kind numbers the message types.
+type Kind uint8
+
+// Message kinds.
+const (
+	KindHello Kind = iota + 1
+	KindHeartbeat
+	KindMinionUpdate
+	KindMinionLeave
+	KindMinionQuery
+)
+
+// Body is a typed message.
+type Body interface{ Kind() Kind }
+
+// Hello is the first message on a connection, in both directions.
+type Hello struct {
+	Version       int                    `msgpack:"v"`
+	Host          string                 `msgpack:"h"`
+	FailureDomain string                 `msgpack:"d"`
+	Incarnation   membership.Incarnation `msgpack:"i"`
+}
+
+// Heartbeat is sent at a fixed interval to every peer.
+type Heartbeat struct {
+	SentAt  time.Duration `msgpack:"t"` // sender's monotonic clock
+	EchoAt  time.Duration `msgpack:"e"` // receiver's clock reading, returned
+	Held    time.Duration `msgpack:"o"` // how long the sender kept it
+	Config  uint64        `msgpack:"c"` // configuration version in force
+	Leases  []MinionLease `msgpack:"l,omitempty"`
+	Stopped bool          `msgpack:"s,omitempty"` // the sender takes no new work
+}
+
+// MinionLease renews the lease of a minion that announced to the sender.
+type MinionLease struct {
+	Name       string        `msgpack:"n"`
+	Generation uint64        `msgpack:"g"`
+	Remaining  time.Duration `msgpack:"r"`
+}
+
+// MinionUpdate relays an announcement.
+type MinionUpdate struct {
+	Minion    minion.Announcement `msgpack:"m"`
+	Remaining time.Duration       `msgpack:"r"`
+}
+
+// MinionLeave relays a leave.
+type MinionLeave struct {
+	Name       string `msgpack:"n"`
+	Generation uint64 `msgpack:"g"`
+}
+
+// MinionQuery asks for the full announcements of the named minions.
+type MinionQuery struct {
+	Names []string `msgpack:"n"`
+}
+
+// Kind implements Body.
+func (*Hello) Kind() Kind { return KindHello }
+
+// Kind implements Body.
+func (*Heartbeat) Kind() Kind { return KindHeartbeat }
+
+// Kind implements Body.
+func (*MinionUpdate) Kind() Kind { return KindMinionUpdate }
+
+// Kind implements Body.
+func (*MinionLeave) Kind() Kind { return KindMinionLeave }
+
+// Kind implements Body.
+func (*MinionQuery) Kind() Kind { return KindMinionQuery }
+
+func newBody(k Kind) (Body, error) {
+	switch k {
+	case KindHello:
+		return &Hello{}, nil
+	case KindHeartbeat:
+		return &Heartbeat{}, nil
+	case KindMinionUpdate:
+		return &MinionUpdate{}, nil
+	case KindMinionLeave:
+		return &MinionLeave{}, nil
+	case KindMinionQuery:
+		return &MinionQuery{}, nil
+	}
+	return nil, errors.Errorf("peer: unknown message kind %d", k)
+}
+
+// Encode returns the frame payload of b: one byte of kind and the msgpack body.
+func Encode(b Body) ([]byte, error) {
+	body, err := msgpack.Marshal(b)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: encode kind %d", b.Kind())
+	}
+	return append([]byte{byte(b.Kind())}, body...), nil
+}
+
+// Decode is the inverse of Encode.
+func Decode(payload []byte) (Body, error) {
+	if len(payload) == 0 {
+		return nil, errors.New("peer: empty frame")
+	}
+	b, err := newBody(Kind(payload[0]))
+	if err != nil {
+		return nil, err
+	}
+	if err := msgpack.Unmarshal(payload[1:], b); err != nil {
+		return nil, errors.Wrapf(err, "peer: decode kind %d", payload[0])
+	}
+	return b, nil
+}
