The thin whole path: daemon, command line, stand-in minion, demo

Cause: the complete path as separate processes comes first. Ways ruled out: the HTTP client's own retries (a test with a raw listener shows that a closed kept-alive connection is neither resent nor called disproved: two requests for two calls); waiting inside the decision duty (handlers wait on their own channel instead). Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+.PHONY: build demo test lint unit race bench soak
+
+build:
+	@mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+# Runs the main job on loopback; exit status 0 when every step held.
+demo: build
+	scripts/demo.sh
+
+# Formatter, vet, staticcheck and all tests.
+test: lint unit race
+
+lint:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+unit:
+	go test ./...
+
+race:
+	go test -race ./internal/daemon/... ./internal/link/... ./internal/api/... ./internal/backend/...
--- /dev/null
+++ b/cmd/laburnumctl/submit.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/google/uuid"
+	"github.com/laburnumwalk/laburnumwalk/internal/api"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// exitNotComplete is the status of a job that ended without a complete answer.
+const exitNotComplete subcommands.ExitStatus = 4
+
+// submitCommand submits a job to a callers' listener, for trying things out.
+type submitCommand struct {
+	client   *hostClient
+	callers  string
+	key      string
+	attempt  int
+	team     string
+	service  string
+	deadline time.Duration
+}
+
+func (*submitCommand) Name() string     { return "submit" }
+func (*submitCommand) Synopsis() string { return "submit a job and wait for its answer" }
+func (*submitCommand) Usage() string {
+	return "submit [flags] PAYLOAD...\n  Submit a job with one task per payload and print the answer.\n" +
+		"  Exit status 4: the answer is not complete.\n"
+}
+
+func (s *submitCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.callers, "callers", "127.0.0.1:8101", "`address` of a host's callers' listener")
+	f.StringVar(&s.key, "key", "", "key of the job; empty: a random one")
+	f.IntVar(&s.attempt, "attempt", 1, "attempt number")
+	f.StringVar(&s.team, "team", "operators", "team")
+	f.StringVar(&s.service, "service", "", "service")
+	f.DurationVar(&s.deadline, "deadline", 10*time.Second, "deadline from receipt")
+}
+
+func (s *submitCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		fmt.Print(s.Usage())
+		return subcommands.ExitUsageError
+	}
+	body, err := json.Marshal(s.request(f.Args()))
+	if err != nil {
+		return fail(err)
+	}
+	s.client.timeout += s.deadline
+	var r api.JobResponse
+	if _, err := s.client.do(ctx, "POST", s.callers, "/v1/jobs", body, &r); err != nil {
+		return fail(err)
+	}
+	if status := s.client.print(r, func() { printJob(&r) }); status != subcommands.ExitSuccess {
+		return status
+	}
+	if r.Code != result.OK {
+		return exitNotComplete
+	}
+	return subcommands.ExitSuccess
+}
+
+func (s *submitCommand) request(payloads []string) api.SubmitRequest {
+	r := api.SubmitRequest{
+		Key:           s.key,
+		Attempt:       s.attempt,
+		Team:          s.team,
+		Service:       s.service,
+		DeadlineMS:    s.deadline.Milliseconds(),
+		SubmittedAtMS: time.Now().UnixMilli(),
+	}
+	if r.Key == "" {
+		r.Key = uuid.NewString()
+	}
+	for _, p := range payloads {
+		r.Tasks = append(r.Tasks, api.TaskBody{Payload: p})
+	}
+	return r
+}
+
+func printJob(r *api.JobResponse) {
+	fmt.Printf("%s/%s: %d %s (%s)", r.Team, r.Key, r.Code, r.Name, r.Class)
+	if r.Detail != "" {
+		fmt.Printf(": %s", r.Detail)
+	}
+	fmt.Println()
+	for i, x := range r.Results {
+		fmt.Printf("  task %d: %s\n", i, x)
+	}
+	if t := r.Timing; t != nil {
+		fmt.Printf("  total %d us; last task %d on %s: queue %d us, round trip %d us, run %d us; %d retries\n",
+			t.TotalUS, t.Task, t.Minion, t.QueueUS, t.TripUS, t.RunUS, t.Retries)
+	}
+}
--- /dev/null
+++ b/cmd/lwbench/minion.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/google/subcommands"
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
+	"github.com/laburnumwalk/laburnumwalk/internal/standin"
+)
+
+// minionCommand runs a stand-in minion until it is told to stop.
+type minionCommand struct {
+	announcement minion.Announcement
+	listen       string
+	hosts        string
+	services     string
+}
+
+func (*minionCommand) Name() string     { return "minion" }
+func (*minionCommand) Synopsis() string { return "run a stand-in minion" }
+func (*minionCommand) Usage() string {
+	return "minion -name NAME -domain DOMAIN -hosts ADDRESS[,ADDRESS] [flags]\n" +
+		"  Run a stand-in minion until SIGTERM, then leave gracefully.\n"
+}
+
+func (m *minionCommand) SetFlags(f *flag.FlagSet) {
+	a := &m.announcement
+	f.StringVar(&a.Name, "name", "", "name of the minion")
+	f.StringVar(&a.Worker, "worker", "worker-1", "worker it runs on")
+	f.StringVar(&a.Rack, "rack", "rack-1", "rack of the worker")
+	f.StringVar(&a.FailureDomain, "domain", "", "failure domain")
+	f.StringVar(&m.services, "services", "despacho", "services, separated by commas")
+	f.IntVar(&a.Slots, "slots", 8, "tasks at a time")
+	f.IntVar(&a.Connections, "connections", 64, "connections at a time")
+	f.StringVar(&m.listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.StringVar(&m.hosts, "hosts", "", "minion listeners of the entry hosts, separated by commas")
+}
+
+func (m *minionCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	hlog.SetOutput(io.Discard)
+	m.announcement.Services = strings.Split(m.services, ",")
+	l, err := net.Listen("tcp", m.listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lwbench:", err)
+		return subcommands.ExitFailure
+	}
+	if err := standin.New(m.announcement, l, strings.Split(m.hosts, ",")).Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "lwbench:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,218 @@
+package backend
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout    = 500 * time.Millisecond
+	cancelTimeout  = time.Second
+	maxConnections = 64 // to one minion
+	// idleTimeout retires idle connections before a minion does. Minions must
+	// keep idle connections for at least 30 s.
+	idleTimeout = 10 * time.Second
+	// answerGrace is how long after the deadline an answer is still read, so
+	// that the slot is known to be free.
+	answerGrace = 2 * time.Second
+)
+
+// Request is one task start.
+type Request struct {
+	Task        job.TaskID
+	Service     string
+	Payload     []byte
+	NoRepeat    bool
+	Address     string
+	Deadline    time.Time
+	Traceparent string
+}
+
+// Reply is what became of a request.
+type Reply struct {
+	Outcome   job.Outcome
+	Disproved bool // the task certainly did not start
+}
+
+// Client sends tasks to minions. It never sends a request twice.
+type Client struct {
+	http        *client.Client
+	incarnation membership.Incarnation
+	maxResult   int
+}
+
+// NewClient returns a client that accepts results of up to maxResult bytes.
+func NewClient(inc membership.Incarnation, maxResult int) (*Client, error) {
+	c, err := client.NewClient(
+		client.WithDialer(markingDialer{standard.NewDialer()}),
+		client.WithDialTimeout(dialTimeout),
+		client.WithMaxConnsPerHost(maxConnections),
+		client.WithMaxConnWaitTimeout(dialTimeout),
+		client.WithMaxIdleConnDuration(idleTimeout),
+		client.WithKeepAlive(true),
+		client.WithNoDefaultUserAgentHeader(true),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "backend client")
+	}
+	return &Client{http: c, incarnation: inc, maxResult: maxResult}, nil
+}
+
+// dialError marks failures before any byte was written.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return "dial: " + e.err.Error() }
+func (e *dialError) Unwrap() error { return e.err }
+
+// markingDialer turns every dial failure into a *dialError.
+type markingDialer struct{ network.Dialer }
+
+func (d markingDialer) DialConnection(n, address string, timeout time.Duration, c *tls.Config) (network.Conn, error) {
+	conn, err := d.Dialer.DialConnection(n, address, timeout, c)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	return conn, nil
+}
+
+func (d markingDialer) DialTimeout(n, address string, timeout time.Duration, c *tls.Config) (net.Conn, error) {
+	conn, err := d.Dialer.DialTimeout(n, address, timeout, c)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	return conn, nil
+}
+
+// Start sends the task and waits for its answer.
+func (c *Client) Start(ctx context.Context, r Request) Reply {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+
+	identity := Identity(c.incarnation, r.Task)
+	sent := time.Now()
+	left := r.Deadline.Sub(sent)
+	if left <= 0 {
+		return disproved("deadline passed before sending")
+	}
+	c.fill(req, r, identity, left)
+	err := c.http.Do(ctx, req, resp)
+	trip := time.Since(sent)
+	if err != nil {
+		return failure(err, trip)
+	}
+	return c.reply(resp, identity, trip)
+}
+
+func (c *Client) fill(req *protocol.Request, r Request, identity string, left time.Duration) {
+	req.SetMethod("POST")
+	req.SetRequestURI("http://" + r.Address + PathTasks)
+	req.Header.Set(HeaderTask, identity)
+	req.Header.Set(HeaderService, r.Service)
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	if r.NoRepeat {
+		req.Header.Set(HeaderNoRepeat, "1")
+	}
+	if r.Traceparent != "" {
+		req.Header.Set(HeaderTraceID, r.Traceparent)
+	}
+	req.SetBodyRaw(r.Payload)
+	req.SetOptions(config.WithReadTimeout(left + answerGrace))
+}
+
+func disproved(detail string) Reply {
+	return Reply{Disproved: true, Outcome: job.Outcome{Code: result.Busy, Detail: detail}}
+}
+
+// failure classifies a transport error. Only a failed dial, or no free
+// connection, proves that nothing was sent.
+func failure(err error, trip time.Duration) Reply {
+	var d *dialError
+	if errors.As(err, &d) || errors.Is(err, hertzerrors.ErrNoFreeConns) {
+		return disproved(err.Error())
+	}
+	return Reply{Outcome: job.Outcome{Code: result.StartUnknown, Detail: err.Error(), Trip: trip}}
+}
+
+func (c *Client) reply(resp *protocol.Response, identity string, trip time.Duration) Reply {
+	o := job.Outcome{Trip: trip, Run: runTime(string(resp.Header.Peek(HeaderTiming)))}
+	if got := string(resp.Header.Peek(HeaderTask)); got != identity {
+		o.Code = result.AnswerMismatch
+		o.Detail = fmt.Sprintf("sent %q, answered %.128q", identity, got)
+		return Reply{Outcome: o}
+	}
+	body := resp.Body()
+	switch string(resp.Header.Peek(HeaderOutcome)) {
+	case OutcomeDone:
+		if len(body) > c.maxResult {
+			o.Code = result.TaskFailed
+			o.Detail = fmt.Sprintf("result of %d bytes exceeds %d", len(body), c.maxResult)
+			return Reply{Outcome: o}
+		}
+		o.Code = result.OK
+		o.Result = append([]byte(nil), body...)
+	case OutcomeFailed:
+		o.Code = result.TaskFailed
+		o.Detail = string(body[:min(len(body), outcomeBodyBytes)])
+	case OutcomeNotStarted:
+		return Reply{Disproved: true, Outcome: job.Outcome{Code: result.Busy, Detail: string(body[:min(len(body), outcomeBodyBytes)])}}
+	default:
+		o.Code = result.StartUnknown
+		o.Detail = fmt.Sprintf("status %d without %s", resp.StatusCode(), HeaderOutcome)
+	}
+	return Reply{Outcome: o}
+}
+
+// runTime reads the duration of the "run" metric of a Server-Timing header.
+func runTime(header string) time.Duration {
+	for metric := range strings.SplitSeq(header, ",") {
+		name, params, _ := strings.Cut(strings.TrimSpace(metric), ";")
+		if name != "run" {
+			continue
+		}
+		for p := range strings.SplitSeq(params, ";") {
+			value, ok := strings.CutPrefix(strings.TrimSpace(p), "dur=")
+			if !ok {
+				continue
+			}
+			ms, err := strconv.ParseFloat(value, 64)
+			if err != nil || ms < 0 {
+				return 0
+			}
+			return time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	return 0
+}
+
+// Cancel asks the minion to stop the task. The task's own answer tells what
+// became of it, so errors are not reported.
+func (c *Client) Cancel(ctx context.Context, id job.TaskID, address string) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod("POST")
+	req.SetRequestURI("http://" + address + PathCancel)
+	req.Header.Set(HeaderTask, Identity(c.incarnation, id))
+	req.SetOptions(config.WithReadTimeout(cancelTimeout))
+	_ = c.http.Do(ctx, req, resp)
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,151 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/shoenig/test/must"
+)
+
+const deadline = 10 * time.Second
+
+// rawMinion reads requests and answers them by respond; a nil answer closes
+// the connection without one.
+type rawMinion struct {
+	address  string
+	requests atomic.Int64
+}
+
+func newRawMinion(t *testing.T, respond func(n int64, r *http.Request) []byte) *rawMinion {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	m := &rawMinion{address: l.Addr().String()}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(conn, respond)
+		}
+	}()
+	return m
+}
+
+func (m *rawMinion) serve(conn net.Conn, respond func(int64, *http.Request) []byte) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		out := respond(m.requests.Add(1), req)
+		if out == nil {
+			return
+		}
+		if _, err := conn.Write(out); err != nil {
+			return
+		}
+	}
+}
+
+func answer(identity, outcome, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nLw-Task: %s\r\nLw-Outcome: %s\r\nServer-Timing: run;dur=12.5\r\nContent-Length: %d\r\n\r\n%s",
+		identity, outcome, len(body), body)
+}
+
+func start(t *testing.T, c *Client, address string) Reply {
+	t.Helper()
+	return c.Start(context.Background(), Request{
+		Task:    job.TaskID{Job: job.ID{Team: "t", Key: "k"}, Index: 3},
+		Service: "s", Payload: []byte("x"), Address: address,
+		Deadline: time.Now().Add(deadline),
+	})
+}
+
+func newClient(t *testing.T) *Client {
+	t.Helper()
+	c, err := NewClient("inc", 1<<10)
+	must.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestDone(t *testing.T) {
+	m := newRawMinion(t, func(_ int64, r *http.Request) []byte {
+		return answer(r.Header.Get(HeaderTask), OutcomeDone, "result")
+	})
+	r := start(t, newClient(t), m.address)
+	must.Eq(t, result.OK, r.Outcome.Code)
+	must.Eq(t, "result", string(r.Outcome.Result))
+	must.Eq(t, 12500*time.Microsecond, r.Outcome.Run)
+}
+
+// A refused connection is the one transport failure that disproves the start.
+func TestRefusedConnectionDisproves(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	l.Close()
+	must.True(t, start(t, newClient(t), l.Addr().String()).Disproved)
+}
+
+// A stale kept-alive connection fails after the request may have been read:
+// the client must neither send it again nor call the start disproved.
+func TestClosedKeptAliveConnectionIsNotResent(t *testing.T) {
+	m := newRawMinion(t, func(n int64, r *http.Request) []byte {
+		if n == 2 {
+			return nil
+		}
+		return answer(r.Header.Get(HeaderTask), OutcomeDone, "")
+	})
+	c := newClient(t)
+	must.Eq(t, result.OK, start(t, c, m.address).Outcome.Code)
+	r := start(t, c, m.address)
+	must.False(t, r.Disproved)
+	must.Eq(t, result.StartUnknown, r.Outcome.Code)
+	must.Eq(t, int64(2), m.requests.Load())
+}
+
+func TestAnswerOfAnotherTaskIsDropped(t *testing.T) {
+	m := newRawMinion(t, func(int64, *http.Request) []byte {
+		return answer("inc/t/other/3", OutcomeDone, "not mine")
+	})
+	r := start(t, newClient(t), m.address)
+	must.Eq(t, result.AnswerMismatch, r.Outcome.Code)
+	must.Nil(t, r.Outcome.Result)
+}
+
+func TestExplicitRefusalDisproves(t *testing.T) {
+	m := newRawMinion(t, func(_ int64, r *http.Request) []byte {
+		return answer(r.Header.Get(HeaderTask), OutcomeNotStarted, "full")
+	})
+	must.True(t, start(t, newClient(t), m.address).Disproved)
+}
+
+// An error page of something between host and minion proves nothing.
+func TestAnswerWithoutOutcomeIsUnknown(t *testing.T) {
+	m := newRawMinion(t, func(_ int64, r *http.Request) []byte {
+		return fmt.Appendf(nil, "HTTP/1.1 503 Busy\r\nLw-Task: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get(HeaderTask))
+	})
+	r := start(t, newClient(t), m.address)
+	must.False(t, r.Disproved)
+	must.Eq(t, result.StartUnknown, r.Outcome.Code)
+}
+
+func TestOversizedResultFails(t *testing.T) {
+	m := newRawMinion(t, func(_ int64, r *http.Request) []byte {
+		return answer(r.Header.Get(HeaderTask), OutcomeDone, string(make([]byte, 2<<10)))
+	})
+	must.Eq(t, result.TaskFailed, start(t, newClient(t), m.address).Outcome.Code)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,263 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/google/uuid"
+	"github.com/laburnumwalk/laburnumwalk/internal/api"
+	"github.com/laburnumwalk/laburnumwalk/internal/backend"
+	"github.com/laburnumwalk/laburnumwalk/internal/engine"
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/link"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/ring"
+	"github.com/laburnumwalk/laburnumwalk/internal/settings"
+	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
+	"github.com/pkg/errors"
+)
+
+// Daemon is one running entry host.
+type Daemon struct {
+	settings  settings.Settings
+	log       *slog.Logger
+	startedAt time.Time
+	lease     time.Duration
+	ready     atomic.Bool
+
+	metrics   *telemetry.Metrics
+	core      *core
+	sender    *sender
+	mesh      *link.Mesh
+	servers   []*server.Hertz
+	listeners listeners
+	wg        sync.WaitGroup
+}
+
+// listeners are the open sockets of a daemon.
+type listeners struct {
+	callers, minions, operators, peers net.Listener
+}
+
+func listen(l settings.Listen) (listeners, error) {
+	var out listeners
+	for _, x := range []struct {
+		address string
+		into    *net.Listener
+	}{{l.Callers, &out.callers}, {l.Minions, &out.minions}, {l.Operators, &out.operators}, {l.Peers, &out.peers}} {
+		ln, err := net.Listen("tcp", x.address)
+		if err != nil {
+			out.close()
+			return listeners{}, errors.Wrap(err, "listen")
+		}
+		*x.into = ln
+	}
+	return out, nil
+}
+
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.minions, l.operators, l.peers} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// New opens the listeners and prepares every duty; Run starts them.
+func New(s settings.Settings, log *slog.Logger) (*Daemon, error) {
+	hlog.SetOutput(io.Discard) // its lines are neither numbered nor structured
+	ln, err := listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		settings:  s,
+		log:       log,
+		startedAt: time.Now(),
+		lease:     settings.Millis(s.Timing.MinionLeaseMS),
+		metrics:   &telemetry.Metrics{},
+		listeners: ln,
+	}
+	d.metrics.Answered.Init()
+	if err := d.wire(); err != nil {
+		ln.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) wire() error {
+	inc := membership.Incarnation(uuid.NewString())
+	outcomes := ring.New[input](d.settings.Limits.MaxInFlight)
+	client, err := backend.NewClient(inc, d.settings.Limits.MaxResultBytes)
+	if err != nil {
+		return err
+	}
+	d.sender, err = newSender(client, d.settings.Limits.MaxInFlight, outcomes)
+	if err != nil {
+		return err
+	}
+	cfg := d.engineConfig(inc)
+	d.core = &core{
+		engine:   engine.New(cfg),
+		requests: ring.New[input](d.settings.Limits.RingSize),
+		outcomes: outcomes,
+		messages: ring.New[input](d.settings.Limits.RingSize),
+		waiters:  make(map[job.ID][]chan *job.Answer),
+		sender:   d.sender,
+		metrics:  d.metrics,
+		log:      d.log,
+		tick:     settings.Millis(d.settings.Timing.TickMS),
+		done:     make(chan struct{}),
+	}
+	hello := peer.Hello{Version: peer.Version, Host: cfg.Host.Name, FailureDomain: cfg.Host.FailureDomain, Incarnation: inc}
+	d.mesh = link.New(d.listeners.peers, hello, cfg.Peers, d.receive, d.rejectPeer)
+	d.core.mesh = d.mesh
+	a := api.New(d, &d.settings, d.log)
+	d.servers = []*server.Hertz{a.Callers(d.listeners.callers), a.Minions(d.listeners.minions), a.Operators(d.listeners.operators)}
+	return nil
+}
+
+func (d *Daemon) engineConfig(inc membership.Incarnation) engine.Config {
+	s := &d.settings
+	cfg := engine.Config{
+		Host:        membership.Host{Name: s.Host, FailureDomain: s.FailureDomain, Region: s.Region, Address: s.Listen.Peers},
+		Incarnation: inc,
+		StartedAt:   d.startedAt,
+		Jobs: job.Limits{
+			MaxActive:      s.Limits.MaxActiveJobs,
+			MaxRecords:     s.Limits.MaxRecords,
+			MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+			KeyLifetime:    settings.Millis(s.Timing.KeyLifetimeMS),
+			ClockError:     settings.Millis(s.Timing.ClockErrorMS),
+		},
+		MinionLease:    d.lease,
+		HeartbeatEvery: settings.Millis(s.Timing.HeartbeatMS),
+		PeerTimeout:    settings.Millis(s.Timing.PeerTimeoutMS),
+		RetryBudget:    s.Dispatch.RetryBudget,
+		BusyPause:      settings.Millis(s.Timing.BusyPauseMS),
+	}
+	for _, p := range s.Peers {
+		cfg.Peers = append(cfg.Peers, membership.Host(p))
+	}
+	return cfg
+}
+
+func (d *Daemon) receive(from string, inc membership.Incarnation, b peer.Body) {
+	d.core.messages.TryPush(&message{from: from, inc: inc, body: b})
+}
+
+func (d *Daemon) rejectPeer(remote string, err error) {
+	event.Log(context.Background(), d.log, event.PeerRejected, slog.String("remote", remote), slog.String("error", err.Error()))
+}
+
+func (d *Daemon) reportInvariant(description string) {
+	d.metrics.InvariantBroken.Add(1)
+	event.Log(context.Background(), d.log, event.InvariantBroken, slog.String("invariant", description))
+}
+
+// Run serves until ctx ends, then shuts down: not ready, no new work, jobs in
+// progress finish within the bound of the settings.
+func (d *Daemon) Run(ctx context.Context) error {
+	invariant.SetHandler(d.reportInvariant)
+	d.publish()
+	stopTraces, err := d.startTraces(ctx)
+	if err != nil {
+		d.listeners.close()
+		return err
+	}
+	duties, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.wg.Go(func() { d.core.run(duties) })
+	d.wg.Go(func() { d.mesh.Run(duties) })
+	for _, s := range d.servers {
+		d.wg.Go(func() { d.serve(duties, s) })
+	}
+	d.ready.Store(true)
+	event.Log(ctx, d.log, event.Started, slog.String("host", d.settings.Host), slog.String("failure_domain", d.settings.FailureDomain))
+	<-ctx.Done()
+	d.shutdown(stop)
+	stopTraces()
+	event.Log(context.Background(), d.log, event.Stopped, slog.String("host", d.settings.Host))
+	return nil
+}
+
+func (d *Daemon) publish() {
+	if expvar.Get("laburnum") == nil {
+		expvar.Publish("laburnum", d.metrics.Map())
+	}
+}
+
+const traceFlushTimeout = 3 * time.Second
+
+func (d *Daemon) startTraces(ctx context.Context) (func(), error) {
+	t := d.settings.Traces
+	_, closeTraces, err := telemetry.NewTracerProvider(ctx, telemetry.TraceConfig{
+		Host:       d.settings.Host,
+		File:       t.File,
+		Endpoint:   t.OTLP,
+		SampleRate: t.SampleRate,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+		defer cancel()
+		if err := closeTraces(ctx); err != nil {
+			event.Log(ctx, d.log, event.SpanExportFailed, slog.String("error", err.Error()))
+		}
+	}, nil
+}
+
+func (d *Daemon) serve(duties context.Context, s *server.Hertz) {
+	if err := s.Run(); err != nil && duties.Err() == nil {
+		event.Log(duties, d.log, event.ServerFailed, slog.String("error", err.Error()))
+	}
+}
+
+// shutdown stops the duties in the order of the path of a request.
+func (d *Daemon) shutdown(stopDuties context.CancelFunc) {
+	log := context.Background()
+	event.Log(log, d.log, event.StopRequested, slog.String("host", d.settings.Host))
+	d.ready.Store(false)
+	deadline := time.Now().Add(settings.Millis(d.settings.Timing.StopTimeoutMS))
+	_ = d.query(func(e *engine.Engine, _ time.Time) { e.Stop() })
+	if !d.waitIdle(deadline) {
+		event.Log(log, d.log, event.StopTimedOut, slog.String("host", d.settings.Host))
+	}
+	ctx, cancel := context.WithTimeout(log, max(time.Until(deadline), time.Second))
+	defer cancel()
+	for _, s := range d.servers {
+		_ = s.Shutdown(ctx) // the deadline bounds it; the process ends anyway
+	}
+	stopDuties()
+	d.wg.Wait()
+	d.sender.close()
+}
+
+const idlePoll = 10 * time.Millisecond
+
+func (d *Daemon) waitIdle(deadline time.Time) bool {
+	for {
+		idle := false
+		if err := d.query(func(e *engine.Engine, _ time.Time) { idle = e.Idle() }); err == nil && idle {
+			return true
+		}
+		if !time.Now().Before(deadline) {
+			return false
+		}
+		time.Sleep(idlePoll)
+	}
+}
--- /dev/null
+++ b/internal/daemon/requests.go
@@ -0,0 +1,181 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/api"
+	"github.com/laburnumwalk/laburnumwalk/internal/engine"
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// Submit implements api.Core.
+func (d *Daemon) Submit(ctx context.Context, s *job.Submission, wait bool) (*job.Answer, *result.Error) {
+	in := &submission{job: s, wait: wait, out: make(chan submitted, 1)}
+	answer, err := d.await(ctx, in, in.out)
+	if err != nil && err.Code == result.Busy && s.Attempt != 1 {
+		// An earlier attempt may be in progress here.
+		err = result.Errorf(result.OwnerUnknown, "%s", err.Detail)
+	}
+	return answer, err
+}
+
+// Fetch implements api.Core.
+func (d *Daemon) Fetch(ctx context.Context, id job.ID, wait bool) (*job.Answer, *result.Error) {
+	in := &lookup{id: id, wait: wait, out: make(chan submitted, 1)}
+	return d.await(ctx, in, in.out)
+}
+
+func (d *Daemon) await(ctx context.Context, in input, out chan submitted) (*job.Answer, *result.Error) {
+	if !d.core.requests.TryPush(in) {
+		return nil, result.Errorf(result.Busy, "request ring of host %s", d.settings.Host)
+	}
+	var r submitted
+	select {
+	case r = <-out:
+	case <-d.core.done:
+		return nil, result.Errorf(result.OwnerUnknown, "host %s stopped", d.settings.Host)
+	}
+	if r.wait == nil {
+		return r.answer, r.err
+	}
+	select {
+	case a := <-r.wait:
+		return a, nil
+	case <-ctx.Done():
+		return nil, nil
+	case <-d.core.done:
+		return nil, result.Errorf(result.OwnerUnknown, "host %s stopped", d.settings.Host)
+	}
+}
+
+// query runs f in the decision duty and waits for it.
+func (d *Daemon) query(f func(e *engine.Engine, now time.Time)) *result.Error {
+	k := &call{f: f, out: make(chan struct{})}
+	if !d.core.requests.TryPush(k) {
+		return result.Errorf(result.Busy, "request ring of host %s", d.settings.Host)
+	}
+	select {
+	case <-k.out:
+		return nil
+	case <-d.core.done:
+		return result.Errorf(result.Stopping, "host %s stopped", d.settings.Host)
+	}
+}
+
+// Cancel implements api.Core.
+func (d *Daemon) Cancel(_ context.Context, id job.ID) *result.Error {
+	var err *result.Error
+	if e := d.query(func(e *engine.Engine, now time.Time) { err = e.Cancel(now, id) }); e != nil {
+		return e
+	}
+	return err
+}
+
+// Announce implements api.Core.
+func (d *Daemon) Announce(_ context.Context, a minion.Announcement) (time.Duration, *result.Error) {
+	var err *result.Error
+	if e := d.query(func(e *engine.Engine, now time.Time) { err = e.Announce(now, a) }); e != nil {
+		return 0, e
+	}
+	return d.lease, err
+}
+
+// Renew implements api.Core.
+func (d *Daemon) Renew(_ context.Context, name string, generation uint64) (time.Duration, *result.Error) {
+	var err *result.Error
+	if e := d.query(func(e *engine.Engine, now time.Time) { err = e.Renew(now, name, generation) }); e != nil {
+		return 0, e
+	}
+	return d.lease, err
+}
+
+// Leave implements api.Core.
+func (d *Daemon) Leave(_ context.Context, name string, generation uint64) *result.Error {
+	var err *result.Error
+	if e := d.query(func(e *engine.Engine, _ time.Time) { err = e.Leave(name, generation) }); e != nil {
+		return e
+	}
+	return err
+}
+
+// Ready implements api.Core.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
+// Status implements api.Core.
+func (d *Daemon) Status(context.Context) (api.StatusResponse, *result.Error) {
+	var s api.StatusResponse
+	err := d.query(func(e *engine.Engine, now time.Time) { s = status(e, now, d.startedAt) })
+	return s, err
+}
+
+func status(e *engine.Engine, now, startedAt time.Time) api.StatusResponse {
+	s := api.StatusResponse{
+		Host:          e.Host().Name,
+		FailureDomain: e.Host().FailureDomain,
+		Incarnation:   string(e.Incarnation()),
+		UptimeMS:      now.Sub(startedAt).Milliseconds(),
+		Stopping:      e.Stopping(),
+		ActiveJobs:    e.Jobs().Active(),
+		Records:       e.Jobs().Records(),
+		ConfigVersion: e.ConfigVersion(),
+	}
+	for _, p := range e.Members().All() {
+		s.Hosts = append(s.Hosts, api.HostInfo{
+			Name:          p.Name,
+			FailureDomain: p.FailureDomain,
+			Region:        p.Region,
+			Up:            p.Up(),
+			RoundTripUS:   p.RoundTrip.Microseconds(),
+			ConfigVersion: p.ConfigSeen,
+		})
+	}
+	for _, m := range e.Minions().All() {
+		s.Minions = append(s.Minions, minionInfo(m, now))
+	}
+	return s
+}
+
+func minionInfo(m *minion.Minion, now time.Time) api.MinionInfo {
+	return api.MinionInfo{
+		Name:     m.Name,
+		Worker:   m.Worker,
+		Rack:     m.Rack,
+		Services: m.Services,
+		Slots:    m.Slots,
+		InUse:    m.InUse(),
+		LeaseMS:  m.LeaseUntil.Sub(now).Milliseconds(),
+		State:    m.State(now).String(),
+	}
+}
+
+// Jobs implements api.Core.
+func (d *Daemon) Jobs(_ context.Context, limit int) ([]api.JobInfo, *result.Error) {
+	list := []api.JobInfo{}
+	err := d.query(func(e *engine.Engine, now time.Time) {
+		e.Jobs().Each(func(j *job.Job) bool {
+			list = append(list, jobInfo(j, now))
+			return len(list) < limit
+		})
+	})
+	return list, err
+}
+
+func jobInfo(j *job.Job, now time.Time) api.JobInfo {
+	i := api.JobInfo{
+		Team:    j.ID.Team,
+		Key:     j.ID.Key,
+		Service: j.Service,
+		AgeMS:   now.Sub(j.Accepted).Milliseconds(),
+		Queued:  j.Queued(),
+		Running: j.Running(),
+		Done:    j.Done(),
+		Ended:   j.Ended(),
+	}
+	if a := j.Answer(); a != nil {
+		i.Code = a.Code
+	}
+	return i
+}
