--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 
 race:
 	go test -race ./internal/daemon/... ./internal/link/... ./internal/api/... ./internal/backend/...
+
+# Starts per second and processor time per task, with the floor beside it.
+bench: build
+	scripts/bench.sh
--- /dev/null
+++ b/cmd/lwbench/load.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/google/subcommands"
+	"github.com/google/uuid"
+	"github.com/laburnumwalk/laburnumwalk/internal/api"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+const (
+	maxLatencyUS    = 60_000_000
+	latencyDigits   = 3
+	loadDeadline    = 30 * time.Second
+	loadIdleTimeout = 10 * time.Second
+	loadDialTimeout = time.Second
+)
+
+// loadCommand submits jobs from a fixed number of callers as fast as they are
+// answered, and reports rates, latencies and processor time per task.
+type loadCommand struct {
+	hosts    string
+	callers  int
+	tasks    int
+	payload  string
+	team     string
+	service  string
+	duration time.Duration
+	pids     string
+}
+
+func (*loadCommand) Name() string     { return "load" }
+func (*loadCommand) Synopsis() string { return "submit jobs in a closed loop and report rates" }
+func (*loadCommand) Usage() string {
+	return "load -hosts ADDRESS[,ADDRESS] [flags]\n" +
+		"  Submit jobs from a fixed number of callers. With -pids, the processor time of\n" +
+		"  those processes is reported per task, beside that of this one.\n"
+}
+
+func (l *loadCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&l.hosts, "hosts", "127.0.0.1:8101", "callers' listeners, separated by commas")
+	f.IntVar(&l.callers, "callers", 32, "callers at a time")
+	f.IntVar(&l.tasks, "tasks", 100, "tasks per job")
+	f.StringVar(&l.payload, "payload", strings.Repeat("x", 200), "payload of each task")
+	f.StringVar(&l.team, "team", "bench", "team")
+	f.StringVar(&l.service, "service", "despacho", "service")
+	f.DurationVar(&l.duration, "duration", 5*time.Second, "how long to submit")
+	f.StringVar(&l.pids, "pids", "", "`name=pid` list of processes whose processor time is reported")
+}
+
+// loadResult accumulates over all callers.
+type loadResult struct {
+	tasks  atomic.Int64
+	errors atomic.Int64
+
+	mu      sync.Mutex
+	codes   map[result.Code]int
+	latency *hdrhistogram.Histogram // microseconds per job
+}
+
+func (l *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	processes, err := parseProcesses(l.pids)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lwbench:", err)
+		return subcommands.ExitUsageError
+	}
+	c, err := newLoadClient(l.callers)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lwbench:", err)
+		return subcommands.ExitFailure
+	}
+	r := &loadResult{codes: make(map[result.Code]int), latency: hdrhistogram.New(1, maxLatencyUS, latencyDigits)}
+	before := readProcessorTimes(processes)
+	begin := time.Now()
+	l.run(ctx, c, r)
+	elapsed := time.Since(begin)
+	used := readProcessorTimes(processes).since(before)
+	l.report(r, elapsed, used)
+	if r.errors.Load() > 0 || r.tasks.Load() == 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func newLoadClient(connections int) (*client.Client, error) {
+	return client.NewClient(
+		client.WithMaxConnsPerHost(connections),
+		client.WithMaxIdleConnDuration(loadIdleTimeout),
+		client.WithDialTimeout(loadDialTimeout),
+	)
+}
+
+func (l *loadCommand) run(ctx context.Context, c *client.Client, r *loadResult) {
+	ctx, cancel := context.WithTimeout(ctx, l.duration)
+	defer cancel()
+	hosts := strings.Split(l.hosts, ",")
+	var wg sync.WaitGroup
+	for i := range l.callers {
+		host := hosts[i%len(hosts)]
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				l.one(c, host, r)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (l *loadCommand) one(c *client.Client, host string, r *loadResult) {
+	body, err := json.Marshal(l.request())
+	if err != nil {
+		r.errors.Add(1)
+		return
+	}
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod("POST")
+	req.SetRequestURI("http://" + host + "/v1/jobs")
+	req.SetBodyRaw(body)
+	req.SetOptions(config.WithReadTimeout(loadDeadline + time.Second))
+	begin := time.Now()
+	if err := c.Do(context.Background(), req, resp); err != nil {
+		r.errors.Add(1)
+		return
+	}
+	r.record(resp.Body(), l.tasks, time.Since(begin))
+}
+
+func (l *loadCommand) request() api.SubmitRequest {
+	s := api.SubmitRequest{
+		Key: uuid.NewString(), Attempt: 1, Team: l.team, Service: l.service,
+		DeadlineMS: loadDeadline.Milliseconds(), SubmittedAtMS: time.Now().UnixMilli(),
+		Tasks: make([]api.TaskBody, l.tasks),
+	}
+	for i := range s.Tasks {
+		s.Tasks[i].Payload = l.payload
+	}
+	return s
+}
+
+func (r *loadResult) record(body []byte, tasks int, took time.Duration) {
+	var j api.JobResponse
+	if err := json.Unmarshal(body, &j); err != nil {
+		r.errors.Add(1)
+		return
+	}
+	if j.Code == result.OK {
+		r.tasks.Add(int64(tasks))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.codes[j.Code]++
+	_ = r.latency.RecordValue(took.Microseconds()) // beyond the range counts as the maximum
+}
+
+func (l *loadCommand) report(r *loadResult, elapsed time.Duration, used processorTimes) {
+	tasks := r.tasks.Load()
+	fmt.Printf("tasks %d in %.1f s: %.0f starts/s; transport errors %d\n",
+		tasks, elapsed.Seconds(), float64(tasks)/elapsed.Seconds(), r.errors.Load())
+	for code, n := range r.codes {
+		fmt.Printf("  code %d %s: %d jobs\n", code, code, n)
+	}
+	fmt.Printf("job latency us: p50 %d, p99 %d, p99.9 %d\n",
+		r.latency.ValueAtQuantile(50), r.latency.ValueAtQuantile(99), r.latency.ValueAtQuantile(99.9))
+	used.print(tasks, "task")
+}
--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -16,6 +16,8 @@
 	subcommands.Register(subcommands.HelpCommand(), "help")
 	subcommands.Register(subcommands.CommandsCommand(), "help")
 	subcommands.Register(&minionCommand{}, "stand-ins")
+	subcommands.Register(&loadCommand{}, "measurements")
+	subcommands.Register(&floorCommand{}, "measurements")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,119 @@
+// Package config defines the configuration document that operators declare:
+// what every host of the system should agree on. It is parsed from JSON with
+// comments and checked before it becomes part of a plan.
+package config
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/settings"
+	"github.com/pkg/errors"
+)
+
+// Document is one version of the configuration.
+type Document struct {
+	Services       []Service       `json:"services" msgpack:"s" validate:"max=1024,unique=Name,dive"`
+	Teams          []Team          `json:"teams" msgpack:"t" validate:"max=1024,unique=Name,dive"`
+	FailureDomains []FailureDomain `json:"failure_domains" msgpack:"d" validate:"max=256,unique=Name,dive"`
+	ControlHosts   []ControlHost   `json:"control_hosts" msgpack:"c" validate:"max=7,unique=Host,dive"`
+	Drains         Drains          `json:"drains" msgpack:"r"`
+}
+
+// Service is a kind of work that minions offer.
+type Service struct {
+	Name string `json:"name" msgpack:"n" validate:"required,max=128"`
+}
+
+// Team is a group of callers. Quotas hold per failure domain.
+type Team struct {
+	Name      string `json:"name" msgpack:"n" validate:"required,max=128"`
+	Weight    int    `json:"weight" msgpack:"w" validate:"min=1,max=1000"`
+	MaxSlots  int    `json:"max_slots" msgpack:"s" validate:"min=0"`  // tasks in progress; 0: no bound
+	MaxQueued int    `json:"max_queued" msgpack:"q" validate:"min=0"` // tasks waiting; 0: no bound
+}
+
+// FailureDomain lists the entry hosts of one failure domain.
+type FailureDomain struct {
+	Name   string `json:"name" msgpack:"n" validate:"required,max=64"`
+	Region string `json:"region" msgpack:"r" validate:"required,max=64"`
+	Hosts  []Host `json:"hosts" msgpack:"h" validate:"max=64,unique=Name,dive"`
+}
+
+// Host is one entry host.
+type Host struct {
+	Name    string `json:"name" msgpack:"n" validate:"required,max=64"`
+	Address string `json:"address" msgpack:"a" validate:"required,hostname_port"` // of the peer listener
+}
+
+// ControlHost is an entry host whose disk takes part in agreement. Disk is the
+// identity of the data folder's contents: a replaced disk has another one and
+// votes only after a configuration change has admitted it.
+type ControlHost struct {
+	Host string `json:"host" msgpack:"h" validate:"required,max=64"`
+	Disk string `json:"disk" msgpack:"d" validate:"required,max=64"`
+}
+
+// Drains names what gets no new work.
+type Drains struct {
+	Minions []string `json:"minions" msgpack:"m" validate:"max=100000,unique,dive,required,max=128"`
+	Hosts   []string `json:"hosts" msgpack:"h" validate:"max=1024,unique,dive,required,max=64"`
+}
+
+// Parse reads a document. The error names file, line and key.
+func Parse(file string, text []byte) (*Document, error) {
+	var d Document
+	if err := settings.Decode(file, text, &d); err != nil {
+		return nil, err
+	}
+	if err := d.check(); err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	return &d, nil
+}
+
+// check refuses what single keys cannot show.
+func (d *Document) check() error {
+	for _, c := range d.ControlHosts {
+		if d.HostDomain(c.Host) == nil {
+			return errors.Errorf("control_hosts: host %q is in no failure domain", c.Host)
+		}
+	}
+	seen := make(map[string]string)
+	for _, f := range d.FailureDomains {
+		for _, h := range f.Hosts {
+			if other, ok := seen[h.Name]; ok {
+				return errors.Errorf("failure_domains: host %q is in %q and %q", h.Name, other, f.Name)
+			}
+			seen[h.Name] = f.Name
+		}
+	}
+	return nil
+}
+
+// HostDomain returns the failure domain of the named host, or nil.
+func (d *Document) HostDomain(host string) *FailureDomain {
+	for i := range d.FailureDomains {
+		f := &d.FailureDomains[i]
+		if slices.ContainsFunc(f.Hosts, func(h Host) bool { return h.Name == host }) {
+			return f
+		}
+	}
+	return nil
+}
+
+// Team returns the named team, or nil.
+func (d *Document) Team(name string) *Team {
+	for i := range d.Teams {
+		if d.Teams[i].Name == name {
+			return &d.Teams[i]
+		}
+	}
+	return nil
+}
+
+// Encode returns the document as compact JSON. Equal documents encode equally.
+func (d *Document) Encode() ([]byte, error) {
+	text, err := json.Marshal(d)
+	return text, errors.WithStack(err)
+}
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -77,12 +77,11 @@
 
 // batch applies first and what else the ring holds, up to maxBatch inputs.
 func (c *core) batch(first input, from *ring.Ring[input]) {
-	now := time.Now()
-	first.apply(c, now)
+	first.apply(c, time.Now())
 	for range maxBatch - 1 {
 		select {
 		case in := <-from.C():
-			in.apply(c, now)
+			in.apply(c, time.Now())
 		default:
 			return
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,14 +239,22 @@
 	}
 	ctx, cancel := context.WithTimeout(log, max(time.Until(deadline), time.Second))
 	defer cancel()
-	for _, s := range d.servers {
-		_ = s.Shutdown(ctx) // the deadline bounds it; the process ends anyway
-	}
+	d.closeServers(ctx)
 	stopDuties()
 	d.wg.Wait()
 	d.sender.close()
 }
 
+// closeServers closes all listeners at once: each waits for its idle
+// connections for up to the HTTP library's exit wait.
+func (d *Daemon) closeServers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, s := range d.servers {
+		wg.Go(func() { _ = s.Shutdown(ctx) }) // ctx bounds it; the process ends anyway
+	}
+	wg.Wait()
+}
+
 const idlePoll = 10 * time.Millisecond
 
 func (d *Daemon) waitIdle(deadline time.Time) bool {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/config"
 	"github.com/laburnumwalk/laburnumwalk/internal/dispatch"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
@@ -83,6 +84,7 @@
 	minions       *minion.Registry
 	members       *membership.View
 	configVersion uint64
+	document      *config.Document
 	stopping      bool
 	nextBeat      time.Time
 	ready         Ready
@@ -192,6 +194,9 @@
 	if e.stopping {
 		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
 	}
+	if err := e.admitTeam(s); err != nil {
+		return err
+	}
 	for i := range s.Tasks {
 		offered, fits := e.minions.Placeable(now, s.Service, s.Tasks[i].Size)
 		if !offered {
