--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -63,3 +64,34 @@
 	_, err = Load(filepath.Join(t.TempDir(), "absent"))
 	must.ErrorIs(t, err, os.ErrNotExist)
 }
+
+// Every key is documented in docs/SETTINGS.md, and nothing else is.
+func TestPageNamesEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	must.NoError(t, err)
+	documented := 0
+	for line := range strings.SplitSeq(string(page), "\n") {
+		if strings.HasPrefix(line, "| `") {
+			documented++
+		}
+	}
+	keys := keysOf("", reflect.TypeOf(Settings{}))
+	for _, k := range keys {
+		must.StrContains(t, string(page), "| `"+k+"` |")
+	}
+	must.Eq(t, len(keys), documented)
+}
+
+func keysOf(prefix string, t reflect.Type) []string {
+	var keys []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		key := join(prefix, jsonName(f))
+		if f.Type.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(key, f.Type)...)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return keys
+}
