engine: a repeated submission finds its owner, or fences the key everywhere

Cause: a repetition at another host was refused as "owner unknown" even when every host could be asked, and fetch and cancel worked at the owner only, which a caller behind a balancer cannot choose. Found on the way: a cancellation that met a search in progress for the same key was dropped; TestFetchAndCancelAtAnotherHost got "ok" after 10 s, wanted "task failed". Cause: the search had one fixed purpose. Ruled out: a lost Attach message (no search was sent a second time). After: passes, the search takes the wish to cancel and asks the owner again. After: repetition attaches to the owner and gets the same answer; a late first attempt is refused at a fenced host; after the owner's death a repetition is told "may have run". Conclusion: safe while hosts remember keys for the key lifetime and refuse what was submitted before they started. A randomised proof is still missing.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -26,7 +26,8 @@
 	Submit(ctx context.Context, s *job.Submission, wait bool) (*job.Answer, *result.Error)
 	// Fetch returns the answer of a known job, like Submit.
 	Fetch(ctx context.Context, id job.ID, wait bool) (*job.Answer, *result.Error)
-	Cancel(ctx context.Context, id job.ID) *result.Error
+	// Cancel withdraws what has not started and returns the answer, like Submit.
+	Cancel(ctx context.Context, id job.ID, wait bool) (*job.Answer, *result.Error)
 	Announce(ctx context.Context, a minion.Announcement) (lease time.Duration, err *result.Error)
 	Renew(ctx context.Context, name string, generation uint64) (lease time.Duration, err *result.Error)
 	Leave(ctx context.Context, name string, generation uint64) *result.Error
@@ -188,12 +189,7 @@
 }
 
 func (a *API) cancel(ctx context.Context, c *app.RequestContext) {
-	id := pathID(c)
-	if err := a.core.Cancel(ctx, id); err != nil {
-		a.fail(c, err)
-		return
-	}
-	answer, err := a.core.Fetch(ctx, id, waitWanted(c))
+	answer, err := a.core.Cancel(ctx, pathID(c), waitWanted(c))
 	a.respond(c, answer, err)
 }
 
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -39,7 +39,7 @@
 	requests *ring.Ring[input] // from HTTP handlers
 	outcomes *ring.Ring[input] // of started tasks; sized so that it is never full
 	messages *ring.Ring[input] // from peers
-	waiters  map[job.ID][]chan *job.Answer
+	waiters  map[job.ID][]waiter
 	sender   starter
 	mesh     messenger
 	metrics  *telemetry.Metrics
@@ -99,6 +99,9 @@
 		for _, a := range r.Answers {
 			c.deliver(a)
 		}
+		for _, id := range r.Pending {
+			c.deliverPending(id)
+		}
 		for _, m := range r.Messages {
 			if c.mesh.Send(m.To, m.Body) {
 				c.metrics.PeerSent.Add(1)
@@ -130,11 +133,31 @@
 func (c *core) deliver(a *job.Answer) {
 	c.metrics.Answered.Add(a.Code.String(), 1)
 	for _, w := range c.waiters[a.ID] {
-		w <- a // each has room for its one answer
+		w.out <- a // each has room for its one answer
 	}
 	delete(c.waiters, a.ID)
 }
 
+// deliverPending answers the requesters who do not want to wait for the end
+// of a job in progress on another host.
+func (c *core) deliverPending(id job.ID) {
+	var kept []waiter
+	for _, w := range c.waiters[id] {
+		if w.patient {
+			kept = append(kept, w)
+			continue
+		}
+		w.out <- &job.Answer{ID: id, Code: result.JobPending}
+	}
+	c.waiters[id] = kept
+}
+
+// waiter is a request that waits for an answer.
+type waiter struct {
+	out     chan *job.Answer
+	patient bool // until the job has ended, not only until its owner is found
+}
+
 // submission is a caller's request.
 type submission struct {
 	job  *job.Submission
@@ -159,29 +182,28 @@
 	c.respond(s.job.ID, answer, err, s.wait, s.out)
 }
 
+// respond replies at once, or registers the requester as a waiter. One who
+// does not want to wait still waits for the search of the key's owner.
 func (c *core) respond(id job.ID, answer *job.Answer, err *result.Error, wait bool, out chan submitted) {
 	r := submitted{answer: answer, err: err}
-	if answer == nil && err == nil && wait {
+	if answer == nil && err == nil && (wait || c.engine.Searching(id)) {
 		r.wait = make(chan *job.Answer, 1)
-		c.waiters[id] = append(c.waiters[id], r.wait)
+		c.waiters[id] = append(c.waiters[id], waiter{out: r.wait, patient: wait})
 	}
 	out <- r
 }
 
-// lookup is a fetch of a job's answer.
+// lookup is a fetch of a job's answer, or a cancellation.
 type lookup struct {
-	id   job.ID
-	wait bool
-	out  chan submitted
+	id     job.ID
+	cancel bool
+	wait   bool
+	out    chan submitted
 }
 
-func (l *lookup) apply(c *core, _ time.Time) {
-	j := c.engine.Jobs().Get(l.id)
-	if j == nil {
-		l.out <- submitted{err: result.Errorf(result.JobUnknown, "job %s", l.id)}
-		return
-	}
-	c.respond(l.id, j.Answer(), nil, l.wait, l.out)
+func (l *lookup) apply(c *core, now time.Time) {
+	answer, err := c.engine.Lookup(now, l.id, l.cancel)
+	c.respond(l.id, answer, err, l.wait, l.out)
 }
 
 // outcome is the end of a start.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,7 +114,7 @@
 		requests: ring.New[input](d.settings.Limits.RingSize),
 		outcomes: outcomes,
 		messages: ring.New[input](d.settings.Limits.RingSize),
-		waiters:  make(map[job.ID][]chan *job.Answer),
+		waiters:  make(map[job.ID][]waiter),
 		sender:   d.sender,
 		metrics:  d.metrics,
 		log:      d.log,
@@ -147,6 +147,10 @@
 		PeerTimeout:    settings.Millis(s.Timing.PeerTimeoutMS),
 		RetryBudget:    s.Dispatch.RetryBudget,
 		BusyPause:      settings.Millis(s.Timing.BusyPauseMS),
+		LocateTimeout:  settings.Millis(s.Timing.LocateTimeoutMS),
+		LocateResend:   settings.Millis(s.Timing.LocateTimeoutMS) / locateTries,
+		FollowTimeout:  settings.Millis(s.Timing.MaxDeadlineMS),
+		MaxSearches:    s.Limits.MaxSearches,
 	}
 	for _, p := range s.Peers {
 		cfg.Peers = append(cfg.Peers, membership.Host(p))
@@ -154,6 +158,10 @@
 	return cfg
 }
 
+// locateTries is how often a host is asked about a key before it counts as
+// unreachable.
+const locateTries = 5
+
 func (d *Daemon) receive(from string, inc membership.Incarnation, b peer.Body) {
 	d.core.messages.TryPush(&message{from: from, inc: inc, body: b})
 }
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -28,6 +28,12 @@
 	return d.await(ctx, in, in.out)
 }
 
+// Cancel implements api.Core.
+func (d *Daemon) Cancel(ctx context.Context, id job.ID, wait bool) (*job.Answer, *result.Error) {
+	in := &lookup{id: id, cancel: true, wait: wait, out: make(chan submitted, 1)}
+	return d.await(ctx, in, in.out)
+}
+
 func (d *Daemon) await(ctx context.Context, in input, out chan submitted) (*job.Answer, *result.Error) {
 	if !d.core.requests.TryPush(in) {
 		return nil, result.Errorf(result.Busy, "request ring of host %s", d.settings.Host)
@@ -65,15 +71,6 @@
 	}
 }
 
-// Cancel implements api.Core.
-func (d *Daemon) Cancel(_ context.Context, id job.ID) *result.Error {
-	var err *result.Error
-	if e := d.query(func(e *engine.Engine, now time.Time) { err = e.Cancel(now, id) }); e != nil {
-		return e
-	}
-	return err
-}
-
 // Announce implements api.Core.
 func (d *Daemon) Announce(_ context.Context, a minion.Announcement) (time.Duration, *result.Error) {
 	var err *result.Error
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -66,6 +66,14 @@
 		e.leave(m.Name, m.Generation)
 	case *peer.MinionQuery:
 		e.answerQuery(now, from, m.Names)
+	case *peer.Locate:
+		e.receiveLocate(from, m)
+	case *peer.LocateReply:
+		e.receiveLocateReply(now, from, inc, m)
+	case *peer.Attach:
+		e.receiveAttach(now, from, m)
+	case *peer.JobAnswer:
+		e.receiveJobAnswer(from, m)
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -35,6 +35,11 @@
 	PeerTimeout    time.Duration
 	RetryBudget    int           // disproved starts per job
 	BusyPause      time.Duration // rest of a minion that refused for lack of slots
+
+	LocateTimeout time.Duration // bound on finding the owner of a key
+	LocateResend  time.Duration // interval of repeated questions
+	FollowTimeout time.Duration // bound on a fetch from the owner
+	MaxSearches   int           // keys looked for at a time
 }
 
 // Start is a task to send to a minion.
@@ -72,6 +77,7 @@
 	Starts   []Start
 	Cancels  []Cancel
 	Answers  []*job.Answer
+	Pending  []job.ID // jobs in progress whose owner is another host
 	Messages []Outgoing
 	Events   []Record
 }
@@ -87,6 +93,9 @@
 	document      *config.Document
 	stopping      bool
 	nextBeat      time.Time
+	searches      map[job.ID]*search
+	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
+	round         uint64
 	ready         Ready
 }
 
@@ -98,6 +107,9 @@
 		queue:   dispatch.NewQueue(),
 		minions: minion.NewRegistry(cfg.MinionLease),
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
+
+		searches:  make(map[job.ID]*search),
+		followers: make(map[job.ID]map[string]bool),
 	}
 }
 
@@ -129,8 +141,8 @@
 // Stop refuses new submissions from now on; jobs in progress go on.
 func (e *Engine) Stop() { e.stopping = true }
 
-// Idle reports whether no job is in progress.
-func (e *Engine) Idle() bool { return e.jobs.Active() == 0 }
+// Idle reports whether no job and no search is in progress.
+func (e *Engine) Idle() bool { return e.jobs.Active() == 0 && len(e.searches) == 0 }
 
 func (e *Engine) log(id event.ID, attrs ...slog.Attr) {
 	e.ready.Events = append(e.ready.Events, Record{ID: id, Attrs: attrs})
@@ -145,6 +157,7 @@
 		return
 	}
 	e.ready.Answers = append(e.ready.Answers, a)
+	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
 	e.cancelStarted(a.ID)
 }
@@ -167,30 +180,35 @@
 // Submit admits, attaches or refuses a submission. A final answer is returned
 // at once; otherwise it follows in Ready.Answers.
 func (e *Engine) Submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
-	if err := e.admit(now, s); err != nil {
-		return nil, err
+	if j := e.jobs.Get(s.ID); j != nil {
+		_, _, err := e.jobs.Submit(now, s, false)
+		return j.Answer(), err
 	}
-	j, admission, err := e.jobs.Submit(now, s)
+	if s.Attempt != 1 {
+		return nil, e.locate(now, s)
+	}
+	return nil, e.accept(now, s, false)
+}
+
+// accept admits a submission whose key no host has accepted before.
+func (e *Engine) accept(now time.Time, s *job.Submission, located bool) *result.Error {
+	err := e.admit(now, s)
 	if err != nil {
 		e.log(event.JobRefused, slog.String("job", s.ID.String()), slog.Int("code", int(err.Code)))
-		return nil, err
+		return err
 	}
-	switch admission {
-	case job.Replayed:
-		return j.Answer(), nil
-	case job.Accepted:
-		e.queue.Add(j)
-		e.dispatch(now)
+	j, _, err := e.jobs.Submit(now, s, located)
+	if err != nil {
+		e.log(event.JobRefused, slog.String("job", s.ID.String()), slog.Int("code", int(err.Code)))
+		return err
 	}
-	return nil, nil
+	e.queue.Add(j)
+	e.dispatch(now)
+	return nil
 }
 
-// admit refuses what can be refused without a job record. Repetitions pass:
-// their answer exists or is on its way.
+// admit refuses what can be refused without a job record.
 func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
-	if e.jobs.Get(s.ID) != nil || s.Attempt != 1 {
-		return nil // the job table knows what is true of an earlier attempt
-	}
 	if e.stopping {
 		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
 	}
@@ -209,15 +227,11 @@
 	return nil
 }
 
-// Cancel withdraws a job's queued tasks and stops its started ones.
-func (e *Engine) Cancel(now time.Time, id job.ID) *result.Error {
-	a, err := e.jobs.Cancel(now, id)
-	if err != nil {
-		return err
-	}
+// cancel withdraws a known job's queued tasks and stops its started ones.
+func (e *Engine) cancel(now time.Time, id job.ID) {
+	a := e.jobs.Cancel(now, id)
 	e.cancelStarted(id)
 	e.answer(a)
-	return nil
 }
 
 // dispatch starts every task that a free minion can take.
@@ -297,6 +311,7 @@
 	for _, c := range e.members.Tick(now) {
 		e.log(event.PeerDown, slog.String("host", c.Peer.Name))
 	}
+	e.tickSearches(now)
 	if !now.Before(e.nextBeat) {
 		e.nextBeat = now.Add(e.cfg.HeartbeatEvery)
 		e.heartbeat(now)
--- /dev/null
+++ b/internal/engine/locate.go
@@ -0,0 +1,296 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// search is the state of looking for the owner of one key. While the owner is
+// unknown every host of the region is asked; afterwards the answer is awaited
+// from the owner.
+type search struct {
+	id         job.ID
+	submission *job.Submission // a repetition to run when every host has fenced the key; nil for a fetch
+	cancel     bool            // cancel the job
+	round      uint64
+	asked      map[string]bool // hosts asked; true when they have not seen the key
+	owner      string
+	ownerInc   membership.Incarnation
+	until      time.Time // when the search, or the wait for the owner, is given up
+	resendAt   time.Time
+}
+
+// Lookup returns the answer of a job, after cancelling it if asked to. While
+// the job is in progress, or its owner is looked for, the answer follows in
+// Ready.Answers; Ready.Pending names the keys whose owner was found and whose
+// job is in progress.
+func (e *Engine) Lookup(now time.Time, id job.ID, cancel bool) (*job.Answer, *result.Error) {
+	if j := e.jobs.Get(id); j != nil {
+		if cancel {
+			e.cancel(now, id)
+		}
+		return j.Answer(), nil
+	}
+	s := e.searches[id]
+	if s == nil {
+		return nil, e.search(now, &search{id: id, cancel: cancel})
+	}
+	if cancel && !s.cancel {
+		s.cancel = true
+		e.ask(now, s)
+	}
+	return nil, nil
+}
+
+// Searching reports whether the owner of the key is being looked for.
+func (e *Engine) Searching(id job.ID) bool { return e.searches[id] != nil }
+
+// locate looks for the owner of a repeated submission.
+func (e *Engine) locate(now time.Time, sub *job.Submission) *result.Error {
+	if s := e.searches[sub.ID]; s != nil && s.submission != nil {
+		if s.submission.Digest != sub.Digest {
+			return result.Errorf(result.KeyConflict, "key %q was submitted with another body", sub.ID.Key)
+		}
+		return nil
+	}
+	if e.jobs.Forgot(sub.SubmittedAt) {
+		return result.Errorf(result.OwnerUnknown, "an earlier process of this host may have accepted the key")
+	}
+	if !e.jobs.Fence(sub.ID, sub.SubmittedAt) {
+		return result.Errorf(result.OwnerUnknown, "no room to fence the key")
+	}
+	return e.search(now, &search{id: sub.ID, submission: sub})
+}
+
+func (e *Engine) search(now time.Time, s *search) *result.Error {
+	if len(e.searches) >= e.cfg.MaxSearches {
+		return result.Errorf(result.OwnerUnknown, "%d searches in progress", len(e.searches))
+	}
+	e.round++
+	s.round = e.round
+	s.asked = make(map[string]bool)
+	for _, p := range e.members.All() {
+		if p.Region == e.cfg.Host.Region {
+			s.asked[p.Name] = false
+		}
+	}
+	s.until = now.Add(e.cfg.LocateTimeout)
+	e.searches[s.id] = s
+	e.ask(now, s)
+	e.decide(now, s)
+	return nil
+}
+
+// ask sends the question to every host that has not answered yet, or asks the
+// owner for the answer.
+func (e *Engine) ask(now time.Time, s *search) {
+	s.resendAt = now.Add(e.cfg.LocateResend)
+	if s.owner != "" {
+		e.send(s.owner, s.attach())
+		return
+	}
+	q := &peer.Locate{Team: s.id.Team, Key: s.id.Key, Round: s.round}
+	if s.submission != nil {
+		q.Fence = true
+		q.SubmittedAt = s.submission.SubmittedAt
+	}
+	for _, p := range e.members.All() {
+		if notSeen, ok := s.asked[p.Name]; ok && !notSeen {
+			e.send(p.Name, q)
+		}
+	}
+}
+
+func (s *search) attach() *peer.Attach {
+	a := &peer.Attach{Team: s.id.Team, Key: s.id.Key, Cancel: s.cancel}
+	if s.submission != nil {
+		a.Digest = s.submission.Digest
+	}
+	return a
+}
+
+// receiveLocate answers a question about a key.
+func (e *Engine) receiveLocate(from string, q *peer.Locate) {
+	id := job.ID{Team: q.Team, Key: q.Key}
+	r := &peer.LocateReply{Team: q.Team, Key: q.Key, Round: q.Round}
+	r.State, r.Ended = e.knowledge(from, id, q)
+	e.send(from, r)
+}
+
+func (e *Engine) knowledge(from string, id job.ID, q *peer.Locate) (state peer.LocateState, ended bool) {
+	if j := e.jobs.Get(id); j != nil {
+		return peer.Owned, j.Ended()
+	}
+	if !q.Fence {
+		return peer.NotSeen, false
+	}
+	if s := e.searches[id]; s != nil && s.submission != nil && s.owner == "" {
+		if e.cfg.Host.Name < from {
+			return peer.Locating, false
+		}
+		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
+	}
+	if e.jobs.Forgot(q.SubmittedAt) || !e.jobs.Fence(id, q.SubmittedAt) {
+		return peer.Uncertain, false
+	}
+	return peer.NotSeen, false
+}
+
+// receiveLocateReply records a host's knowledge of a key.
+func (e *Engine) receiveLocateReply(now time.Time, from string, inc membership.Incarnation, r *peer.LocateReply) {
+	s := e.searches[job.ID{Team: r.Team, Key: r.Key}]
+	if s == nil || s.round != r.Round || s.owner != "" {
+		return
+	}
+	switch r.State {
+	case peer.NotSeen:
+		if _, ok := s.asked[from]; ok {
+			s.asked[from] = true
+		}
+		e.decide(now, s)
+	case peer.Owned:
+		e.follow(now, s, from, inc, r.Ended)
+	case peer.Locating:
+		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
+	default:
+		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s cannot tell whether it accepted the key", from))
+	}
+}
+
+// follow waits for the owner's answer.
+func (e *Engine) follow(now time.Time, s *search, owner string, inc membership.Incarnation, ended bool) {
+	s.owner = owner
+	s.ownerInc = inc
+	s.until = now.Add(e.cfg.FollowTimeout)
+	if s.submission != nil {
+		s.until = s.submission.Deadline
+	}
+	if !ended {
+		e.ready.Pending = append(e.ready.Pending, s.id)
+	}
+	e.ask(now, s)
+}
+
+// decide runs a repetition here, or ends a fetch, when no host has seen the key.
+func (e *Engine) decide(now time.Time, s *search) {
+	for _, notSeen := range s.asked {
+		if !notSeen {
+			return
+		}
+	}
+	if s.submission == nil {
+		e.giveUp(s, result.Errorf(result.JobUnknown, "job %s", s.id))
+		return
+	}
+	if s.cancel {
+		e.giveUp(s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
+		return
+	}
+	delete(e.searches, s.id)
+	if err := e.accept(now, s.submission, true); err != nil {
+		e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail})
+		return
+	}
+	e.ready.Pending = append(e.ready.Pending, s.id)
+}
+
+// giveUp ends a search without an answer from an owner.
+func (e *Engine) giveUp(s *search, err *result.Error) {
+	delete(e.searches, s.id)
+	e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail})
+}
+
+// receiveAttach handles another host's wish for the answer of a job of this host.
+func (e *Engine) receiveAttach(now time.Time, from string, a *peer.Attach) {
+	id := job.ID{Team: a.Team, Key: a.Key}
+	j := e.jobs.Get(id)
+	if j == nil {
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.OwnerUnknown, Detail: "the owner forgot the key"}))
+		return
+	}
+	if a.Digest != 0 && a.Digest != j.Digest {
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.KeyConflict, Detail: "the key was submitted with another body"}))
+		return
+	}
+	if j.Ended() {
+		e.send(from, jobAnswer(j.Answer()))
+		return
+	}
+	if e.followers[id] == nil {
+		e.followers[id] = make(map[string]bool)
+	}
+	e.followers[id][from] = true
+	if a.Cancel {
+		e.cancel(now, id)
+	}
+}
+
+// notifyFollowers sends a final answer to the hosts that attached to the job.
+func (e *Engine) notifyFollowers(a *job.Answer) {
+	followers := e.followers[a.ID]
+	if len(followers) == 0 {
+		return
+	}
+	m := jobAnswer(a)
+	for host := range followers {
+		e.send(host, m)
+	}
+	delete(e.followers, a.ID)
+}
+
+// receiveJobAnswer ends a search by the owner's answer.
+func (e *Engine) receiveJobAnswer(from string, m *peer.JobAnswer) {
+	s := e.searches[job.ID{Team: m.Team, Key: m.Key}]
+	if s == nil || s.owner != from {
+		return
+	}
+	delete(e.searches, s.id)
+	e.answer(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: job.Breakdown(m.Breakdown)})
+}
+
+func jobAnswer(a *job.Answer) *peer.JobAnswer {
+	return &peer.JobAnswer{
+		Team: a.ID.Team, Key: a.ID.Key, Code: a.Code, Detail: a.Detail,
+		Results: a.Results, Breakdown: peer.Breakdown(a.Breakdown),
+	}
+}
+
+// tickSearches repeats questions and gives up on hosts that do not answer.
+func (e *Engine) tickSearches(now time.Time) {
+	for _, s := range e.searches {
+		switch {
+		case e.ownerLost(s):
+			e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s, which owns the key, is unreachable", s.owner))
+		case !now.Before(s.until):
+			e.giveUp(s, result.Errorf(result.OwnerUnknown, "no answer from %s in time", s.missing()))
+		case !now.Before(s.resendAt):
+			e.ask(now, s)
+		}
+	}
+}
+
+func (e *Engine) ownerLost(s *search) bool {
+	if s.owner == "" {
+		return false
+	}
+	p := e.members.Get(s.owner)
+	return p == nil || !p.Up() || p.Incarnation != s.ownerInc
+}
+
+// missing names a host that has not answered.
+func (s *search) missing() string {
+	if s.owner != "" {
+		return s.owner
+	}
+	name := ""
+	for host, notSeen := range s.asked {
+		if !notSeen && (name == "" || host < name) {
+			name = host
+		}
+	}
+	return name
+}
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -36,13 +36,14 @@
 	active      int
 	answerBytes int
 	deadlines   deadlineHeap
-	ended       []*Job // oldest first
-	released    int    // leading entries of ended whose answers were dropped
+	fences      map[ID]time.Time // keys refused here, until then
+	ended       []*Job           // oldest first
+	released    int              // leading entries of ended whose answers were dropped
 }
 
 // NewTable returns an empty table of a process that started at startedAt.
 func NewTable(l Limits, startedAt time.Time) *Table {
-	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job)}
+	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job), fences: make(map[ID]time.Time)}
 }
 
 // Get returns the job with the given identity, or nil.
@@ -52,7 +53,7 @@
 func (t *Table) Active() int { return t.active }
 
 // Records returns the number of keys remembered.
-func (t *Table) Records() int { return len(t.jobs) }
+func (t *Table) Records() int { return len(t.jobs) + len(t.fences) }
 
 // Each calls f for every remembered job until f returns false.
 func (t *Table) Each(f func(*Job) bool) {
@@ -63,20 +64,22 @@
 	}
 }
 
-// Submit admits, attaches or refuses s.
-func (t *Table) Submit(now time.Time, s *Submission) (*Job, Admission, *result.Error) {
+// Submit admits, attaches or refuses s. Located says that every host in scope
+// has fenced the key, so that a repetition may run here.
+func (t *Table) Submit(now time.Time, s *Submission, located bool) (*Job, Admission, *result.Error) {
 	if j := t.jobs[s.ID]; j != nil {
 		return t.repeat(j, s)
 	}
-	if err := t.admissible(now, s); err != nil {
+	if err := t.admissible(now, s, located); err != nil {
 		return nil, Refused, err
 	}
 	j := &Job{Submission: *s, Accepted: now, tasks: make([]task, len(s.Tasks)), queued: len(s.Tasks)}
 	for i := range j.tasks {
 		j.tasks[i].queued = now
 	}
-	j.retention = s.SubmittedAt.Add(t.limits.KeyLifetime + t.limits.ClockError)
+	j.retention = t.retention(s.SubmittedAt)
 	t.jobs[s.ID] = j
+	delete(t.fences, s.ID)
 	t.active++
 	heap.Push(&t.deadlines, j)
 	return j, Accepted, nil
@@ -92,25 +95,66 @@
 	return j, Attached, nil
 }
 
-func (t *Table) admissible(now time.Time, s *Submission) *result.Error {
+// admissible decides on a key that has no job here. Only a first attempt and a
+// located repetition can be refused as "not run".
+func (t *Table) admissible(now time.Time, s *Submission, located bool) *result.Error {
+	if !located {
+		if err := t.ownable(s); err != nil {
+			return err
+		}
+	}
 	age := now.Sub(s.SubmittedAt)
 	switch {
 	case age < -t.limits.ClockError:
 		return result.Errorf(result.InvalidField, "submitted_at_ms is in the future by more than the tolerated clock error")
 	case age > t.limits.KeyLifetime:
 		return result.Errorf(result.Expired, "submitted %v ago, key lifetime %v", age, t.limits.KeyLifetime)
+	case t.active >= t.limits.MaxActive:
+		return result.Errorf(result.QueueFull, "%d jobs in progress", t.active)
+	case t.full():
+		return result.Errorf(result.QueueFull, "%d keys remembered", t.Records())
+	}
+	return nil
+}
+
+// ownable refuses submissions whose key may have been accepted elsewhere.
+func (t *Table) ownable(s *Submission) *result.Error {
+	_, fenced := t.fences[s.ID]
+	switch {
 	case s.Attempt != 1:
 		return result.Errorf(result.OwnerUnknown, "attempt %d: an earlier attempt may have run elsewhere", s.Attempt)
-	case s.SubmittedAt.Before(t.startedAt.Add(t.limits.ClockError)):
+	case fenced:
+		return result.Errorf(result.OwnerUnknown, "a later attempt was located elsewhere")
+	case t.Forgot(s.SubmittedAt):
 		return result.Errorf(result.OwnerUnknown, "submitted before this process could have recorded the key")
-	case t.active >= t.limits.MaxActive:
-		return result.Errorf(result.QueueFull, "%d jobs in progress", t.active)
-	case len(t.jobs) >= t.limits.MaxRecords:
-		return result.Errorf(result.QueueFull, "%d keys remembered", len(t.jobs))
 	}
 	return nil
 }
 
+// Forgot reports whether a key submitted at that time may have been accepted
+// or fenced by an earlier process of this host.
+func (t *Table) Forgot(submittedAt time.Time) bool {
+	return submittedAt.Before(t.startedAt.Add(t.limits.ClockError))
+}
+
+func (t *Table) full() bool { return t.Records() >= t.limits.MaxRecords }
+
+// Fence refuses the key from now on, unless a job has it. It reports false
+// when there is no room to remember the fence.
+func (t *Table) Fence(id ID, submittedAt time.Time) bool {
+	if _, ok := t.fences[id]; !ok && t.full() {
+		return false
+	}
+	t.fences[id] = t.retention(submittedAt)
+	return true
+}
+
+// retention is the time until which a key is remembered: a host whose clock
+// runs behind by the tolerated error accepts no repetition after it.
+func (t *Table) retention(submittedAt time.Time) time.Time {
+	return submittedAt.Add(t.limits.KeyLifetime + t.limits.ClockError)
+}
+
 // Start records that a task is about to be sent to a minion. It reports
 // whether the start is allowed; a refusal is a broken invariant.
 func (t *Table) Start(now time.Time, id TaskID, minion string) bool {
@@ -234,16 +278,13 @@
 
 // Cancel withdraws queued tasks. The answer follows when no task is in
 // progress; the caller of Cancel stops the started ones.
-func (t *Table) Cancel(now time.Time, id ID) (*Answer, *result.Error) {
+func (t *Table) Cancel(now time.Time, id ID) *Answer {
 	j := t.jobs[id]
-	if j == nil {
-		return nil, result.Errorf(result.JobUnknown, "job %s", id)
-	}
-	if j.ended {
-		return nil, nil
+	if j == nil || j.ended {
+		return nil
 	}
 	j.stop(result.CancelledNotRun, "cancelled by the caller")
-	return t.settle(now, j, 0), nil
+	return t.settle(now, j, 0)
 }
 
 // Tick ends the jobs whose deadline has passed and forgets expired records.
@@ -287,6 +328,11 @@
 	}
 	t.ended = t.ended[drop:]
 	t.released = max(0, t.released-drop)
+	for id, until := range t.fences {
+		if until.Before(now) {
+			delete(t.fences, id)
+		}
+	}
 }
 
 func (t *Table) releaseAnswer(j *Job) {
--- a/internal/job/table_test.go
+++ b/internal/job/table_test.go
@@ -23,7 +23,7 @@
 
 func accept(t *testing.T, table *Table, key string, tasks int) *Job {
 	t.Helper()
-	j, a, err := table.Submit(t0, submission(key, tasks))
+	j, a, err := table.Submit(t0, submission(key, tasks), false)
 	must.Nil(t, err)
 	must.Eq(t, Accepted, a)
 	return j
@@ -102,22 +102,22 @@
 	accept(t, table, "k", 1)
 	again := submission("k", 1)
 	again.Attempt = 2
-	_, a, err := table.Submit(t0, again)
+	_, a, err := table.Submit(t0, again, false)
 	must.Nil(t, err)
 	must.Eq(t, Attached, a)
 	again.Digest = 2
-	_, _, err = table.Submit(t0, again)
+	_, _, err = table.Submit(t0, again, false)
 	must.Eq(t, result.KeyConflict, err.Code)
-	_, _, err = table.Submit(t0, &Submission{ID: ID{Key: "x"}, Attempt: 2, SubmittedAt: t0})
+	_, _, err = table.Submit(t0, &Submission{ID: ID{Key: "x"}, Attempt: 2, SubmittedAt: t0}, false)
 	must.Eq(t, result.OwnerUnknown, err.Code)
 }
 
 func TestOldSubmissionsAreRefused(t *testing.T) {
 	table := newTestTable()
-	_, _, err := table.Submit(t0.Add(2*time.Minute), submission("k", 1))
+	_, _, err := table.Submit(t0.Add(2*time.Minute), submission("k", 1), false)
 	must.Eq(t, result.Expired, err.Code)
 	fresh := NewTable(limits, t0)
-	_, _, err = fresh.Submit(t0, submission("k", 1))
+	_, _, err = fresh.Submit(t0, submission("k", 1), false)
 	must.Eq(t, result.OwnerUnknown, err.Code)
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -8,7 +8,7 @@
 )
 
 // MaxFrame is the largest frame payload in bytes.
-const MaxFrame = 4 << 20
+const MaxFrame = 64 << 20
 
 const lengthBytes = 4
 
--- /dev/null
+++ b/internal/peer/locate.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// Kinds of the messages that find the owner of a key.
+const (
+	KindLocate Kind = iota + 16
+	KindLocateReply
+	KindAttach
+	KindJobAnswer
+)
+
+// Locate asks whether a host knows a key.
+type Locate struct {
+	Team        string    `msgpack:"t"`
+	Key         string    `msgpack:"k"`
+	SubmittedAt time.Time `msgpack:"s"`
+	Fence       bool      `msgpack:"f"` // refuse the key from now on, if it is not known
+	Round       uint64    `msgpack:"r"` // returned in the reply
+}
+
+// LocateState is a host's knowledge of a key.
+type LocateState uint8
+
+// Knowledge of a key.
+const (
+	NotSeen   LocateState = iota + 1 // never accepted here; fenced, if asked for
+	Owned                            // accepted here, in progress or ended
+	Locating                         // this host is looking for the owner and goes first
+	Uncertain                        // restarted since, or no room for a fence
+)
+
+// LocateReply answers a Locate.
+type LocateReply struct {
+	Team  string      `msgpack:"t"`
+	Key   string      `msgpack:"k"`
+	Round uint64      `msgpack:"r"`
+	State LocateState `msgpack:"s"`
+	Ended bool        `msgpack:"e"`
+}
+
+// Attach asks the owner of a key for its final answer.
+type Attach struct {
+	Team   string `msgpack:"t"`
+	Key    string `msgpack:"k"`
+	Digest uint64 `msgpack:"d"` // of the body; 0 when not known
+	Cancel bool   `msgpack:"c"` // cancel the job first
+}
+
+// JobAnswer carries the final answer to a host that attached.
+type JobAnswer struct {
+	Team      string      `msgpack:"t"`
+	Key       string      `msgpack:"k"`
+	Code      result.Code `msgpack:"c"`
+	Detail    string      `msgpack:"d"`
+	Results   [][]byte    `msgpack:"r"`
+	Breakdown Breakdown   `msgpack:"b"`
+}
+
+// Breakdown mirrors job.Breakdown.
+type Breakdown struct {
+	Total   time.Duration `msgpack:"t"`
+	Queue   time.Duration `msgpack:"q"`
+	Trip    time.Duration `msgpack:"p"`
+	Run     time.Duration `msgpack:"r"`
+	Minion  string        `msgpack:"m"`
+	Task    int           `msgpack:"k"`
+	Retries int           `msgpack:"n"`
+}
+
+// Kind implements Body.
+func (*Locate) Kind() Kind { return KindLocate }
+
+// Kind implements Body.
+func (*LocateReply) Kind() Kind { return KindLocateReply }
+
+// Kind implements Body.
+func (*Attach) Kind() Kind { return KindAttach }
+
+// Kind implements Body.
+func (*JobAnswer) Kind() Kind { return KindJobAnswer }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -86,18 +86,22 @@
 // Kind implements Body.
 func (*MinionQuery) Kind() Kind { return KindMinionQuery }
 
+// bodies makes an empty message of each kind.
+var bodies = map[Kind]func() Body{
+	KindHello:        func() Body { return &Hello{} },
+	KindHeartbeat:    func() Body { return &Heartbeat{} },
+	KindMinionUpdate: func() Body { return &MinionUpdate{} },
+	KindMinionLeave:  func() Body { return &MinionLeave{} },
+	KindMinionQuery:  func() Body { return &MinionQuery{} },
+	KindLocate:       func() Body { return &Locate{} },
+	KindLocateReply:  func() Body { return &LocateReply{} },
+	KindAttach:       func() Body { return &Attach{} },
+	KindJobAnswer:    func() Body { return &JobAnswer{} },
+}
+
 func newBody(k Kind) (Body, error) {
-	switch k {
-	case KindHello:
-		return &Hello{}, nil
-	case KindHeartbeat:
-		return &Heartbeat{}, nil
-	case KindMinionUpdate:
-		return &MinionUpdate{}, nil
-	case KindMinionLeave:
-		return &MinionLeave{}, nil
-	case KindMinionQuery:
-		return &MinionQuery{}, nil
+	if f, ok := bodies[k]; ok {
+		return f(), nil
 	}
 	return nil, errors.Errorf("peer: unknown message kind %d", k)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,20 +51,22 @@
 	MaxRecords      int `json:"max_records" validate:"min=1,max=10000000"`
 	MaxAnswerBytes  int `json:"max_answer_bytes" validate:"min=1024"`
 	MaxInFlight     int `json:"max_in_flight" validate:"min=1,max=100000"`
+	MaxSearches     int `json:"max_searches" validate:"min=1,max=1000000"`
 	RingSize        int `json:"ring_size" validate:"min=16,max=1048576"`
 }
 
 // Timing holds durations in milliseconds.
 type Timing struct {
-	HeartbeatMS   int `json:"heartbeat_ms" validate:"min=10,max=10000"`
-	PeerTimeoutMS int `json:"peer_timeout_ms" validate:"min=50,max=60000,gtfield=HeartbeatMS"`
-	MinionLeaseMS int `json:"minion_lease_ms" validate:"min=100,max=3000"`
-	KeyLifetimeMS int `json:"key_lifetime_ms" validate:"min=1000,max=86400000"`
-	ClockErrorMS  int `json:"clock_error_ms" validate:"min=0,max=60000"`
-	MaxDeadlineMS int `json:"max_deadline_ms" validate:"min=1,max=3600000"`
-	StopTimeoutMS int `json:"stop_timeout_ms" validate:"min=0,max=600000"`
-	TickMS        int `json:"tick_ms" validate:"min=1,max=1000"`
-	BusyPauseMS   int `json:"busy_pause_ms" validate:"min=0,max=10000"`
+	HeartbeatMS     int `json:"heartbeat_ms" validate:"min=10,max=10000"`
+	PeerTimeoutMS   int `json:"peer_timeout_ms" validate:"min=50,max=60000,gtfield=HeartbeatMS"`
+	MinionLeaseMS   int `json:"minion_lease_ms" validate:"min=100,max=3000"`
+	KeyLifetimeMS   int `json:"key_lifetime_ms" validate:"min=1000,max=86400000"`
+	ClockErrorMS    int `json:"clock_error_ms" validate:"min=0,max=60000"`
+	MaxDeadlineMS   int `json:"max_deadline_ms" validate:"min=1,max=3600000"`
+	StopTimeoutMS   int `json:"stop_timeout_ms" validate:"min=0,max=600000"`
+	TickMS          int `json:"tick_ms" validate:"min=1,max=1000"`
+	LocateTimeoutMS int `json:"locate_timeout_ms" validate:"min=10,max=60000"`
+	BusyPauseMS     int `json:"busy_pause_ms" validate:"min=0,max=10000"`
 }
 
 // Dispatch holds the dispatch policy.
@@ -98,18 +100,20 @@
 			MaxRecords:      1000000,
 			MaxAnswerBytes:  64 << 20,
 			MaxInFlight:     4096,
+			MaxSearches:     4096,
 			RingSize:        16384,
 		},
 		Timing: Timing{
-			HeartbeatMS:   500,
-			PeerTimeoutMS: 2000,
-			MinionLeaseMS: 2500,
-			KeyLifetimeMS: 300000,
-			ClockErrorMS:  500,
-			MaxDeadlineMS: 120000,
-			StopTimeoutMS: 30000,
-			TickMS:        10,
-			BusyPauseMS:   5,
+			HeartbeatMS:     500,
+			PeerTimeoutMS:   2000,
+			MinionLeaseMS:   2500,
+			KeyLifetimeMS:   300000,
+			ClockErrorMS:    500,
+			MaxDeadlineMS:   120000,
+			StopTimeoutMS:   30000,
+			TickMS:          10,
+			LocateTimeoutMS: 500,
+			BusyPauseMS:     5,
 		},
 		Dispatch: Dispatch{RetryBudget: 32},
 		Log:      Log{Level: "info"},
