--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,6 +34,7 @@
 	Status(ctx context.Context) (StatusResponse, *result.Error)
 	Jobs(ctx context.Context, limit int) ([]JobInfo, *result.Error)
 	Ready() bool
+	Control
 }
 
 // API serves a Core over HTTP.
@@ -110,6 +111,7 @@
 	h.GET("/v1/jobs", a.jobs)
 	h.GET("/v1/jobs/:team/:key", a.fetch)
 	h.DELETE("/v1/jobs/:team/:key", a.cancel)
+	a.control(h)
 	h.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 	a.health(h)
 	return h
--- /dev/null
+++ b/internal/api/operators.go
@@ -0,0 +1,130 @@
+package api
+
+import (
+	"context"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// Intent is what an operator wants to do.
+type Intent string
+
+// Intents.
+const (
+	IntentChange  Intent = "change"  // put a document in force
+	IntentDrain   Intent = "drain"   // no new work for minions or hosts
+	IntentUndrain Intent = "undrain" // work again
+	IntentStop    Intent = "stop"    // drain the answering host, then stop it
+)
+
+// PlanRequest is the body of POST /v1/plans.
+type PlanRequest struct {
+	Intent   Intent   `json:"intent"`
+	File     string   `json:"file,omitempty"`     // name of the document's file, for messages
+	Document string   `json:"document,omitempty"` // JSON with comments, of IntentChange
+	Minions  []string `json:"minions,omitempty"`  // of IntentDrain and IntentUndrain
+	Hosts    []string `json:"hosts,omitempty"`    // of IntentDrain, IntentUndrain and IntentStop
+}
+
+// PlanResponse describes a plan. Nothing happens before it is confirmed.
+type PlanResponse struct {
+	Code    result.Code `json:"code"`
+	Name    string      `json:"name"`
+	Detail  string      `json:"detail,omitempty"`
+	ID      string      `json:"id,omitempty"`
+	Intent  Intent      `json:"intent,omitempty"`
+	Base    uint64      `json:"base"`   // version in force when the plan was made
+	Digest  string      `json:"digest"` // of the wanted document
+	Changes []string    `json:"changes,omitempty"`
+	Touches Touches     `json:"touches"`
+}
+
+// Touches names what a plan affects, as the answering host sees it.
+type Touches struct {
+	Hosts       []string `json:"hosts,omitempty"`
+	Minions     []string `json:"minions,omitempty"`
+	Teams       []string `json:"teams,omitempty"`
+	QueuedTasks int      `json:"queued_tasks"`
+	Running     int      `json:"running_tasks"`
+}
+
+// ConfirmRequest is the body of POST /v1/plans/ID/confirm.
+type ConfirmRequest struct {
+	Command  string `json:"command"` // chosen by the operator; a resend gets the first answer
+	Operator string `json:"operator"`
+}
+
+// ConfirmResponse tells what became of a confirmed plan.
+type ConfirmResponse struct {
+	Code    result.Code `json:"code"`
+	Name    string      `json:"name"`
+	Detail  string      `json:"detail,omitempty"`
+	Version uint64      `json:"version"`
+	Winner  string      `json:"winner,omitempty"`  // operator whose change took the version
+	Changes []string    `json:"changes,omitempty"` // what the winner changed
+}
+
+// ConfigResponse is the answer to GET /v1/config.
+type ConfigResponse struct {
+	Code     result.Code `json:"code"`
+	Name     string      `json:"name"`
+	Version  uint64      `json:"version"`
+	AgeMS    int64       `json:"age_ms"` // since this host put it in force
+	Document string      `json:"document"`
+}
+
+// Control is what the operators' handlers need for changes.
+type Control interface {
+	Plan(ctx context.Context, r PlanRequest) (PlanResponse, *result.Error)
+	Confirm(ctx context.Context, plan string, r ConfirmRequest) (ConfirmResponse, *result.Error)
+	Config(ctx context.Context) (ConfigResponse, *result.Error)
+}
+
+func (a *API) control(h *server.Hertz) {
+	h.POST("/v1/plans", a.plan)
+	h.POST("/v1/plans/:plan/confirm", a.confirm)
+	h.GET("/v1/config", a.config)
+}
+
+func (a *API) plan(ctx context.Context, c *app.RequestContext) {
+	var r PlanRequest
+	if err := decodeStrict(c.Request.Body(), &r); err != nil {
+		a.fail(c, err)
+		return
+	}
+	p, err := a.core.Plan(ctx, r)
+	if err != nil {
+		a.fail(c, err)
+		return
+	}
+	a.reply(c, p.Code.HTTPStatus(), p)
+}
+
+func (a *API) confirm(ctx context.Context, c *app.RequestContext) {
+	var r ConfirmRequest
+	if err := decodeStrict(c.Request.Body(), &r); err != nil {
+		a.fail(c, err)
+		return
+	}
+	if !validName(r.Command) || !validName(r.Operator) {
+		a.fail(c, result.Errorf(result.InvalidField, "command and operator: want 1 to %d of A-Z a-z 0-9 . _ : -", maxNameBytes))
+		return
+	}
+	p, err := a.core.Confirm(ctx, c.Param("plan"), r)
+	if err != nil {
+		a.fail(c, err)
+		return
+	}
+	a.reply(c, p.Code.HTTPStatus(), p)
+}
+
+func (a *API) config(ctx context.Context, c *app.RequestContext) {
+	r, err := a.core.Config(ctx)
+	if err != nil {
+		a.fail(c, err)
+		return
+	}
+	a.reply(c, 200, r)
+}
