--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,7 @@
 	core      *core
 	sender    *sender
 	mesh      *link.Mesh
+	proposer  proposer
 	servers   []*server.Hertz
 	listeners listeners
 	wg        sync.WaitGroup
@@ -88,6 +89,7 @@
 		lease:     settings.Millis(s.Timing.MinionLeaseMS),
 		metrics:   &telemetry.Metrics{},
 		listeners: ln,
+		proposer:  noControl{},
 	}
 	d.metrics.Answered.Init()
 	if err := d.wire(); err != nil {
