lwbench: capacity measures a daemon's cost at several sizes

Cause: docs/CAPACITY.md needs measured slopes per minion, connection, task, job and remembered key. Ways ruled out: Go benchmarks of single functions (they leave out sockets and the runtime); slopes from one size. Before: no figures.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint unit race bench
+.PHONY: build demo test lint unit race bench capacity
 
 build:
 	@mkdir -p bin
@@ -26,3 +26,7 @@
 # Starts per second and processor time per task, with the floor beside it.
 bench: build
 	scripts/bench.sh
+
+# The slopes of docs/CAPACITY.md.
+capacity: build
+	scripts/capacity.sh
--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/google/subcommands"
 )
 
@@ -18,7 +20,9 @@
 	subcommands.Register(&minionCommand{}, "stand-ins")
 	subcommands.Register(&loadCommand{}, "measurements")
 	subcommands.Register(&floorCommand{}, "measurements")
+	subcommands.Register(&capacityCommand{}, "measurements")
 	flag.Parse()
+	hlog.SetOutput(io.Discard) // its lines would stand between the figures
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	os.Exit(int(subcommands.Execute(ctx)))
--- a/cmd/lwbench/minion.go
+++ b/cmd/lwbench/minion.go
@@ -4,12 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strings"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/google/subcommands"
 	"github.com/laburnumwalk/laburnumwalk/internal/minion"
 	"github.com/laburnumwalk/laburnumwalk/internal/standin"
@@ -44,7 +42,6 @@
 }
 
 func (m *minionCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	hlog.SetOutput(io.Discard)
 	m.announcement.Services = strings.Split(m.services, ",")
 	l, err := net.Listen("tcp", m.listen)
 	if err != nil {
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Measures the slopes of docs/CAPACITY.md on loopback: each kind of load on a
+# fresh daemon. Usage: scripts/capacity.sh [SECONDS PER SIZE]
+set -u
+cd "$(dirname "$0")/.."
+seconds=${1:-5}
+run=$(mktemp -d)
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
+  pids=()
+}
+trap 'stop_all; rm -rf "$run"' EXIT
+
+cat >"$run/host.json" <<JSON
+{
+  "host": "bench-1", "failure_domain": "bench", "region": "bench",
+  "listen": {"callers": "127.0.0.1:18921", "minions": "127.0.0.1:18922",
+             "operators": "127.0.0.1:18923", "peers": "127.0.0.1:18924"},
+  "timing": {"clock_error_ms": 1}, "log": {"level": "error"},
+}
+JSON
+
+ready() { # ready MINIONS
+  for _ in $(seq 100); do
+    [ "$(bin/laburnumctl -host 127.0.0.1:18923 status 2>/dev/null | grep -c ' ready ')" = "$1" ] && return
+    sleep 0.1
+  done
+}
+
+measure() { # measure KIND SIZES MINIONS
+  echo "## $1"
+  bin/laburnumd -settings "$run/host.json" &
+  local daemon=$!
+  pids+=("$daemon")
+  for n in $(seq "$3"); do
+    bin/lwbench minion -name "minion-$n" -domain bench -hosts 127.0.0.1:18922 -slots 64 &
+    pids+=($!)
+  done
+  ready "$3"
+  sleep 0.2
+  bin/lwbench capacity -kind "$1" -sizes "$2" -pid "$daemon" -duration "${seconds}s" \
+    -callers 127.0.0.1:18921 -minions 127.0.0.1:18922
+  stop_all
+}
+
+measure minions 0,34,68,136,272 0
+measure connections 0,500,1000,2000 0
+measure tasks 1000,4000,8000,16000 4
+measure jobs 500,2000,4000,8000 4
+measure records 1000,50000,100000,200000 4
