membership: hosts are added and removed while running, without a second start

A changing list also endangers "at most one start": a repetition asks only the hosts that its own host knows. Found on the way: a message to a peer that had closed the connection was written into the void (TestPeersAreAddedAndRemoved got nothing in 10 s), and a rejected host dialled 20 times a second, because a mere dial reset the delay. Ruled out: the ring (the message had left it). After: the sending side watches for the other end's close, and only a connection that lasted resets the delay; the test passes, 5 of 5 under the race detector. Before: fixed peers. Conclusion: provided that a change adds fewer hosts to a region than it has; the plan is to refuse others.

--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -31,6 +31,7 @@
 // messenger sends messages to peers.
 type messenger interface {
 	Send(to string, b peer.Body) bool
+	SetPeers(peers []membership.Host)
 }
 
 // core is the decision duty: the only goroutine that touches the engine.
@@ -102,6 +103,9 @@
 		for _, id := range r.Pending {
 			c.deliverPending(id)
 		}
+		if r.Hosts != nil {
+			c.mesh.SetPeers(r.Hosts)
+		}
 		for _, m := range r.Messages {
 			if c.mesh.Send(m.To, m.Body) {
 				c.metrics.PeerSent.Add(1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,6 +137,7 @@
 		Host:        membership.Host{Name: s.Host, FailureDomain: s.FailureDomain, Region: s.Region, Address: s.Listen.Peers},
 		Incarnation: inc,
 		StartedAt:   d.startedAt,
+		Joining:     s.Joining,
 		Jobs: job.Limits{
 			MaxActive:      s.Limits.MaxActiveJobs,
 			MaxRecords:     s.Limits.MaxRecords,
--- a/internal/engine/configure.go
+++ b/internal/engine/configure.go
@@ -2,23 +2,26 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/config"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
 // Apply puts a configuration version in force. Versions only grow; an older
 // or equal one changes nothing.
-func (e *Engine) Apply(version uint64, d *config.Document) {
+func (e *Engine) Apply(now time.Time, version uint64, d *config.Document) {
 	if version <= e.configVersion {
 		return
 	}
 	invariant.Check(d != nil, "version %d without a document", version)
 	e.configVersion = version
 	e.document = d
+	e.setHosts(now, d)
 	e.minions.SetDrains(d.Drains.Minions)
 	e.log(event.ConfigApplied, slog.Uint64("version", version))
 }
@@ -34,3 +37,40 @@
 	}
 	return result.Errorf(result.UnknownTeam, "team %q", s.ID.Team)
 }
+
+// setHosts follows the document's list of hosts. A document without hosts
+// leaves the list of the settings in force.
+func (e *Engine) setHosts(now time.Time, d *config.Document) {
+	var hosts []membership.Host
+	listed := false
+	for _, f := range d.FailureDomains {
+		for _, h := range f.Hosts {
+			if h.Name == e.cfg.Host.Name {
+				listed = true
+				continue
+			}
+			hosts = append(hosts, membership.Host{Name: h.Name, FailureDomain: f.Name, Region: f.Region, Address: h.Address})
+		}
+	}
+	if len(hosts) == 0 && !listed {
+		return
+	}
+	if listed && e.listedIn == 0 {
+		e.listedIn = e.configVersion
+	}
+	if e.members.SetHosts(now, hosts) {
+		e.ready.Hosts = e.members.Hosts()
+		e.log(event.HostsChanged, slog.Int("hosts", len(hosts)))
+	}
+}
+
+// admitted reports whether repetitions at other hosts will ask this host. A
+// host that was added to a running system waits until more than half of its
+// region has the configuration that lists it: each host that looks for a key's
+// owner then hears from one of them that its own list is old.
+func (e *Engine) admitted() bool {
+	if e.cfg.Joining && e.listedIn > 0 && e.members.RegionConfirms(e.cfg.Host.Region, e.listedIn) {
+		e.cfg.Joining = false
+	}
+	return !e.cfg.Joining
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -27,6 +27,7 @@
 	Host        membership.Host
 	Incarnation membership.Incarnation
 	Peers       []membership.Host
+	Joining     bool // added to a running system: no work before the region knows the host
 	StartedAt   time.Time
 
 	Jobs           job.Limits
@@ -79,6 +80,7 @@
 	Answers  []*job.Answer
 	Pending  []job.ID // jobs in progress whose owner is another host
 	Messages []Outgoing
+	Hosts    []membership.Host // when not nil, the peers to be connected from now on
 	Events   []Record
 }
 
@@ -91,6 +93,7 @@
 	members       *membership.View
 	configVersion uint64
 	document      *config.Document
+	listedIn      uint64 // first version in force here that lists this host
 	stopping      bool
 	nextBeat      time.Time
 	searches      map[job.ID]*search
@@ -212,6 +215,9 @@
 	if e.stopping {
 		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
 	}
+	if !e.admitted() {
+		return result.Errorf(result.Joining, "host %s waits until its region knows it", e.cfg.Host.Name)
+	}
 	if err := e.admitTeam(s); err != nil {
 		return err
 	}
@@ -312,6 +318,7 @@
 		e.log(event.PeerDown, slog.String("host", c.Peer.Name))
 	}
 	e.tickSearches(now)
+	e.members.ForgetDepartures(now.Add(-e.cfg.Jobs.KeyLifetime - 2*e.cfg.Jobs.ClockError))
 	if !now.Before(e.nextBeat) {
 		e.nextBeat = now.Add(e.cfg.HeartbeatEvery)
 		e.heartbeat(now)
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -60,6 +60,9 @@
 	if e.jobs.Forgot(sub.SubmittedAt) {
 		return result.Errorf(result.OwnerUnknown, "an earlier process of this host may have accepted the key")
 	}
+	if e.members.DepartedSince(e.cfg.Host.Region, sub.SubmittedAt.Add(-e.cfg.Jobs.ClockError)) {
+		return result.Errorf(result.OwnerUnknown, "a host that was removed since may have accepted the key")
+	}
 	if !e.jobs.Fence(sub.ID, sub.SubmittedAt) {
 		return result.Errorf(result.OwnerUnknown, "no room to fence the key")
 	}
@@ -116,7 +119,7 @@
 // receiveLocate answers a question about a key.
 func (e *Engine) receiveLocate(from string, q *peer.Locate) {
 	id := job.ID{Team: q.Team, Key: q.Key}
-	r := &peer.LocateReply{Team: q.Team, Key: q.Key, Round: q.Round}
+	r := &peer.LocateReply{Team: q.Team, Key: q.Key, Round: q.Round, Config: e.configVersion}
 	r.State, r.Ended = e.knowledge(from, id, q)
 	e.send(from, r)
 }
@@ -148,6 +151,10 @@
 	}
 	switch r.State {
 	case peer.NotSeen:
+		if r.Config > e.configVersion {
+			e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s has a newer configuration, which may list more hosts", from))
+			return
+		}
 		if _, ok := s.asked[from]; ok {
 			s.asked[from] = true
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	PeerUp       ID = 4001
 	PeerDown     ID = 4002
 	PeerRejected ID = 4003
+	HostsChanged ID = 4004
 
 	ConfigApplied   ID = 5001
 	StoreCorrupt    ID = 5002
@@ -81,6 +82,7 @@
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
+	{HostsChanged, slog.LevelInfo, "list of hosts changed", "None."},
 	{ConfigApplied, slog.LevelInfo, "configuration version in force", "None."},
 	{StoreCorrupt, slog.LevelError, "durable file corrupt", "Replace the disk or clear the data folder, then admit the control host again."},
 	{StoreWriteError, slog.LevelError, "durable write failed", "Check the disk's space and health."},
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -37,41 +37,82 @@
 // Mesh holds the connections of one host.
 type Mesh struct {
 	hello    peer.Hello
-	known    map[string]membership.Host
-	out      map[string]*ring.Ring[peer.Body]
 	receive  Receiver
 	reject   Rejecter
 	listener net.Listener
 
 	mu      sync.Mutex
+	ctx     context.Context // nil until Run
+	peers   map[string]*outbound
 	inbound map[net.Conn]struct{}
+	dropped uint64 // by the rings of removed peers
 	wg      sync.WaitGroup
 }
 
+// outbound is the sending side towards one peer.
+type outbound struct {
+	host   membership.Host
+	ring   *ring.Ring[peer.Body]
+	cancel context.CancelFunc // nil until the connection's goroutine runs
+}
+
 // New returns a Mesh on an open listener.
 func New(l net.Listener, self peer.Hello, peers []membership.Host, receive Receiver, reject Rejecter) *Mesh {
 	m := &Mesh{
 		hello:    self,
-		known:    make(map[string]membership.Host, len(peers)),
-		out:      make(map[string]*ring.Ring[peer.Body], len(peers)),
+		peers:    make(map[string]*outbound, len(peers)),
 		receive:  receive,
 		reject:   reject,
 		listener: l,
 		inbound:  make(map[net.Conn]struct{}),
 	}
-	for _, p := range peers {
-		m.known[p.Name] = p
-		m.out[p.Name] = ring.New[peer.Body](outboundSize)
-	}
+	m.SetPeers(peers)
 	return m
 }
 
+// SetPeers replaces the peers: connections to removed ones are closed, those
+// to added ones are dialled.
+func (m *Mesh) SetPeers(peers []membership.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := make(map[string]*outbound, len(peers))
+	for _, h := range peers {
+		if o := m.peers[h.Name]; o != nil && o.host == h {
+			next[h.Name] = o
+			continue
+		}
+		o := &outbound{host: h, ring: ring.New[peer.Body](outboundSize)}
+		next[h.Name] = o
+		m.dial(o)
+	}
+	for name, o := range m.peers {
+		if next[name] != o {
+			m.drop(o)
+		}
+	}
+	m.peers = next
+}
+
+// dial starts the sending goroutine, once Run has been called.
+func (m *Mesh) dial(o *outbound) {
+	if m.ctx == nil || m.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	o.cancel = cancel
+	m.wg.Go(func() { m.dialLoop(ctx, o.host.Address, o.ring) })
+}
+
+func (m *Mesh) drop(o *outbound) {
+	m.dropped += o.ring.Refused()
+	if o.cancel != nil {
+		o.cancel()
+	}
+}
+
 // Run accepts and dials until ctx ends, then closes every connection.
 func (m *Mesh) Run(ctx context.Context) {
-	for name, out := range m.out {
-		address := m.known[name].Address
-		m.wg.Go(func() { m.dialLoop(ctx, address, out) })
-	}
+	m.open(ctx)
 	m.wg.Go(func() { m.accept(ctx) })
 	<-ctx.Done()
 	m.listener.Close()
@@ -79,17 +120,30 @@
 	m.wg.Wait()
 }
 
+func (m *Mesh) open(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ctx = ctx
+	for _, o := range m.peers {
+		m.dial(o)
+	}
+}
+
 // Send queues b for the peer and reports whether there was room.
 func (m *Mesh) Send(to string, b peer.Body) bool {
-	out := m.out[to]
-	return out != nil && out.TryPush(b)
+	m.mu.Lock()
+	o := m.peers[to]
+	m.mu.Unlock()
+	return o != nil && o.ring.TryPush(b)
 }
 
 // Dropped returns the number of messages refused by full rings.
 func (m *Mesh) Dropped() uint64 {
-	var n uint64
-	for _, out := range m.out {
-		n += out.Refused()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.dropped
+	for _, o := range m.peers {
+		n += o.ring.Refused()
 	}
 	return n
 }
@@ -102,9 +156,12 @@
 	for ctx.Err() == nil {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
-			delay.Reset()
+			begin := time.Now()
 			m.sendLoop(ctx, conn, out)
 			conn.Close()
+			if time.Since(begin) > maxRedial {
+				delay.Reset() // it was not rejected at once
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -117,10 +174,13 @@
 	if err := write(conn, &m.hello); err != nil {
 		return
 	}
+	closed := watch(conn)
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-closed:
+			return
 		case b := <-out.C():
 			if err := write(conn, b); err != nil {
 				return
@@ -129,6 +189,18 @@
 	}
 }
 
+// watch returns a channel that is closed when the other end closes the
+// connection. Without it the first message after that would be written into
+// the void. Nothing is ever received on an outbound connection.
+func watch(conn net.Conn) <-chan struct{} {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = conn.Read(make([]byte, 1)) // returns at the latest when conn is closed
+	}()
+	return closed
+}
+
 func write(conn net.Conn, b peer.Body) error {
 	payload, err := peer.Encode(b)
 	if err != nil {
@@ -183,12 +255,19 @@
 	if h.Version != peer.Version {
 		return nil, errors.Errorf("link: protocol version %d, want %d", h.Version, peer.Version)
 	}
-	if known, ok := m.known[h.Host]; !ok || known.FailureDomain != h.FailureDomain {
+	if !m.knows(h) {
 		return nil, errors.Errorf("link: unknown host %q of failure domain %q", h.Host, h.FailureDomain)
 	}
 	return h, nil
 }
 
+func (m *Mesh) knows(h *peer.Hello) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o := m.peers[h.Host]
+	return o != nil && o.host.FailureDomain == h.FailureDomain
+}
+
 func read(conn net.Conn) (peer.Body, error) {
 	if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 		return nil, errors.WithStack(err)
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,93 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/shoenig/test/must"
+)
+
+const patience = 10 * time.Second
+
+// node is a Mesh with what it received.
+type node struct {
+	*Mesh
+	host     membership.Host
+	received chan string
+	rejected chan error
+}
+
+func newNode(t *testing.T, name string, peers ...membership.Host) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	n := &node{
+		host:     membership.Host{Name: name, FailureDomain: "d", Region: "r", Address: l.Addr().String()},
+		received: make(chan string, 1000), rejected: make(chan error, 1000),
+	}
+	hello := peer.Hello{Version: peer.Version, Host: name, FailureDomain: "d", Incarnation: "i"}
+	n.Mesh = New(l, hello, peers,
+		func(from string, _ membership.Incarnation, b peer.Body) {
+			n.received <- from + ":" + b.(*peer.MinionLeave).Name
+		},
+		func(_ string, err error) { n.rejected <- err })
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { n.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return n
+}
+
+func receive[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		t.Fatal("nothing received")
+		panic("unreachable")
+	}
+}
+
+// A host that the receiver does not know is rejected; once it is added, its
+// messages arrive; a removed peer gets none.
+func TestPeersAreAddedAndRemoved(t *testing.T) {
+	a := newNode(t, "a")
+	b := newNode(t, "b", a.host)
+	must.ErrorContains(t, receive(t, a.rejected), "unknown host")
+	a.SetPeers([]membership.Host{b.host})
+	must.True(t, a.Send("b", &peer.MinionLeave{Name: "x"}))
+	must.Eq(t, "a:x", receive(t, b.received))
+	must.True(t, b.Send("a", &peer.MinionLeave{Name: "y"}))
+	must.Eq(t, "b:y", receive(t, a.received))
+	a.SetPeers(nil)
+	must.False(t, a.Send("b", &peer.MinionLeave{Name: "z"}))
+}
+
+func TestOtherProtocolVersionIsRejected(t *testing.T) {
+	a := newNode(t, "a")
+	conn, err := net.Dial("tcp", a.host.Address)
+	must.NoError(t, err)
+	defer conn.Close()
+	must.NoError(t, write(conn, &peer.Hello{Version: peer.Version + 1, Host: "b"}))
+	must.ErrorContains(t, receive(t, a.rejected), "protocol version")
+}
+
+// A full ring refuses and counts.
+func TestSlowPeerDropsMessages(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	b := membership.Host{Name: "b", FailureDomain: "d", Address: l.Addr().String()}
+	m := New(l, peer.Hello{}, []membership.Host{b}, nil, nil) // never run
+	for range outboundSize {
+		must.True(t, m.Send("b", &peer.Heartbeat{}))
+	}
+	must.False(t, m.Send("b", &peer.Heartbeat{}))
+	must.Eq(t, uint64(1), m.Dropped())
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -46,8 +46,16 @@
 
 // View holds the other hosts.
 type View struct {
-	timeout time.Duration
-	peers   map[string]*Peer
+	timeout  time.Duration
+	peers    map[string]*Peer
+	departed []departure // oldest first
+}
+
+// departure is a host that was removed from the configuration. It may own keys
+// that were submitted before.
+type departure struct {
+	region string
+	at     time.Time
 }
 
 // NewView returns a view in which a peer is down after a silence of timeout.
@@ -59,6 +67,74 @@
 	return v
 }
 
+// SetHosts replaces the configured hosts. What is known of a host that stays
+// under the same address and failure domain is kept. It reports whether
+// anything changed.
+func (v *View) SetHosts(now time.Time, hosts []Host) bool {
+	next := make(map[string]*Peer, len(hosts))
+	changed := false
+	for _, h := range hosts {
+		if p := v.peers[h.Name]; p != nil && p.Host == h {
+			next[h.Name] = p
+			continue
+		}
+		next[h.Name] = &Peer{Host: h}
+		changed = true
+	}
+	for name, p := range v.peers {
+		if next[name] == nil || next[name].Host != p.Host {
+			v.departed = append(v.departed, departure{region: p.Region, at: now})
+			changed = true
+		}
+	}
+	v.peers = next
+	return changed
+}
+
+// DepartedSince reports whether a host of the region was removed at or after t.
+func (v *View) DepartedSince(region string, t time.Time) bool {
+	for _, d := range v.departed {
+		if d.region == region && !d.at.Before(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgetDepartures drops the removals before t.
+func (v *View) ForgetDepartures(t time.Time) {
+	kept := 0
+	for kept < len(v.departed) && v.departed[kept].at.Before(t) {
+		kept++
+	}
+	v.departed = v.departed[kept:]
+}
+
+// Hosts returns the configured hosts ordered by name.
+func (v *View) Hosts() []Host {
+	out := make([]Host, 0, len(v.peers))
+	for _, p := range v.All() {
+		out = append(out, p.Host)
+	}
+	return out
+}
+
+// RegionConfirms reports whether more than half of the region's hosts, this
+// one included, are up and have put the given configuration version in force.
+func (v *View) RegionConfirms(region string, version uint64) bool {
+	hosts, confirmed := 1, 1
+	for _, p := range v.peers {
+		if p.Region != region {
+			continue
+		}
+		hosts++
+		if p.up && p.ConfigSeen >= version {
+			confirmed++
+		}
+	}
+	return 2*confirmed > hosts
+}
+
 // Get returns the named peer, or nil.
 func (v *View) Get(name string) *Peer { return v.peers[name] }
 
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -41,6 +41,9 @@
 	Round uint64      `msgpack:"r"`
 	State LocateState `msgpack:"s"`
 	Ended bool        `msgpack:"e"`
+	// Config is the replying host's configuration version: a newer one than the
+	// asking host's may list hosts that it did not ask.
+	Config uint64 `msgpack:"c"`
 }
 
 // Attach asks the owner of a key for its final answer.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -64,6 +64,7 @@
 	TaskNotStarted      Code = 211
 	UnknownTeam         Code = 212
 	Busy                Code = 213
+	Joining             Code = 214
 
 	TaskFailed     Code = 301
 	DeadlineRan    Code = 302
@@ -117,6 +118,7 @@
 	{TaskNotStarted, "task not started", NotRun, 503, "Every start was disproved and the retry budget is used up."},
 	{UnknownTeam, "unknown team", NotRun, 403, "The configuration names no such team."},
 	{Busy, "busy", NotRun, 503, "A minion has no free slot, or a host has no free ring entry."},
+	{Joining, "joining", NotRun, 503, "The host was added lately and waits until its region knows it."},
 	{TaskFailed, "task failed", Ran, 200, "A task ran and failed; the rest of the job was not started."},
 	{DeadlineRan, "deadline, ran", Ran, 504, "The deadline passed with some tasks done and none in progress."},
 	{CancelledRan, "cancelled, ran", Ran, 200, "The job was cancelled after tasks had run; none is in progress."},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	Region        string   `json:"region" validate:"required,max=64"`
 	Listen        Listen   `json:"listen" validate:"required"`
 	Peers         []Peer   `json:"peers" validate:"max=256,unique=Name,dive"`
+	Joining       bool     `json:"joining"`
 	DataFolder    string   `json:"data_folder"`
 	Limits        Limits   `json:"limits"`
 	Timing        Timing   `json:"timing"`
