lwbench: experiment compares dispatch policies over one arrival trace

Cause: the slot policy is to be chosen by measurement, and nothing measured it. `lwbench experiment` drives the hosts' decisions through the emulator over one seeded trace per load: response over the ideal, wasted messages, goodput. An omniscient queue is the reference; random, round robin and least loaded placement with a refusing minion are the baselines.

Ways ruled out: drawing arrivals inside each run (a variant's own random draws would change its trace).

--- /dev/null
+++ b/cmd/lwbench/experiment.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/google/subcommands"
+	"github.com/laburnumwalk/laburnumwalk/internal/engine"
+	"golang.org/x/sync/errgroup"
+)
+
+// stragglerFactor multiplies the run times of a slow minion.
+const stragglerFactor = 5
+
+// scenario is a disturbance of a run.
+type scenario struct {
+	name       string
+	stragglers bool // one minion of seventeen is slow
+	failing    bool // one minion fails every task at once
+	burst      bool
+	killHost   bool // the first host dies half way
+}
+
+func (s scenario) slow(minion int) bool { return s.stragglers && minion == 0 }
+
+var scenarios = []scenario{
+	{name: "healthy"},
+	{name: "stragglers", stragglers: true},
+	{name: "failing", failing: true},
+	{name: "burst", burst: true},
+	{name: "kill", killHost: true},
+}
+
+// variant is a way to dispatch.
+type variant struct {
+	name string
+	run  func(seed uint64, t *trace, s scenario) *outcome
+}
+
+func engineVariant(name string, p engine.SlotPolicy) variant {
+	return variant{name, func(seed uint64, t *trace, s scenario) *outcome { return runEngine(seed, t, s, p) }}
+}
+
+func baselineVariant(name string, p placement) variant {
+	return variant{name, func(seed uint64, t *trace, s scenario) *outcome { return runBaseline(seed, t, s, p) }}
+}
+
+var variants = []variant{
+	{"reference", func(seed uint64, t *trace, _ scenario) *outcome { return runReference(seed, t) }},
+	baselineVariant("random", placeRandom),
+	baselineVariant("round robin", placeRoundRobin),
+	baselineVariant("least loaded", placeLeastLoaded),
+	engineVariant("A anywhere", engine.SlotsAnywhere),
+}
+
+// experimentCommand compares dispatch policies over one seeded trace.
+type experimentCommand struct {
+	seed      uint64
+	tasks     int
+	loads     string
+	mixes     string
+	scenarios string
+	variants  string
+	parallel  int
+}
+
+func (*experimentCommand) Name() string     { return "experiment" }
+func (*experimentCommand) Synopsis() string { return "compare dispatch policies in virtual time" }
+func (*experimentCommand) Usage() string {
+	return "experiment [flags]\n" +
+		"  Drives the decisions of a failure domain's hosts over one seeded arrival trace\n" +
+		"  per load and prints a Markdown table.\n"
+}
+
+func (c *experimentCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.seed, "seed", 1, "seed of traces and delays")
+	f.IntVar(&c.tasks, "tasks", 150_000, "tasks per trace")
+	f.StringVar(&c.loads, "loads", "50,70,90,110", "offered work in percent of the slots, separated by commas")
+	f.StringVar(&c.mixes, "mixes", "mixed,single,hundred", "job sizes")
+	f.StringVar(&c.scenarios, "scenarios", "healthy", "disturbances; all: every one")
+	f.StringVar(&c.variants, "variants", "all", "variants, separated by commas")
+	f.IntVar(&c.parallel, "parallel", 3, "runs at a time")
+}
+
+// selected reports whether a comma-separated list names the item.
+func selected(list, name string) bool {
+	return list == "all" || slices.Contains(strings.Split(list, ","), name)
+}
+
+// Execute runs the chosen experiments.
+func (c *experimentCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	loads, err := parseLoads(c.loads)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	c.printHead()
+	for _, s := range scenarios {
+		for _, m := range jobMixes {
+			if !selected(c.scenarios, s.name) || !selected(c.mixes, m.name) {
+				continue
+			}
+			for _, load := range loads {
+				c.compare(s, m, load)
+			}
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+func parseLoads(list string) ([]int, error) {
+	var loads []int
+	for _, s := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil || n <= 0 {
+			return nil, fmt.Errorf("load %q is not a positive number", s)
+		}
+		loads = append(loads, n)
+	}
+	return loads, nil
+}
+
+// compare runs the chosen variants over one trace, some at a time.
+func (c *experimentCommand) compare(s scenario, m jobMix, load int) {
+	rows := make([]string, len(variants))
+	var g errgroup.Group
+	g.SetLimit(c.parallel)
+	var mu sync.Mutex
+	for i, v := range variants {
+		if !selected(c.variants, v.name) {
+			continue
+		}
+		g.Go(func() error {
+			t := newTrace(c.seed, m, float64(load)/100, c.tasks, s.burst)
+			row := formatRow(s, m, load, v.name, v.run(c.seed, t, s))
+			mu.Lock()
+			defer mu.Unlock()
+			rows[i] = row
+			return nil
+		})
+	}
+	_ = g.Wait() // the runs return no errors
+	for _, row := range rows {
+		if row != "" {
+			fmt.Println(row)
+		}
+	}
+}
+
+func (c *experimentCommand) printHead() {
+	fmt.Printf("Seed %d, %d tasks a trace, %d hosts, %d minions of %d slots. Response over the ideal.\n\n",
+		c.seed, c.tasks, traceHosts, traceMinions, slotsPerMinion)
+	fmt.Println("| scenario | jobs | load | variant | median | p99 | p99.9 | p99 by size 1 / 2-5 / 6-20 / 21-100 / 101-200 | wasted per task | wasted per job | wasted | goodput | not complete | codes |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+}
+
+func formatRow(s scenario, m jobMix, load int, name string, o *outcome) string {
+	var sizes []string
+	for _, h := range o.bySize {
+		if h.TotalCount() == 0 {
+			sizes = append(sizes, "-")
+			continue
+		}
+		sizes = append(sizes, fmt.Sprintf("%.2f", quantile(h, 99)))
+	}
+	return fmt.Sprintf("| %s | %s | %d%% | %s | %.3f | %.2f | %.2f | %s | %.3f | %.2f | %.2f%% | %.1f%% | %d of %d | %s |",
+		s.name, m.name, load, name, quantile(o.ratio, 50), quantile(o.ratio, 99), quantile(o.ratio, 99.9), strings.Join(sizes, " / "),
+		float64(o.wasted())/float64(max(o.tasks, 1)), float64(o.wasted())/float64(max(o.completed, 1)), 100*o.wastedShare(),
+		100*o.goodput(), o.lost(), len(o.trace.arrivals), formatCodes(o))
+}
+
+func formatCodes(o *outcome) string {
+	var parts []string
+	for c, n := range o.codes {
+		parts = append(parts, fmt.Sprintf("%d: %d", c, n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,6 +40,8 @@
 	LocateResend  time.Duration // interval of repeated questions
 	FollowTimeout time.Duration // bound on a fetch from the owner
 	MaxSearches   int           // keys looked for at a time
+
+	Slots SlotPolicy
 }
 
 // Start is a task to send to a minion.
