--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/minion"
 )
@@ -15,100 +16,265 @@
 // Assignment is one decided start.
 type Assignment struct {
 	Task   job.TaskID
+	Size   job.Size
 	Minion *minion.Minion
 }
 
-// Queue orders the jobs that have tasks to start: the team with the fewest
-// tasks in progress per unit of weight goes first, and inside a team the job
-// with the fewest tasks left.
+// Quota is a team's share of a failure domain.
+type Quota struct {
+	Weight   int // relative share of the slots when teams compete
+	MaxSlots int // tasks in progress; 0: no bound
+}
+
+// defaultQuota is that of a team that the configuration does not name.
+var defaultQuota = Quota{Weight: 1}
+
+// Queue orders the jobs that have tasks to start. Teams that use less than
+// their weighted share of the slots in use go first; among those the job with
+// the lowest rank: fewest tasks left, aged by waiting. Teams over their share
+// follow, the one furthest below the others first.
 type Queue struct {
-	teams map[string]*team
+	teams   map[string]*team
+	active  []*team // teams with jobs or tasks in progress
+	entries map[job.ID]*entry
+	quotas  map[string]Quota
+	running int
+	round   uint64        // marks the lists tried by one call of Next
+	blocked []requirement // what one call of Next found no minion for
+}
+
+// requirement is what a task needs of a minion.
+type requirement struct {
+	service string
+	size    job.Size
 }
 
 type team struct {
 	name    string
+	quota   Quota
 	running int
-	jobs    []*job.Job
+	entries int
+	lists   []*list
+	pos     int // in Queue.active
 }
 
-// NewQueue returns an empty queue.
-func NewQueue() *Queue { return &Queue{teams: make(map[string]*team)} }
+// NewQueue returns an empty queue without quotas.
+func NewQueue() *Queue {
+	return &Queue{teams: make(map[string]*team), entries: make(map[job.ID]*entry)}
+}
+
+// SetQuotas replaces every team's quota.
+func (q *Queue) SetQuotas(quotas map[string]Quota) {
+	q.quotas = quotas
+	for _, t := range q.active {
+		t.quota = q.quota(t.name)
+	}
+}
+
+func (q *Queue) quota(name string) Quota {
+	if quota, ok := q.quotas[name]; ok {
+		return quota
+	}
+	return defaultQuota
+}
 
 // Add queues the job's tasks.
 func (q *Queue) Add(j *job.Job) {
 	t := q.team(j.ID.Team)
-	t.jobs = append(t.jobs, j)
+	t.entries++
+	e := &entry{job: j, list: t.list(j.Service), pos: notListed}
+	q.entries[j.ID] = e
+	e.list.push(e)
 }
 
 func (q *Queue) team(name string) *team {
 	t := q.teams[name]
 	if t == nil {
-		t = &team{name: name}
+		t = &team{name: name, quota: q.quota(name), pos: len(q.active)}
 		q.teams[name] = t
+		q.active = append(q.active, t)
 	}
 	return t
 }
 
-// Finished records that one of the team's starts has ended.
-func (q *Queue) Finished(name string) { q.team(name).running-- }
+// release forgets a team that has neither jobs nor tasks in progress.
+func (q *Queue) release(t *team) {
+	if t.entries > 0 || t.running > 0 {
+		return
+	}
+	last := q.active[len(q.active)-1]
+	q.active[t.pos] = last
+	last.pos = t.pos
+	q.active[len(q.active)-1] = nil
+	q.active = q.active[:len(q.active)-1]
+	delete(q.teams, t.name)
+}
+
+func (t *team) list(service string) *list {
+	for _, l := range t.lists {
+		if l.service == service {
+			return l
+		}
+	}
+	l := &list{service: service}
+	t.lists = append(t.lists, l)
+	return l
+}
+
+// Remove drops a job that has ended. Its tasks in progress still count until
+// they finish.
+func (q *Queue) Remove(id job.ID) {
+	e := q.entries[id]
+	if e == nil {
+		return
+	}
+	delete(q.entries, id)
+	e.list.remove(e)
+	t := q.teams[id.Team]
+	t.entries--
+	q.release(t)
+}
+
+// Finished records that a start has ended; a disproved one is queued again
+// while its job goes on. The job table must have recorded the end before.
+func (q *Queue) Finished(id job.TaskID) {
+	t := q.teams[id.Job.Team]
+	if t == nil {
+		return
+	}
+	t.running--
+	q.running--
+	if e := q.entries[id.Job]; e != nil {
+		e.next = min(e.next, id.Index)
+		e.list.update(e)
+	}
+	q.release(t)
+}
+
+// Running returns the team's tasks in progress.
+func (q *Queue) Running(name string) int {
+	if t := q.teams[name]; t != nil {
+		return t.running
+	}
+	return 0
+}
+
+// Queued returns the team's tasks that wait for their start.
+func (q *Queue) Queued(name string) int {
+	t := q.teams[name]
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for _, l := range t.lists {
+		for _, e := range l.heap {
+			n += e.job.Queued()
+		}
+	}
+	return n
+}
 
 // Next decides one start, or reports false when no queued task has a free
 // minion. The caller must record the start before it calls Next again.
 func (q *Queue) Next(now time.Time, minions *minion.Registry) (Assignment, bool) {
-	tried := make(map[string]bool)
+	q.round++
+	q.blocked = q.blocked[:0]
 	for {
-		t := q.nextTeam(tried)
-		if t == nil {
+		t, l := q.nextList()
+		if l == nil {
 			return Assignment{}, false
 		}
-		if a, ok := t.next(now, minions); ok {
-			t.running++
+		if a, ok := q.place(now, l, minions); ok {
+			q.begin(t)
 			return a, true
 		}
-		tried[t.name] = true
+		l.tried = q.round
 	}
 }
 
-func (q *Queue) nextTeam(tried map[string]bool) *team {
-	var best *team
-	for _, t := range q.teams {
-		t.prune()
-		if len(t.jobs) == 0 || tried[t.name] {
+func (q *Queue) begin(t *team) {
+	t.running++
+	q.running++
+	invariant.Check(t.quota.MaxSlots == 0 || t.running <= t.quota.MaxSlots,
+		"team %s has %d tasks in progress, quota %d", t.name, t.running, t.quota.MaxSlots)
+}
+
+// nextList returns the list whose head is next in the common order.
+func (q *Queue) nextList() (*team, *list) {
+	weights := 0
+	for _, t := range q.active {
+		weights += t.quota.Weight
+	}
+	var best candidate
+	for _, t := range q.active {
+		if t.quota.MaxSlots > 0 && t.running >= t.quota.MaxSlots {
 			continue
 		}
-		if best == nil || t.running < best.running || t.running == best.running && t.name < best.name {
-			best = t
+		over := (t.running+1)*weights > t.quota.Weight*(q.running+1)
+		for _, l := range t.lists {
+			if l.tried == q.round || l.head() == nil {
+				continue
+			}
+			c := candidate{team: t, list: l, over: over, rank: l.heap[0].rank}
+			if best.list == nil || c.before(&best) {
+				best = c
+			}
 		}
 	}
-	return best
+	return best.team, best.list
+}
+
+type candidate struct {
+	team *team
+	list *list
+	over bool
+	rank int64
 }
 
-// prune drops jobs that have nothing left to start.
-func (t *team) prune() {
-	kept := t.jobs[:0]
-	for _, j := range t.jobs {
-		if !j.Ended() && j.Queued()+j.Running() > 0 {
-			kept = append(kept, j)
+func (c *candidate) before(d *candidate) bool {
+	if c.over != d.over {
+		return d.over
+	}
+	if c.over {
+		if a, b := c.team.running*d.team.quota.Weight, d.team.running*c.team.quota.Weight; a != b {
+			return a < b
 		}
 	}
-	clear(t.jobs[len(kept):])
-	t.jobs = kept
+	if c.rank != d.rank {
+		return c.rank < d.rank
+	}
+	return c.team.name < d.team.name
 }
 
-func (t *team) next(now time.Time, minions *minion.Registry) (Assignment, bool) {
-	var best *job.Job
-	var on *minion.Minion
-	for _, j := range t.jobs {
-		if j.Queued() == 0 || best != nil && j.Queued()+j.Running() >= best.Queued()+best.Running() {
+// maxSkipped is how many jobs behind a head that no free minion fits are tried.
+const maxSkipped = 8
+
+// place finds a minion for the head of the list, or for one of the jobs right
+// behind it when their tasks need less.
+func (q *Queue) place(now time.Time, l *list, minions *minion.Registry) (Assignment, bool) {
+	for i := range min(len(l.heap), maxSkipped) {
+		e := l.heap[i]
+		index := e.nextTask()
+		if index < 0 {
+			continue
+		}
+		need := requirement{service: l.service, size: e.job.Tasks[index].Size}
+		if q.isBlocked(need) {
 			continue
 		}
-		m := minions.Pick(now, j.Service, j.Tasks[j.NextQueued(0)].Size)
-		if m != nil {
-			best, on = j, m
+		if m := minions.Pick(now, need.service, need.size); m != nil {
+			return Assignment{Task: job.TaskID{Job: e.job.ID, Index: index}, Size: need.size, Minion: m}, true
 		}
+		q.blocked = append(q.blocked, need)
 	}
-	if best == nil {
-		return Assignment{}, false
+	return Assignment{}, false
+}
+
+func (q *Queue) isBlocked(need requirement) bool {
+	for i := range q.blocked {
+		if q.blocked[i] == need {
+			return true
+		}
 	}
-	return Assignment{Task: job.TaskID{Job: best.ID, Index: best.NextQueued(0)}, Minion: on}, true
+	return false
 }
--- a/internal/engine/configure.go
+++ b/internal/engine/configure.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/config"
+	"github.com/laburnumwalk/laburnumwalk/internal/dispatch"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
@@ -20,6 +21,11 @@
 	e.configVersion = version
 	e.document = d
 	e.minions.SetDrains(d.Drains.Minions)
+	quotas := make(map[string]dispatch.Quota, len(d.Teams))
+	for _, t := range d.Teams {
+		quotas[t.Name] = dispatch.Quota{Weight: t.Weight, MaxSlots: t.MaxSlots}
+	}
+	e.queue.SetQuotas(quotas)
 	e.log(event.ConfigApplied, slog.Uint64("version", version))
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -98,6 +98,7 @@
 	searches      map[job.ID]*search
 	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
 	round         uint64
+	sizes         map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
 	ready         Ready
 }
 
@@ -112,6 +113,7 @@
 
 		searches:  make(map[job.ID]*search),
 		followers: make(map[job.ID]map[string]bool),
+		sizes:     make(map[job.TaskID]job.Size),
 	}
 }
 
@@ -159,6 +161,7 @@
 		return
 	}
 	e.ready.Answers = append(e.ready.Answers, a)
+	e.queue.Remove(a.ID)
 	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
 	e.cancelStarted(a.ID)
@@ -246,7 +249,10 @@
 		if !e.jobs.Start(now, a.Task, a.Minion.Name) {
 			return
 		}
-		e.minions.Acquire(a.Minion)
+		e.minions.Acquire(now, a.Minion, a.Size)
+		if a.Size != (job.Size{}) {
+			e.sizes[a.Task] = a.Size
+		}
 		e.ready.Starts = append(e.ready.Starts, e.start(a))
 	}
 }
@@ -268,7 +274,6 @@
 
 // TaskFinished records the outcome of a start that reached its minion.
 func (e *Engine) TaskFinished(now time.Time, id job.TaskID, name string, o job.Outcome) {
-	e.release(id, name, time.Time{})
 	switch o.Code {
 	case result.AnswerMismatch:
 		e.log(event.AnswerMismatch, slog.String("job", id.Job.String()), slog.Int("task", id.Index), slog.String("minion", name))
@@ -277,6 +282,7 @@
 			slog.String("minion", name), slog.String("detail", o.Detail))
 	}
 	a := e.jobs.Finish(now, id, o)
+	e.release(id, name, time.Time{})
 	if o.Code != result.OK && a == nil {
 		e.cancelStarted(id.Job)
 	}
@@ -286,10 +292,11 @@
 
 // TaskDisproved records a start that certainly did not happen.
 func (e *Engine) TaskDisproved(now time.Time, id job.TaskID, name string, reason result.Code) {
+	a := e.jobs.Disprove(now, id)
 	e.release(id, name, now.Add(e.cfg.BusyPause))
 	e.log(event.TaskStartRefused, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
 		slog.String("minion", name), slog.Int("code", int(reason)))
-	e.answer(e.jobs.Disprove(now, id))
+	e.answer(a)
 	if j := e.jobs.Get(id.Job); j != nil && !j.Ended() && j.Retries() > e.cfg.RetryBudget+len(j.Tasks) {
 		e.log(event.TaskStartsStopped, slog.String("job", id.Job.String()))
 		e.answer(e.jobs.Refuse(now, id.Job, result.TaskNotStarted, "retry budget used up"))
@@ -297,9 +304,12 @@
 	e.dispatch(now)
 }
 
+// release frees the slot of a start that has ended. The job table must have
+// recorded the end.
 func (e *Engine) release(id job.TaskID, name string, retryAt time.Time) {
-	e.minions.Release(name, retryAt)
-	e.queue.Finished(id.Job.Team)
+	e.minions.Release(name, e.sizes[id], retryAt)
+	delete(e.sizes, id)
+	e.queue.Finished(id)
 }
 
 // Tick advances time: deadlines, leases, heartbeats.
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 )
 
@@ -39,10 +40,17 @@
 	Draining   bool // drained by an operator; no new work
 	Local      bool // announced to this host, which relays its lease
 
-	inUse     int // tasks of this host in progress
+	inUse     int      // tasks of this host in progress
+	used      job.Size // sum of their declared sizes
+	rack      *rack
 	freeAfter time.Time
 }
 
+// rack counts the tasks of this host in progress on its minions.
+type rack struct {
+	inUse int
+}
+
 // InUse returns the number of this host's tasks in progress on the minion.
 func (m *Minion) InUse() int { return m.inUse }
 
@@ -62,16 +70,36 @@
 		s.Accelerators <= m.Accelerators
 }
 
+// hasRoom reports whether a task fits beside the declared sizes in progress.
+func (m *Minion) hasRoom(s job.Size) bool {
+	if s == (job.Size{}) {
+		return true
+	}
+	return m.Fits(job.Size{
+		MilliCPU:     m.used.MilliCPU + s.MilliCPU,
+		MemoryMB:     m.used.MemoryMB + s.MemoryMB,
+		Accelerators: m.used.Accelerators + s.Accelerators,
+	})
+}
+
 // Registry holds the minions known to one host.
 type Registry struct {
 	lease   time.Duration
 	minions map[string]*Minion
 	drains  map[string]bool // minion names drained by the configuration
+	racks   map[string]*rack
+	offers  map[string][]*Minion // by service, ordered by name
 }
 
 // NewRegistry returns an empty registry that grants leases of the given length.
 func NewRegistry(lease time.Duration) *Registry {
-	return &Registry{lease: lease, minions: make(map[string]*Minion), drains: make(map[string]bool)}
+	return &Registry{
+		lease:   lease,
+		minions: make(map[string]*Minion),
+		drains:  make(map[string]bool),
+		racks:   make(map[string]*rack),
+		offers:  make(map[string][]*Minion),
+	}
 }
 
 // Lease returns the length of a lease.
@@ -102,9 +130,27 @@
 	m.Local = local
 	m.Draining = r.drains[a.Name]
 	m.extend(now.Add(remaining))
+	r.index()
 	return true
 }
 
+// index rebuilds the lists by service and the racks' counts. Announcements and
+// expiries are rare beside starts.
+func (r *Registry) index() {
+	r.offers = make(map[string][]*Minion)
+	r.racks = make(map[string]*rack)
+	for _, m := range r.All() {
+		if r.racks[m.Rack] == nil {
+			r.racks[m.Rack] = &rack{}
+		}
+		m.rack = r.racks[m.Rack]
+		m.rack.inUse += m.inUse
+		for _, s := range m.Services {
+			r.offers[s] = append(r.offers[s], m)
+		}
+	}
+}
+
 // Renew extends the lease of a known minion. It reports false when the name
 // and generation are not known, so that the sender announces in full.
 func (r *Registry) Renew(now time.Time, name string, generation uint64, remaining time.Duration, local bool) bool {
@@ -157,53 +203,75 @@
 		gone = append(gone, m)
 		delete(r.minions, name)
 	}
+	if len(gone) > 0 {
+		sort.Slice(gone, func(i, k int) bool { return gone[i].Name < gone[k].Name })
+		r.index()
+	}
 	return gone
 }
 
 // Acquire takes a slot of the minion for one start of this host.
-func (r *Registry) Acquire(m *Minion) { m.inUse++ }
+func (r *Registry) Acquire(now time.Time, m *Minion, size job.Size) {
+	invariant.Check(m.Ready(now), "start on minion %s, which is %s", m.Name, m.State(now))
+	invariant.Check(m.inUse < m.Slots, "start on minion %s with %d of %d slots in use", m.Name, m.inUse, m.Slots)
+	m.inUse++
+	m.rack.inUse++
+	m.used.MilliCPU += size.MilliCPU
+	m.used.MemoryMB += size.MemoryMB
+	m.used.Accelerators += size.Accelerators
+}
 
 // Release gives a slot back. A busy minion is left alone until retryAt.
-func (r *Registry) Release(name string, retryAt time.Time) {
+func (r *Registry) Release(name string, size job.Size, retryAt time.Time) {
 	m := r.minions[name]
-	if m == nil {
+	if m == nil || m.inUse == 0 {
 		return
 	}
-	if m.inUse > 0 {
-		m.inUse--
-	}
+	m.inUse--
+	m.rack.inUse--
+	m.used.MilliCPU -= size.MilliCPU
+	m.used.MemoryMB -= size.MemoryMB
+	m.used.Accelerators -= size.Accelerators
 	if retryAt.After(m.freeAfter) {
 		m.freeAfter = retryAt
 	}
 }
 
-// Pick returns the ready minion with the most free slots that offers the
-// service and fits the size, or nil.
+// Pick returns the best minion for one task among those that are ready, offer
+// the service and have a free slot and room for the size, or nil. Minions
+// without accelerators are preferred for tasks that need none, then the most
+// free slots, then the rack with the fewest tasks.
 func (r *Registry) Pick(now time.Time, service string, size job.Size) *Minion {
 	var best *Minion
-	for _, m := range r.minions {
-		if m.inUse >= m.Slots || m.freeAfter.After(now) || !m.Ready(now) || !m.Offers(service) || !m.Fits(size) {
+	for _, m := range r.offers[service] {
+		if m.inUse >= m.Slots || best != nil && !m.better(best, size.Accelerators == 0) {
 			continue
 		}
-		if best == nil || better(m, best) {
-			best = m
+		if m.freeAfter.After(now) || !m.Ready(now) || !m.hasRoom(size) {
+			continue
 		}
+		best = m
 	}
 	return best
 }
 
-func better(a, b *Minion) bool {
-	if fa, fb := a.Slots-a.inUse, b.Slots-b.inUse; fa != fb {
-		return fa > fb
+// better reports whether m goes before another minion that comes before it in
+// the order of names.
+func (m *Minion) better(other *Minion, spareAccelerators bool) bool {
+	if spareAccelerators && (m.Accelerators > 0) != (other.Accelerators > 0) {
+		return m.Accelerators == 0
 	}
-	return a.Name < b.Name
+	if a, b := m.Slots-m.inUse, other.Slots-other.inUse; a != b {
+		return a > b
+	}
+	return m.rack.inUse < other.rack.inUse
 }
 
 // Placeable reports whether any minion offers the service, and whether any of
 // those fits the size.
 func (r *Registry) Placeable(now time.Time, service string, size job.Size) (offered, fits bool) {
-	for _, m := range r.minions {
-		if !m.Offers(service) || !m.Ready(now) {
+	for _, m := range r.offers[service] {
+		if !m.Ready(now) {
 			continue
 		}
 		offered = true
