engine: one host dispatches for its failure domain; the others forward whole jobs

Cause: slots that every host uses on its own, or that are split, leave the next job in the common order waiting while another host's slots are idle.

A host forwards an accepted job, before any start, to the first host by name that is reachable both ways (one missed heartbeat makes it suspect), and counts its tasks as started. The answer comes back as a JobAnswer. A forward names the process it is meant for; it may be repeated; a refusal is remembered until the submission expires, so that "not run" stays true. A host that judges by its own state (stopping, no such minion yet) hands the job back. The loss of the dispatching process ends its jobs as "may have run". No agreement is needed on who dispatches, since a full minion refuses.

Ways ruled out by arithmetic: moving slots instead of jobs. A slot that frees at one host while the next job waits at another costs a message; a job of 100 tasks has 4 messages to spare under 2% waste, and its slots free one by one.

--- a/cmd/lwbench/experiment.go
+++ b/cmd/lwbench/experiment.go
@@ -57,6 +57,8 @@
 	baselineVariant("round robin", placeRoundRobin),
 	baselineVariant("least loaded", placeLeastLoaded),
 	engineVariant("A anywhere", engine.SlotsAnywhere),
+	engineVariant("B split", engine.SlotsSplit),
+	engineVariant("C central", engine.SlotsCentral),
 }
 
 // experimentCommand compares dispatch policies over one seeded trace.
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -56,6 +56,8 @@
 	if c, changed := e.members.Heard(now, from, inc); changed {
 		e.log(event.PeerUp, slog.String("host", from), slog.Bool("restarted", c.Restart))
 		e.relayAll(now, c.Peer)
+		e.failForwards(now, c.Peer)
+		e.peerCameUp(now, from)
 	}
 	switch m := b.(type) {
 	case *peer.Heartbeat:
@@ -73,7 +75,11 @@
 	case *peer.Attach:
 		e.receiveAttach(now, from, m)
 	case *peer.JobAnswer:
-		e.receiveJobAnswer(from, m)
+		if !e.settleForward(now, from, m) {
+			e.receiveJobAnswer(from, m)
+		}
+	case *peer.Forward:
+		e.receiveForward(now, from, m)
 	}
 }
 
@@ -82,6 +88,7 @@
 	if p := e.members.Get(from); p != nil {
 		p.ConfigSeen = h.Config
 	}
+	e.recordPath(now, from, h)
 	var unknown []string
 	for _, l := range h.Leases {
 		if !e.minions.Renew(now, l.Name, l.Generation, l.Remaining, false) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -98,8 +98,9 @@
 	searches      map[job.ID]*search
 	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
 	round         uint64
-	sizes         map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
-	ready         Ready
+	sharing
+	sizes map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
+	ready Ready
 }
 
 // New returns an Engine with no jobs and no minions.
@@ -114,6 +115,7 @@
 		searches:  make(map[job.ID]*search),
 		followers: make(map[job.ID]map[string]bool),
 		sizes:     make(map[job.TaskID]job.Size),
+		sharing:   newSharing(),
 	}
 }
 
@@ -162,6 +164,7 @@
 	}
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
+	delete(e.forwards, a.ID)
 	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
 	e.cancelStarted(a.ID)
@@ -169,6 +172,7 @@
 
 // cancelStarted asks the minions of a job's tasks in progress to stop them.
 func (e *Engine) cancelStarted(id job.ID) {
+	e.cancelForward(id)
 	j := e.jobs.Get(id)
 	if j == nil {
 		return
@@ -207,7 +211,7 @@
 		e.log(event.JobRefused, slog.String("job", s.ID.String()), slog.Int("code", int(err.Code)))
 		return err
 	}
-	e.queue.Add(j)
+	e.place(now, j)
 	e.dispatch(now)
 	return nil
 }
@@ -322,11 +326,14 @@
 	}
 	for _, c := range e.members.Tick(now) {
 		e.log(event.PeerDown, slog.String("host", c.Peer.Name))
+		e.failForwards(now, c.Peer)
+		e.reshare()
 	}
 	e.tickSearches(now)
 	if !now.Before(e.nextBeat) {
 		e.nextBeat = now.Add(e.cfg.HeartbeatEvery)
 		e.heartbeat(now)
+		e.resendForwards(now)
 	}
 	e.dispatch(now)
 }
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 )
@@ -40,6 +41,7 @@
 	Draining   bool // drained by an operator; no new work
 	Local      bool // announced to this host, which relays its lease
 
+	share     int      // slots that this host may use
 	inUse     int      // tasks of this host in progress
 	used      job.Size // sum of their declared sizes
 	rack      *rack
@@ -89,6 +91,9 @@
 	drains  map[string]bool // minion names drained by the configuration
 	racks   map[string]*rack
 	offers  map[string][]*Minion // by service, ordered by name
+
+	shareIndex int // place of this host among those that split the slots
+	shareHosts int
 }
 
 // NewRegistry returns an empty registry that grants leases of the given length.
@@ -99,6 +104,8 @@
 		drains:  make(map[string]bool),
 		racks:   make(map[string]*rack),
 		offers:  make(map[string][]*Minion),
+
+		shareHosts: 1,
 	}
 }
 
@@ -143,6 +150,7 @@
 		if r.racks[m.Rack] == nil {
 			r.racks[m.Rack] = &rack{}
 		}
+		m.share = r.shareOf(m)
 		m.rack = r.racks[m.Rack]
 		m.rack.inUse += m.inUse
 		for _, s := range m.Services {
@@ -171,6 +179,29 @@
 	}
 }
 
+// SetShare limits this host to its part of every minion's slots: that of the
+// host with the given index among those that split them.
+func (r *Registry) SetShare(index, hosts int) {
+	r.shareIndex, r.shareHosts = index, hosts
+	for _, m := range r.minions {
+		m.share = r.shareOf(m)
+	}
+}
+
+// shareOf returns an equal part of the slots. What is left over goes to
+// different hosts on different minions.
+func (r *Registry) shareOf(m *Minion) int {
+	if r.shareHosts == 1 {
+		return m.Slots
+	}
+	share, extra := m.Slots/r.shareHosts, m.Slots%r.shareHosts
+	turn := (r.shareIndex + int(xxhash.Sum64String(m.Name)%uint64(r.shareHosts))) % r.shareHosts
+	if turn < extra {
+		share++
+	}
+	return share
+}
+
 // Leave marks a minion as leaving. It reports whether this changed anything.
 func (r *Registry) Leave(name string, generation uint64) bool {
 	m := r.minions[name]
@@ -213,7 +244,7 @@
 // Acquire takes a slot of the minion for one start of this host.
 func (r *Registry) Acquire(now time.Time, m *Minion, size job.Size) {
 	invariant.Check(m.Ready(now), "start on minion %s, which is %s", m.Name, m.State(now))
-	invariant.Check(m.inUse < m.Slots, "start on minion %s with %d of %d slots in use", m.Name, m.inUse, m.Slots)
+	invariant.Check(m.inUse < m.share, "start on minion %s with %d of %d slots in use", m.Name, m.inUse, m.share)
 	m.inUse++
 	m.rack.inUse++
 	m.used.MilliCPU += size.MilliCPU
@@ -244,7 +275,7 @@
 func (r *Registry) Pick(now time.Time, service string, size job.Size) *Minion {
 	var best *Minion
 	for _, m := range r.offers[service] {
-		if m.inUse >= m.Slots || best != nil && !m.better(best, size.Accelerators == 0) {
+		if m.inUse >= m.share || best != nil && !m.better(best, size.Accelerators == 0) {
 			continue
 		}
 		if m.freeAfter.After(now) || !m.Ready(now) || !m.hasRoom(size) {
@@ -261,7 +292,7 @@
 	if spareAccelerators && (m.Accelerators > 0) != (other.Accelerators > 0) {
 		return m.Accelerators == 0
 	}
-	if a, b := m.Slots-m.inUse, other.Slots-other.inUse; a != b {
+	if a, b := m.share-m.inUse, other.share-other.inUse; a != b {
 		return a > b
 	}
 	return m.rack.inUse < other.rack.inUse
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -97,6 +97,7 @@
 	KindLocateReply:  func() Body { return &LocateReply{} },
 	KindAttach:       func() Body { return &Attach{} },
 	KindJobAnswer:    func() Body { return &JobAnswer{} },
+	KindForward:      func() Body { return &Forward{} },
 }
 
 func newBody(k Kind) (Body, error) {
