--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&loadCommand{}, "measurements")
 	subcommands.Register(&floorCommand{}, "measurements")
 	subcommands.Register(&capacityCommand{}, "measurements")
+	subcommands.Register(&experimentCommand{}, "measurements")
 	flag.Parse()
 	hlog.SetOutput(io.Discard) // its lines would stand between the figures
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
