plan: intents become plans, kept in bounded memory until confirmed

Cause: operators had no way to see what a change does before it is done, and nothing remembered the outcome of a confirmation.

internal/plan is pure: the document in force, a request and the planning host's view give the wanted document, readable changes, what they touch, warnings and a digest.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
 	"github.com/pkg/errors"
@@ -58,6 +59,14 @@
 type Drains struct {
 	Minions []string `json:"minions" msgpack:"m" validate:"max=100000,unique,dive,required,max=128"`
 	Hosts   []string `json:"hosts" msgpack:"h" validate:"max=1024,unique,dive,required,max=64"`
+	Stops   []Stop   `json:"stops" msgpack:"s" validate:"max=1024,unique=Host,dive"`
+}
+
+// Stop tells one process of a drained host to shut down gracefully. It names
+// the incarnation, so that the host's next process is not stopped again.
+type Stop struct {
+	Host        string `json:"host" msgpack:"h" validate:"required,max=64"`
+	Incarnation string `json:"incarnation" msgpack:"i" validate:"required,max=64"`
 }
 
 // Parse reads a document. The error names file, line and key.
@@ -79,6 +88,11 @@
 			return errors.Errorf("control_hosts: host %q is in no failure domain", c.Host)
 		}
 	}
+	for _, s := range d.Drains.Stops {
+		if !d.HostDrained(s.Host) {
+			return errors.Errorf("drains.stops: host %q is not in drains.hosts", s.Host)
+		}
+	}
 	seen := make(map[string]string)
 	for _, f := range d.FailureDomains {
 		for _, h := range f.Hosts {
@@ -102,6 +116,15 @@
 	return nil
 }
 
+// HostDrained reports whether the named host takes no new submissions.
+func (d *Document) HostDrained(host string) bool { return slices.Contains(d.Drains.Hosts, host) }
+
+// StopsProcess reports whether the process of the given incarnation is told to
+// shut down.
+func (d *Document) StopsProcess(host, incarnation string) bool {
+	return slices.Contains(d.Drains.Stops, Stop{Host: host, Incarnation: incarnation})
+}
+
 // Team returns the named team, or nil.
 func (d *Document) Team(name string) *Team {
 	for i := range d.Teams {
@@ -112,6 +135,36 @@
 	return nil
 }
 
+// Normalize orders every list by name and replaces absent lists by empty ones,
+// so that documents of one meaning encode equally.
+func (d *Document) Normalize() {
+	d.Services = sorted(d.Services, func(s Service) string { return s.Name })
+	d.Teams = sorted(d.Teams, func(t Team) string { return t.Name })
+	d.FailureDomains = sorted(d.FailureDomains, func(f FailureDomain) string { return f.Name })
+	for i := range d.FailureDomains {
+		f := &d.FailureDomains[i]
+		f.Hosts = sorted(f.Hosts, func(h Host) string { return h.Name })
+	}
+	d.ControlHosts = sorted(d.ControlHosts, func(c ControlHost) string { return c.Host })
+	d.Drains.Minions = sorted(d.Drains.Minions, func(s string) string { return s })
+	d.Drains.Hosts = sorted(d.Drains.Hosts, func(s string) string { return s })
+	d.Drains.Stops = sorted(d.Drains.Stops, func(s Stop) string { return s.Host })
+}
+
+// sorted returns a copy of list, never nil, ordered by name.
+func sorted[T any](list []T, name func(T) string) []T {
+	out := append(make([]T, 0, len(list)), list...)
+	slices.SortFunc(out, func(a, b T) int { return strings.Compare(name(a), name(b)) })
+	return out
+}
+
+// Clone returns a copy that shares nothing with d.
+func (d *Document) Clone() *Document {
+	c := *d
+	c.Normalize()
+	return &c
+}
+
 // Encode returns the document as compact JSON. Equal documents encode equally.
 func (d *Document) Encode() ([]byte, error) {
 	text, err := json.Marshal(d)
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,153 @@
+package plan
+
+import (
+	"testing"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/config"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/shoenig/test/must"
+)
+
+const documentText = `{
+  "services": [{"name": "despacho"}],
+  "teams": [{"name": "patio", "weight": 1, "max_slots": 40, "max_queued": 100}],
+  "failure_domains": [
+    {"name": "a", "region": "r", "hosts": [{"name": "a-2", "address": "127.0.0.1:2"}, {"name": "a-1", "address": "127.0.0.1:1"}]},
+    {"name": "b", "region": "r", "hosts": [{"name": "b-1", "address": "127.0.0.1:3"}]}
+  ],
+  "control_hosts": [{"host": "a-1", "disk": "d1"}, {"host": "a-2", "disk": "d2"}, {"host": "b-1", "disk": "d3"}]
+}`
+
+func parse(t *testing.T, text string) *config.Document {
+	t.Helper()
+	d, err := config.Parse("test.json", []byte(text))
+	must.NoError(t, err)
+	return d
+}
+
+// newView returns host a-1's view of three reachable hosts and two minions.
+func newView(t *testing.T) View {
+	return View{
+		Host: "a-1", FailureDomain: "a", Version: 7, Document: parse(t, documentText),
+		Hosts: []Host{{"a-1", "i1", true}, {"a-2", "i2", true}, {"b-1", "i3", true}},
+		Minions: []Minion{
+			{Name: "m1", Services: []string{"despacho"}, Ready: true, Running: 3},
+			{Name: "m2", Services: []string{"despacho"}, Ready: true, Running: 2},
+		},
+		Work: []Work{{"patio", "despacho", 5, 5}, {"other", "quotes", 4, 0}},
+	}
+}
+
+func refused(t *testing.T, want result.Code, r Request, v View) string {
+	t.Helper()
+	p, err := Make(r, v)
+	must.Nil(t, p)
+	must.NotNil(t, err)
+	must.Eq(t, want, err.Code)
+	return err.Detail
+}
+
+func made(t *testing.T, r Request, v View) *Plan {
+	t.Helper()
+	p, err := Make(r, v)
+	must.Nil(t, err)
+	return p
+}
+
+func TestDrainOfMinion(t *testing.T) {
+	v := newView(t)
+	p := made(t, Request{Intent: Drain, Minions: []string{"m1"}}, v)
+	must.Eq(t, 7, p.Base)
+	must.Eq(t, []string{"minion m1 drained"}, p.Changes)
+	must.Eq(t, Touches{Minions: []string{"m1"}, Teams: []string{"patio"}, QueuedTasks: 5, Running: 3}, p.Touches)
+	must.SliceEmpty(t, p.Warnings)
+	must.SliceEmpty(t, v.Document.Drains.Minions) // the document in force is untouched
+	must.Eq(t, p.Document, parse(t, string(p.Encoded)))
+	v.Document = p.Document
+	refused(t, result.PlanRefused, Request{Intent: Drain, Minions: []string{"m1"}}, v)
+	p = made(t, Request{Intent: Drain, Minions: []string{"m2", "m9"}}, v)
+	must.Eq(t, []string{
+		"minion m9 is not announced in failure domain a",
+		"service despacho would have no ready minion in failure domain a",
+	}, p.Warnings)
+	p = made(t, Request{Intent: Undrain, Minions: []string{"m1"}}, v)
+	must.Eq(t, []string{"minion m1 no longer drained"}, p.Changes)
+}
+
+func TestStopNamesProcess(t *testing.T) {
+	v := newView(t)
+	p := made(t, Request{Intent: Stop, Hosts: []string{"b-1"}}, v)
+	must.Eq(t, []string{"host b-1 drained", "host b-1: process i3 stops"}, p.Changes)
+	must.Eq(t, []string{"failure domain b would take no new work: every host is drained"}, p.Warnings)
+	must.True(t, p.Document.StopsProcess("b-1", "i3"))
+	must.False(t, p.Document.StopsProcess("b-1", "next"))
+	v.Document = p.Document
+	v.Hosts[2].Incarnation = "next"
+	p = made(t, Request{Intent: Stop, Hosts: []string{"b-1"}}, v)
+	must.Eq(t, []string{"host b-1: process next stops"}, p.Changes)
+	p = made(t, Request{Intent: Undrain, Hosts: []string{"b-1"}}, v)
+	must.SliceEmpty(t, p.Document.Drains.Stops)
+	v.Hosts[2].Up = false
+	refused(t, result.PlanRefused, Request{Intent: Stop, Hosts: []string{"b-1"}}, v)
+}
+
+func TestMajorityIsKept(t *testing.T) {
+	v := newView(t)
+	detail := refused(t, result.PlanRefused, Request{Intent: Stop, Hosts: []string{"b-1", "a-2"}}, v)
+	must.StrContains(t, detail, "no majority")
+	v.Hosts[1].Up = false
+	refused(t, result.PlanRefused, Request{Intent: Stop, Hosts: []string{"b-1"}}, v)
+
+	change := func(edit func(*config.Document)) Request {
+		d := parse(t, documentText)
+		edit(d)
+		return Request{Intent: Change, Document: d}
+	}
+	none := change(func(d *config.Document) { d.ControlHosts = nil })
+	two := change(func(d *config.Document) { d.ControlHosts = d.ControlHosts[:1] })
+	one := change(func(d *config.Document) { d.ControlHosts = d.ControlHosts[:2] })
+	disk := change(func(d *config.Document) { d.ControlHosts[1].Disk = "new" })
+	must.StrContains(t, refused(t, result.PlanRefused, none, v), "none would be left")
+	must.StrContains(t, refused(t, result.PlanRefused, two, v), "one at a time")
+	must.StrContains(t, refused(t, result.PlanRefused, one, v), "no majority") // a-2 is down
+	made(t, disk, v)
+	v.Hosts[1].Up = true
+	p := made(t, one, v)
+	must.Eq(t, []string{"control host b-1 removed"}, p.Changes)
+	must.SliceLen(t, 1, p.Warnings)
+}
+
+// A file that lists no drains keeps those in force; one that lists them ends
+// the others.
+func TestFileWithoutDrainsKeepsThem(t *testing.T) {
+	v := newView(t)
+	v.Document.Drains.Minions = []string{"m1"}
+	v.Document.Teams[0].MaxSlots = 10
+	p := made(t, Request{Intent: Change, Document: parse(t, documentText)}, v)
+	must.Eq(t, []string{"team patio: max_slots 10 to 40"}, p.Changes)
+	must.Eq(t, []string{"m1"}, p.Document.Drains.Minions)
+	d := parse(t, documentText)
+	d.Drains.Minions = []string{}
+	p = made(t, Request{Intent: Change, Document: d}, v)
+	must.Eq(t, []string{"team patio: max_slots 10 to 40", "minion m1 no longer drained"}, p.Changes)
+}
+
+func TestDigestIgnoresOrder(t *testing.T) {
+	v := newView(t)
+	d := parse(t, documentText)
+	first := made(t, Request{Intent: Change, Document: d}, View{Version: 0, Hosts: v.Hosts})
+	d.FailureDomains[0], d.FailureDomains[1] = d.FailureDomains[1], d.FailureDomains[0]
+	second := made(t, Request{Intent: Change, Document: d}, View{Version: 0, Hosts: v.Hosts})
+	must.Eq(t, first.Digest, second.Digest)
+	refused(t, result.PlanRefused, Request{Intent: Change, Document: d}, v)
+}
+
+func TestBadRequests(t *testing.T) {
+	v := newView(t)
+	refused(t, result.InvalidField, Request{Intent: "other", Hosts: []string{"a-1"}}, v)
+	refused(t, result.InvalidField, Request{Intent: Drain}, v)
+	refused(t, result.InvalidField, Request{Intent: Change}, v)
+	refused(t, result.HostUnknown, Request{Intent: Drain, Hosts: []string{"c-1"}}, v)
+	refused(t, result.PlanRefused, Request{Intent: Drain, Hosts: []string{"a-1"}}, View{})
+	refused(t, result.PlanRefused, Request{Intent: Drain, Minions: []string{""}}, v)
+}
--- /dev/null
+++ b/internal/plan/store_test.go
@@ -0,0 +1,92 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/shoenig/test/must"
+)
+
+var epoch = time.Unix(1767225600, 0)
+
+func newTestStore() *Store {
+	return NewStore(Limits{Plans: 3, Commands: 4, Lifetime: time.Minute})
+}
+
+func TestResendGetsFirstOutcome(t *testing.T) {
+	s := newTestStore()
+	s.Add(epoch, "p", &Plan{})
+	c, err := s.Begin(epoch, "p", "cmd", "ana")
+	must.Nil(t, err)
+	must.NotNil(t, c.Plan)
+	s.Finish(c, Outcome{Code: result.OK, Version: 8})
+	late := epoch.Add(time.Hour) // the plan has expired
+	c, err = s.Begin(late, "p", "cmd", "ana")
+	must.Nil(t, err)
+	must.Nil(t, c.Plan)
+	must.Eq(t, 8, c.Outcome.Version)
+	_, err = s.Begin(late, "p", "other", "rui")
+	must.Eq(t, result.UnknownPlan, err.Code)
+	_, err = s.Begin(late, "q", "cmd", "ana")
+	must.Eq(t, result.InvalidField, err.Code)
+}
+
+func TestPlanIsConfirmedOnce(t *testing.T) {
+	s := newTestStore()
+	s.Add(epoch, "p", &Plan{})
+	_, err := s.Begin(epoch, "p", "one", "ana")
+	must.Nil(t, err)
+	_, err = s.Begin(epoch, "p", "two", "rui")
+	must.Eq(t, result.PlanStale, err.Code)
+	must.StrContains(t, err.Detail, "by ana")
+}
+
+// Without a majority nothing is decided: a resend tries again until the plan
+// expires, and gets the first decision from then on.
+func TestResendWithoutDecisionTriesAgain(t *testing.T) {
+	s := newTestStore()
+	s.Add(epoch, "p", &Plan{})
+	c, _ := s.Begin(epoch, "p", "cmd", "ana")
+	s.Finish(c, Outcome{Code: result.NoMajority})
+	c, err := s.Begin(epoch.Add(time.Second), "p", "cmd", "ana")
+	must.Nil(t, err)
+	must.NotNil(t, c.Plan)
+	must.True(t, c.Tried)
+	c, err = s.Begin(epoch.Add(time.Minute), "p", "cmd", "ana")
+	must.Nil(t, err)
+	must.Nil(t, c.Plan)
+	must.Eq(t, result.NoMajority, c.Outcome.Code)
+}
+
+func TestStoreIsBounded(t *testing.T) {
+	s := newTestStore()
+	for i := range 100 {
+		id := fmt.Sprint("p", i)
+		s.Add(epoch, id, &Plan{})
+		c, err := s.Begin(epoch, id, "cmd-"+id, "ana")
+		must.Nil(t, err)
+		s.Finish(c, Outcome{Code: result.NoMajority})
+		plans, commands := s.Len()
+		must.LessEq(t, 3, plans)
+		must.LessEq(t, 4, commands)
+	}
+	kept := 0
+	for _, c := range s.commands {
+		if c.Plan != nil {
+			kept++
+		}
+	}
+	must.LessEq(t, 3, kept)
+}
+
+func TestStaleTellsChanges(t *testing.T) {
+	v := newView(t)
+	p := made(t, Request{Intent: Drain, Minions: []string{"m1"}}, v)
+	must.Nil(t, Stale(p, 7, v.Document))
+	v.Document.Teams[0].Weight = 2
+	o := Stale(p, 8, v.Document)
+	must.Eq(t, result.PlanStale, o.Code)
+	must.Eq(t, []string{"team patio: weight 1 to 2"}, o.Changes)
+}
