daemon: operators plan and confirm; drained and stopped hosts

Cause: POST /v1/plans and confirm were refused whatever they asked.

A daemon makes plans from its own view, keeps them and carries out a confirmation through the proposer. Requests with one command identity are carried out one after the other, so a resend gets the first outcome; a loser is told by whom the version was taken and what changed. Status shows since when each host reports its configuration version.

Ruled out: refusing a stale plan from the local version alone (the operator would not be told by whom; the control hosts know, and refuse it at once without a ballot); the stop as a message between hosts (lost with the process that sends it, and the configuration would not show it).

--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -5,27 +5,20 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/laburnumwalk/laburnumwalk/internal/plan"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
 // Intent is what an operator wants to do.
-type Intent string
-
-// Intents.
-const (
-	IntentChange  Intent = "change"  // put a document in force
-	IntentDrain   Intent = "drain"   // no new work for minions or hosts
-	IntentUndrain Intent = "undrain" // work again
-	IntentStop    Intent = "stop"    // drain the answering host, then stop it
-)
+type Intent = plan.Intent
 
 // PlanRequest is the body of POST /v1/plans.
 type PlanRequest struct {
 	Intent   Intent   `json:"intent"`
 	File     string   `json:"file,omitempty"`     // name of the document's file, for messages
-	Document string   `json:"document,omitempty"` // JSON with comments, of IntentChange
-	Minions  []string `json:"minions,omitempty"`  // of IntentDrain and IntentUndrain
-	Hosts    []string `json:"hosts,omitempty"`    // of IntentDrain, IntentUndrain and IntentStop
+	Document string   `json:"document,omitempty"` // JSON with comments, of plan.Change
+	Minions  []string `json:"minions,omitempty"`  // of plan.Drain and plan.Undrain
+	Hosts    []string `json:"hosts,omitempty"`    // of plan.Drain, plan.Undrain and plan.Stop
 }
 
 // PlanResponse describes a plan. Nothing happens before it is confirmed.
@@ -39,6 +32,10 @@
 	Digest  string      `json:"digest"` // of the wanted document
 	Changes []string    `json:"changes,omitempty"`
 	Touches Touches     `json:"touches"`
+
+	Warnings  []string `json:"warnings,omitempty"`
+	Host      string   `json:"host,omitempty"`       // that keeps the plan
+	ExpiresMS int64    `json:"expires_ms,omitempty"` // from now
 }
 
 // Touches names what a plan affects, as the answering host sees it.
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -107,7 +107,9 @@
 	Stopping      bool         `json:"stopping"`
 	ActiveJobs    int          `json:"active_jobs"`
 	Records       int          `json:"records"`
+	Drained       bool         `json:"drained"`
 	ConfigVersion uint64       `json:"config_version"`
+	ConfigAgeMS   int64        `json:"config_age_ms"` // since this host put it in force
 	Hosts         []HostInfo   `json:"hosts"`
 	Minions       []MinionInfo `json:"minions"`
 }
@@ -120,6 +122,8 @@
 	Up            bool   `json:"up"`
 	RoundTripUS   int64  `json:"round_trip_us"`
 	ConfigVersion uint64 `json:"config_version"`
+	ConfigAgeMS   int64  `json:"config_age_ms"` // since it first reported the version
+	HeardMS       int64  `json:"heard_ms"`      // since its last message; -1: never
 }
 
 // MinionInfo is one minion as seen by the answering host.
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -46,6 +46,7 @@
 	log      *slog.Logger
 	tick     time.Duration
 	done     chan struct{}
+	inForce  *inForce
 }
 
 // input is one event for the decision duty.
@@ -91,6 +92,7 @@
 // flush carries out what the engine decided. A start that finds no room in
 // the sender is disproved, which may lead to further decisions.
 func (c *core) flush(ctx context.Context) {
+	c.inForce.update(time.Now(), c.engine)
 	for {
 		r := c.engine.Ready()
 		for _, e := range r.Events {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,7 @@
 	sender    *sender
 	mesh      *link.Mesh
 	proposer  proposer
+	operators *operators
 	servers   []*server.Hertz
 	listeners listeners
 	wg        sync.WaitGroup
@@ -90,6 +91,7 @@
 		metrics:   &telemetry.Metrics{},
 		listeners: ln,
 		proposer:  noControl{},
+		operators: newOperators(),
 	}
 	d.metrics.Answered.Init()
 	if err := d.wire(); err != nil {
@@ -122,6 +124,7 @@
 		log:      d.log,
 		tick:     settings.Millis(d.settings.Timing.TickMS),
 		done:     make(chan struct{}),
+		inForce:  newInForce(),
 	}
 	hello := peer.Hello{Version: peer.Version, Host: cfg.Host.Name, FailureDomain: cfg.Host.FailureDomain, Incarnation: inc}
 	d.mesh = link.New(d.listeners.peers, hello, cfg.Peers, d.receive, d.rejectPeer)
@@ -177,7 +180,8 @@
 	event.Log(context.Background(), d.log, event.InvariantBroken, slog.String("invariant", description))
 }
 
-// Run serves until ctx ends, then shuts down: not ready, no new work, jobs in
+// Run serves until ctx ends or the configuration stops the process, then shuts
+// down: not ready, no new work, jobs in
 // progress finish within the bound of the settings.
 func (d *Daemon) Run(ctx context.Context) error {
 	invariant.SetHandler(d.reportInvariant)
@@ -196,7 +200,10 @@
 	}
 	d.ready.Store(true)
 	event.Log(ctx, d.log, event.Started, slog.String("host", d.settings.Host), slog.String("failure_domain", d.settings.FailureDomain))
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.core.inForce.stop:
+	}
 	d.shutdown(stop)
 	stopTraces()
 	event.Log(context.Background(), d.log, event.Stopped, slog.String("host", d.settings.Host))
--- /dev/null
+++ b/internal/daemon/operators_test.go
@@ -0,0 +1,322 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/api"
+	"github.com/laburnumwalk/laburnumwalk/internal/config"
+	"github.com/laburnumwalk/laburnumwalk/internal/control"
+	"github.com/laburnumwalk/laburnumwalk/internal/engine"
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
+	"github.com/laburnumwalk/laburnumwalk/internal/plan"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/laburnumwalk/laburnumwalk/internal/settings"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// register is a fake proposer: one write-once register per version, shared by
+// the daemons of a test, which have each change in force at once.
+type register struct {
+	mu        sync.Mutex
+	version   uint64
+	winner    string
+	proposals int
+	silent    int           // proposals that get no majority
+	gate      chan struct{} // when set, a proposal waits for it
+	entered   chan struct{} // when set, told of each proposal
+	first     map[string]control.Outcome
+	daemons   []*Daemon
+}
+
+func (r *register) Propose(ctx context.Context, p control.Proposal) control.Outcome {
+	if r.entered != nil {
+		r.entered <- struct{}{}
+	}
+	if r.gate != nil {
+		select {
+		case <-r.gate:
+		case <-ctx.Done():
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.proposals++
+	if o, ok := r.first[p.Command]; ok {
+		return o
+	}
+	if r.silent > 0 {
+		r.silent--
+		return control.Outcome{Command: p.Command, Code: result.NoMajority}
+	}
+	if p.Base != r.version {
+		return control.Outcome{Command: p.Command, Code: result.VersionTaken, Version: r.version, Winner: r.winner}
+	}
+	r.version, r.winner = r.version+1, p.Operator
+	r.apply(p.Document)
+	o := control.Outcome{Command: p.Command, Code: result.OK, Version: r.version}
+	r.first[p.Command] = o
+	return o
+}
+
+func (r *register) apply(text []byte) {
+	doc, err := config.Parse("proposal", text)
+	if err != nil {
+		panic(err)
+	}
+	for _, d := range r.daemons {
+		if err := d.query(func(e *engine.Engine, _ time.Time) { e.Apply(r.version, doc) }); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// newDaemon returns a daemon on free ports whose decision duty runs.
+func newDaemon(t *testing.T, name string, r *register) *Daemon {
+	t.Helper()
+	d := idleDaemon(t, name, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	go d.core.run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-d.core.done
+		d.listeners.close()
+	})
+	return d
+}
+
+func idleDaemon(t *testing.T, name string, r *register) *Daemon {
+	t.Helper()
+	s := settings.Defaults()
+	s.Host, s.FailureDomain, s.Region = name, "a", "r"
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Minions: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	d, err := New(s, slog.New(slog.DiscardHandler))
+	must.NoError(t, err)
+	d.proposer = r
+	r.daemons = append(r.daemons, d)
+	return d
+}
+
+func newRegister() *register { return &register{first: make(map[string]control.Outcome)} }
+
+const testDocument = `{
+  "services": [{"name": "despacho"}],
+  "teams": [{"name": "patio", "weight": 1}],
+  "failure_domains": [{"name": "a", "region": "r", "hosts": [
+    {"name": "a-1", "address": "127.0.0.1:1"}, {"name": "a-2", "address": "127.0.0.1:2"}]}],
+  "control_hosts": []
+}`
+
+// patience bounds any wait; a verdict never depends on speed.
+const patience = 20 * time.Second
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(patience), wait.Gap(time.Millisecond)))
+}
+
+func mustPlan(t *testing.T, d *Daemon, r api.PlanRequest) api.PlanResponse {
+	t.Helper()
+	p, err := d.Plan(t.Context(), r)
+	must.Nil(t, err)
+	return p
+}
+
+func mustConfirm(t *testing.T, d *Daemon, id, command, operator string) api.ConfirmResponse {
+	t.Helper()
+	c, err := d.Confirm(t.Context(), id, api.ConfirmRequest{Command: command, Operator: operator})
+	must.Nil(t, err)
+	return c
+}
+
+// declare puts testDocument in force as version 1.
+func declare(t *testing.T, d *Daemon) {
+	t.Helper()
+	p := mustPlan(t, d, api.PlanRequest{Intent: plan.Change, File: "wanted.json", Document: testDocument})
+	must.Eq(t, result.OK, mustConfirm(t, d, p.ID, "declare", "ana").Code)
+}
+
+func drainMinion(name string) api.PlanRequest {
+	return api.PlanRequest{Intent: plan.Drain, Minions: []string{name}}
+}
+
+func announce(t *testing.T, d *Daemon, name string) {
+	t.Helper()
+	_, err := d.Announce(t.Context(), minion.Announcement{
+		Name: name, Worker: "w", Rack: "k", FailureDomain: "a", Services: []string{"despacho"}, Slots: 1, Connections: 1, Address: "127.0.0.1:9",
+	})
+	must.Nil(t, err)
+}
+
+func minionState(t *testing.T, d *Daemon) string {
+	t.Helper()
+	s, err := d.Status(t.Context())
+	must.Nil(t, err)
+	return s.Minions[0].State
+}
+
+func TestNothingHappensBeforeConfirm(t *testing.T) {
+	r := newRegister()
+	d := newDaemon(t, "a-1", r)
+	declare(t, d)
+	announce(t, d, "m1")
+	before, err := d.Config(t.Context())
+	must.Nil(t, err)
+	p := mustPlan(t, d, drainMinion("m1"))
+	must.Eq(t, 1, p.Base)
+	must.Eq(t, []string{"minion m1 drained"}, p.Changes)
+	after, err := d.Config(t.Context())
+	must.Nil(t, err)
+	must.Eq(t, before.Document, after.Document)
+	must.Eq(t, 1, after.Version)
+	must.Eq(t, 1, r.proposals)
+	must.Eq(t, "ready", minionState(t, d))
+	must.Eq(t, result.OK, mustConfirm(t, d, p.ID, "c", "ana").Code)
+	must.Eq(t, "draining", minionState(t, d))
+}
+
+func TestResendsGetTheFirstOutcome(t *testing.T) {
+	r := newRegister()
+	d := newDaemon(t, "a-1", r)
+	declare(t, d)
+	p := mustPlan(t, d, drainMinion("m1"))
+	first := mustConfirm(t, d, p.ID, "c", "ana")
+	other := mustPlan(t, d, drainMinion("m2"))
+	must.Eq(t, result.OK, mustConfirm(t, d, other.ID, "c2", "rui").Code)
+	must.Eq(t, first, mustConfirm(t, d, p.ID, "c", "ana"))
+	must.Eq(t, 3, r.proposals)
+	_, err := d.Confirm(t.Context(), p.ID, api.ConfirmRequest{Command: "c3", Operator: "rui"})
+	must.Eq(t, result.PlanStale, err.Code)
+	_, err = d.Confirm(t.Context(), "unknown", api.ConfirmRequest{Command: "c4", Operator: "rui"})
+	must.Eq(t, result.UnknownPlan, err.Code)
+}
+
+// A resend that arrives while the first is in progress waits for its outcome,
+// in bounded time, and does not reach the control hosts.
+func TestResendWaitsForTheFirst(t *testing.T) {
+	r := newRegister()
+	d := newDaemon(t, "a-1", r)
+	declare(t, d)
+	p := mustPlan(t, d, drainMinion("m1"))
+	r.gate, r.entered = make(chan struct{}), make(chan struct{}, 2)
+	outcomes := make(chan api.ConfirmResponse, 2)
+	go func() { outcomes <- mustConfirm(t, d, p.ID, "c", "ana") }()
+	<-r.entered
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, err := d.Confirm(ctx, p.ID, api.ConfirmRequest{Command: "c", Operator: "ana"})
+	must.Eq(t, result.NoMajority, err.Code)
+	go func() { outcomes <- mustConfirm(t, d, p.ID, "c", "ana") }()
+	close(r.gate)
+	must.Eq(t, api.ConfirmResponse{Name: "ok", Version: 2}, <-outcomes)
+	must.Eq(t, api.ConfirmResponse{Name: "ok", Version: 2}, <-outcomes)
+	must.Eq(t, 2, r.proposals)
+}
+
+// Of two operators with equal base, on two hosts, one wins. The other is told
+// by whom and what changed.
+func TestRaceHasOneWinner(t *testing.T) {
+	r := newRegister()
+	one, two := newDaemon(t, "a-1", r), newDaemon(t, "a-2", r)
+	declare(t, one)
+	for round := range 20 {
+		r.gate = make(chan struct{})
+		daemons := []*Daemon{one, two}
+		operators := []string{"ana", "rui"}
+		outcomes := make([]api.ConfirmResponse, 2)
+		var wg sync.WaitGroup
+		for i, d := range daemons {
+			p := mustPlan(t, d, drainMinion(fmt.Sprint("m-", round, operators[i])))
+			wg.Go(func() { outcomes[i] = mustConfirm(t, d, p.ID, fmt.Sprint("c-", round, operators[i]), operators[i]) })
+		}
+		close(r.gate)
+		wg.Wait()
+		winner := 0
+		if outcomes[1].Code == result.OK {
+			winner = 1
+		}
+		loser := outcomes[1-winner]
+		must.Eq(t, result.OK, outcomes[winner].Code)
+		must.NotEq(t, result.OK, loser.Code)
+		must.Eq(t, []string{fmt.Sprintf("minion m-%d%s drained", round, operators[winner])}, loser.Changes)
+		must.Eq(t, operators[winner], loser.Winner)
+	}
+}
+
+func TestStalePlanTellsWhatChanged(t *testing.T) {
+	r := newRegister()
+	d := newDaemon(t, "a-1", r)
+	declare(t, d)
+	old := mustPlan(t, d, drainMinion("m1"))
+	p := mustPlan(t, d, drainMinion("m2"))
+	mustConfirm(t, d, p.ID, "c", "ana")
+	c := mustConfirm(t, d, old.ID, "c2", "rui")
+	must.Eq(t, result.PlanStale, c.Code)
+	must.Eq(t, []string{"minion m2 drained"}, c.Changes)
+	must.Eq(t, "ana", c.Winner)
+}
+
+func TestResendAfterNoMajorityIsCarriedOut(t *testing.T) {
+	r := newRegister()
+	d := newDaemon(t, "a-1", r)
+	declare(t, d)
+	r.silent = 1
+	p := mustPlan(t, d, drainMinion("m1"))
+	must.Eq(t, result.NoMajority, mustConfirm(t, d, p.ID, "c", "ana").Code)
+	c := mustConfirm(t, d, p.ID, "c", "ana")
+	must.Eq(t, result.OK, c.Code)
+	must.Eq(t, 2, c.Version)
+}
+
+func TestDrainedHostTakesNoNewWork(t *testing.T) {
+	r := newRegister()
+	d := newDaemon(t, "a-1", r)
+	d.ready.Store(true)
+	declare(t, d)
+	announce(t, d, "m1")
+	must.True(t, d.Ready())
+	p := mustPlan(t, d, api.PlanRequest{Intent: plan.Drain, Hosts: []string{"a-1"}})
+	mustConfirm(t, d, p.ID, "c", "ana")
+	eventually(t, func() bool { return !d.Ready() })
+	now := time.Now()
+	_, err := d.Submit(t.Context(), &job.Submission{
+		ID: job.ID{Team: "patio", Key: "k"}, Attempt: 1, Service: "despacho", SubmittedAt: now, Deadline: now.Add(time.Minute),
+		Tasks: []job.Task{{}},
+	}, false)
+	must.Eq(t, result.Stopping, err.Code)
+	p = mustPlan(t, d, api.PlanRequest{Intent: plan.Undrain, Hosts: []string{"a-1"}})
+	mustConfirm(t, d, p.ID, "c2", "ana")
+	eventually(t, d.Ready)
+}
+
+// A confirmed stop ends the process that it names, and not the next one.
+func TestStopEndsOnlyTheNamedProcess(t *testing.T) {
+	r := newRegister()
+	d := idleDaemon(t, "a-1", r)
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(t.Context()) }()
+	declare(t, d)
+	p := mustPlan(t, d, api.PlanRequest{Intent: plan.Stop, Hosts: []string{"a-1"}})
+	must.Eq(t, result.OK, mustConfirm(t, d, p.ID, "c", "ana").Code)
+	must.NoError(t, <-ended)
+	must.False(t, d.Ready())
+
+	next := newDaemon(t, "a-1", newRegister())
+	doc := d.core.engine.Document()
+	must.Nil(t, next.query(func(e *engine.Engine, _ time.Time) { e.Apply(2, doc) }))
+	eventually(t, func() bool { return next.core.inForce.appliedAt.Load() != nil })
+	s, err := next.Status(t.Context())
+	must.Nil(t, err)
+	must.True(t, s.Drained)
+	select {
+	case <-next.core.inForce.stop:
+		t.Fatal("the next process was stopped")
+	default:
+	}
+}
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -99,12 +99,13 @@
 }
 
 // Ready implements api.Core.
-func (d *Daemon) Ready() bool { return d.ready.Load() }
+func (d *Daemon) Ready() bool { return d.ready.Load() && !d.core.inForce.drained.Load() }
 
 // Status implements api.Core.
 func (d *Daemon) Status(context.Context) (api.StatusResponse, *result.Error) {
 	var s api.StatusResponse
 	err := d.query(func(e *engine.Engine, now time.Time) { s = status(e, now, d.startedAt) })
+	s.ConfigAgeMS = d.core.inForce.age(time.Now()).Milliseconds()
 	return s, err
 }
 
@@ -115,6 +116,7 @@
 		Incarnation:   string(e.Incarnation()),
 		UptimeMS:      now.Sub(startedAt).Milliseconds(),
 		Stopping:      e.Stopping(),
+		Drained:       e.Drained(),
 		ActiveJobs:    e.Jobs().Active(),
 		Records:       e.Jobs().Records(),
 		ConfigVersion: e.ConfigVersion(),
@@ -127,6 +129,8 @@
 			Up:            p.Up(),
 			RoundTripUS:   p.RoundTrip.Microseconds(),
 			ConfigVersion: p.ConfigSeen,
+			ConfigAgeMS:   ageMS(now, p.ConfigAt),
+			HeardMS:       ageMS(now, p.LastHeard),
 		})
 	}
 	for _, m := range e.Minions().All() {
@@ -135,6 +139,14 @@
 	return s
 }
 
+// ageMS returns the milliseconds since t, -1 for the zero time.
+func ageMS(now, t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t).Milliseconds()
+}
+
 func minionInfo(m *minion.Minion, now time.Time) api.MinionInfo {
 	return api.MinionInfo{
 		Name:     m.Name,
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -80,7 +80,7 @@
 func (e *Engine) receiveHeartbeat(now time.Time, from string, h *peer.Heartbeat) {
 	e.members.Measured(now, from, h.SentAt, now.Sub(e.cfg.StartedAt), membership.Echo{SentAt: h.EchoAt, Held: h.Held})
 	if p := e.members.Get(from); p != nil {
-		p.ConfigSeen = h.Config
+		p.ReportedConfig(now, h.Config)
 	}
 	var unknown []string
 	for _, l := range h.Leases {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -209,8 +209,8 @@
 
 // admit refuses what can be refused without a job record.
 func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
-	if e.stopping {
-		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
+	if err := e.admitHost(); err != nil {
+		return err
 	}
 	if err := e.admitTeam(s); err != nil {
 		return err
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -28,6 +28,7 @@
 	LastHeard   time.Time
 	RoundTrip   time.Duration // smoothed, zero before the first measurement
 	ConfigSeen  uint64        // configuration version the peer reported
+	ConfigAt    time.Time     // when it first reported that version
 
 	up       bool
 	lastSent time.Duration // the peer's clock reading in its last heartbeat
@@ -76,6 +77,14 @@
 	return Change{Peer: p, Up: true, Restart: restart}, changed
 }
 
+// ReportedConfig records the configuration version in a peer's heartbeat.
+func (p *Peer) ReportedConfig(now time.Time, version uint64) {
+	if p.ConfigAt.IsZero() || p.ConfigSeen != version {
+		p.ConfigAt = now
+	}
+	p.ConfigSeen = version
+}
+
 // Echo is the peer's returned clock reading.
 type Echo struct {
 	SentAt time.Duration // this host's clock when it sent, returned unchanged
--- a/internal/plan/store.go
+++ b/internal/plan/store.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/laburnumwalk/laburnumwalk/internal/config"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
@@ -24,10 +23,14 @@
 	Changes []string // since the plan's base, when another change was chosen
 }
 
-// Decided reports whether the outcome is final. Without a majority, or with an
-// unusable data folder, nothing is known to be chosen and a resend tries again.
+// Decided reports whether the outcome is final. Otherwise nothing is known to
+// be chosen, and a resend tries again.
 func (o Outcome) Decided() bool {
-	return o.Code != result.NoMajority && o.Code != result.StoreUnavailable
+	switch o.Code {
+	case result.OK, result.VersionTaken, result.PlanStale, result.PlanRefused:
+		return true
+	}
+	return false
 }
 
 // Confirmation is an operator's command to carry out one plan.
@@ -37,8 +40,8 @@
 	PlanID   string
 	Plan     *Plan // nil once Outcome is decided
 
-	Tried     bool // an earlier try may have reached the control hosts
 	Outcome   Outcome
+	tried     bool // Outcome is set
 	decided   bool
 	expiresAt time.Time // end of tries without a decision
 }
@@ -103,7 +106,7 @@
 
 // Finish records the outcome of a try.
 func (s *Store) Finish(c *Confirmation, o Outcome) {
-	c.Tried = true
+	c.tried = true
 	c.Outcome = o
 	if o.Decided() {
 		c.decide()
@@ -119,7 +122,7 @@
 // state describes the confirmation to another operator.
 func (c *Confirmation) state() string {
 	switch {
-	case !c.Tried:
+	case !c.tried:
 		return "in progress"
 	case c.Outcome.Code == result.OK:
 		return "accepted"
@@ -145,7 +148,7 @@
 			continue
 		}
 		undecided++
-		if undecided > s.limits.Plans && c.Tried {
+		if undecided > s.limits.Plans && c.tried {
 			c.decide()
 		}
 	}
@@ -157,7 +160,7 @@
 		s.plans = slices.Delete(s.plans, 0, 1)
 	}
 	for _, c := range s.commands {
-		if !c.decided && c.Tried && !now.Before(c.expiresAt) {
+		if !c.decided && c.tried && !now.Before(c.expiresAt) {
 			c.decide()
 		}
 	}
@@ -180,17 +183,3 @@
 	}
 	return nil
 }
-
-// Stale returns the outcome of a plan whose base has moved, and nil while the
-// base is in force.
-func Stale(p *Plan, version uint64, inForce *config.Document) *Outcome {
-	if version == p.Base {
-		return nil
-	}
-	return &Outcome{
-		Code:    result.PlanStale,
-		Detail:  "the plan was made on another version than the one in force",
-		Version: version,
-		Changes: Changes(p.Before, inForce),
-	}
-}
--- a/internal/plan/store_test.go
+++ b/internal/plan/store_test.go
@@ -53,7 +53,6 @@
 	c, err := s.Begin(epoch.Add(time.Second), "p", "cmd", "ana")
 	must.Nil(t, err)
 	must.NotNil(t, c.Plan)
-	must.True(t, c.Tried)
 	c, err = s.Begin(epoch.Add(time.Minute), "p", "cmd", "ana")
 	must.Nil(t, err)
 	must.Nil(t, c.Plan)
@@ -80,13 +79,3 @@
 	}
 	must.LessEq(t, 3, kept)
 }
-
-func TestStaleTellsChanges(t *testing.T) {
-	v := newView(t)
-	p := made(t, Request{Intent: Drain, Minions: []string{"m1"}}, v)
-	must.Nil(t, Stale(p, 7, v.Document))
-	v.Document.Teams[0].Weight = 2
-	o := Stale(p, 8, v.Document)
-	must.Eq(t, result.PlanStale, o.Code)
-	must.Eq(t, []string{"team patio: weight 1 to 2"}, o.Changes)
-}
