--- a/cmd/laburnumctl/client.go
+++ b/cmd/laburnumctl/client.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"fmt"
+	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/google/subcommands"
+	"github.com/laburnumwalk/laburnumwalk/internal/api"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/pkg/errors"
 )
 
@@ -25,7 +28,7 @@
 }
 
 func (c *hostClient) setFlags(f *flag.FlagSet) {
-	f.StringVar(&c.host, "host", "127.0.0.1:8103", "`address` of a host's operators' listener")
+	f.StringVar(&c.host, "host", "127.0.0.1:8103", "`address` of a host's operators' listener; reads try the next of several, separated by commas")
 	f.StringVar(&c.format, "format", "table", "output `format`: table or json")
 	f.DurationVar(&c.timeout, "timeout", 10*time.Second, "bound on one request")
 }
@@ -53,6 +56,52 @@
 	return resp.StatusCode(), nil
 }
 
+// addresses returns the hosts that a read may ask, in order.
+func (c *hostClient) addresses() []string { return strings.Split(c.host, ",") }
+
+// first returns the host that anything but a read goes to.
+func (c *hostClient) first() string { return c.addresses()[0] }
+
+// read gets path from the first host that answers.
+func (c *hostClient) read(ctx context.Context, path string, out any) error {
+	var err error
+	for _, address := range c.addresses() {
+		err = c.request(ctx, "GET", address, path, nil, out)
+		if _, refused := result.CodeOf(err); err == nil || refused {
+			return err
+		}
+	}
+	return err
+}
+
+// send makes a request that is not a read: it goes to one host, once.
+func (c *hostClient) send(ctx context.Context, method, path string, v, out any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return c.request(ctx, method, c.first(), path, body, out)
+}
+
+// request decodes the answer into out. A refusal is a *result.Error, and out
+// has its further keys.
+func (c *hostClient) request(ctx context.Context, method, address, path string, body []byte, out any) error {
+	var raw json.RawMessage
+	status, err := c.do(ctx, method, address, path, body, &raw)
+	if err != nil {
+		return err
+	}
+	if status >= http.StatusBadRequest {
+		_ = json.Unmarshal(raw, out) // a refusal need not have the keys of an answer
+		var refusal api.JobResponse
+		if err := json.Unmarshal(raw, &refusal); err == nil && refusal.Code != result.OK {
+			return &result.Error{Code: refusal.Code, Detail: refusal.Detail}
+		}
+		return errors.Errorf("%s%s: status %d", address, path, status)
+	}
+	return errors.Wrapf(json.Unmarshal(raw, out), "%s%s", address, path)
+}
+
 // print writes v as JSON, or calls table for the table format.
 func (c *hostClient) print(v any, table func()) subcommands.ExitStatus {
 	if c.format != "json" {
@@ -66,8 +115,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-func fail(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "laburnumctl:", err)
-	return subcommands.ExitFailure
-}
--- a/cmd/laburnumctl/submit.go
+++ b/cmd/laburnumctl/submit.go
@@ -13,9 +13,6 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
-// exitNotComplete is the status of a job that ended without a complete answer.
-const exitNotComplete subcommands.ExitStatus = 4
-
 // submitCommand submits a job to a callers' listener, for trying things out.
 type submitCommand struct {
 	client   *hostClient
@@ -31,7 +28,8 @@
 func (*submitCommand) Synopsis() string { return "submit a job and wait for its answer" }
 func (*submitCommand) Usage() string {
 	return "submit [flags] PAYLOAD...\n  Submit a job with one task per payload and print the answer.\n" +
-		"  Exit status 4: the answer is not complete.\n"
+		"  Exit status 4: the answer is not complete.\n" +
+		"  Example: laburnumctl submit -callers 10.0.0.1:8101 -team patio -service despacho \"gate 17\" \"gate 18\"\n"
 }
 
 func (s *submitCommand) SetFlags(f *flag.FlagSet) {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -75,34 +76,34 @@
 	if err := settings.Decode(file, text, &d); err != nil {
 		return nil, err
 	}
-	if err := d.check(); err != nil {
-		return nil, errors.Wrap(err, file)
+	if key, problem := d.check(); problem != "" {
+		return nil, settings.At(file, text, key, problem)
 	}
 	return &d, nil
 }
 
-// check refuses what single keys cannot show.
-func (d *Document) check() error {
-	for _, c := range d.ControlHosts {
+// check returns the first key that contradicts another one, and why.
+func (d *Document) check() (key, problem string) {
+	for i, c := range d.ControlHosts {
 		if d.HostDomain(c.Host) == nil {
-			return errors.Errorf("control_hosts: host %q is in no failure domain", c.Host)
+			return fmt.Sprintf("control_hosts[%d].host", i), fmt.Sprintf("host %q is in no failure domain", c.Host)
 		}
 	}
-	for _, s := range d.Drains.Stops {
+	for i, s := range d.Drains.Stops {
 		if !d.HostDrained(s.Host) {
-			return errors.Errorf("drains.stops: host %q is not in drains.hosts", s.Host)
+			return fmt.Sprintf("drains.stops[%d].host", i), fmt.Sprintf("host %q is not in drains.hosts", s.Host)
 		}
 	}
 	seen := make(map[string]string)
-	for _, f := range d.FailureDomains {
-		for _, h := range f.Hosts {
+	for i, f := range d.FailureDomains {
+		for k, h := range f.Hosts {
 			if other, ok := seen[h.Name]; ok {
-				return errors.Errorf("failure_domains: host %q is in %q and %q", h.Name, other, f.Name)
+				return fmt.Sprintf("failure_domains[%d].hosts[%d].name", i, k), fmt.Sprintf("host %q is in %q and %q", h.Name, other, f.Name)
 			}
 			seen[h.Name] = f.Name
 		}
 	}
-	return nil
+	return "", ""
 }
 
 // HostDomain returns the failure domain of the named host, or nil.
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -72,6 +72,18 @@
 	return d.check(out)
 }
 
+// At returns the problem of one key of a text that Decode has accepted, for
+// checks that concern several keys.
+func At(file string, text []byte, key, problem string) Problems {
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		return Problems{{File: file, Line: lineOf(err), Text: err.Error()}}
+	}
+	d := decoder{file: file, text: text, lines: map[string]int{}}
+	d.walk("", tree, nil)
+	return Problems{{file, d.nearest(key), key, problem}}
+}
+
 // lineOf reads the line number from a hujson syntax error.
 func lineOf(err error) int {
 	line := 1
