--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -221,8 +221,8 @@
 
 // admit refuses what can be refused without a job record.
 func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
-	if e.stopping {
-		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
+	if err := e.admitHost(); err != nil {
+		return err
 	}
 	if !e.admitted() {
 		return result.Errorf(result.Joining, "host %s waits until its region knows it", e.cfg.Host.Name)
