test: confirmations in goroutines report their outcome instead of failing there

Cause: a failed check in another goroutine than the test's does not end the test; and Engine.Apply takes the time now. Conclusion: the outcome is carried back and checked by the test itself; the checks are the same.

--- a/internal/daemon/operators_test.go
+++ b/internal/daemon/operators_test.go
@@ -71,7 +71,7 @@
 		panic(err)
 	}
 	for _, d := range r.daemons {
-		if err := d.query(func(e *engine.Engine, _ time.Time) { e.Apply(r.version, doc) }); err != nil {
+		if err := d.query(func(e *engine.Engine, now time.Time) { e.Apply(now, r.version, doc) }); err != nil {
 			panic(err)
 		}
 	}
@@ -206,13 +206,17 @@
 	p := mustPlan(t, d, drainMinion("m1"))
 	r.gate, r.entered = make(chan struct{}), make(chan struct{}, 2)
 	outcomes := make(chan api.ConfirmResponse, 2)
-	go func() { outcomes <- mustConfirm(t, d, p.ID, "c", "ana") }()
+	confirm := func() {
+		c, _ := d.Confirm(t.Context(), p.ID, api.ConfirmRequest{Command: "c", Operator: "ana"})
+		outcomes <- c
+	}
+	go confirm()
 	<-r.entered
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
 	_, err := d.Confirm(ctx, p.ID, api.ConfirmRequest{Command: "c", Operator: "ana"})
 	must.Eq(t, result.NoMajority, err.Code)
-	go func() { outcomes <- mustConfirm(t, d, p.ID, "c", "ana") }()
+	go confirm()
 	close(r.gate)
 	must.Eq(t, api.ConfirmResponse{Name: "ok", Version: 2}, <-outcomes)
 	must.Eq(t, api.ConfirmResponse{Name: "ok", Version: 2}, <-outcomes)
@@ -233,7 +237,10 @@
 		var wg sync.WaitGroup
 		for i, d := range daemons {
 			p := mustPlan(t, d, drainMinion(fmt.Sprint("m-", round, operators[i])))
-			wg.Go(func() { outcomes[i] = mustConfirm(t, d, p.ID, fmt.Sprint("c-", round, operators[i]), operators[i]) })
+			command := fmt.Sprint("c-", round, operators[i])
+			wg.Go(func() {
+				outcomes[i], _ = d.Confirm(t.Context(), p.ID, api.ConfirmRequest{Command: command, Operator: operators[i]})
+			})
 		}
 		close(r.gate)
 		wg.Wait()
@@ -309,7 +316,7 @@
 
 	next := newDaemon(t, "a-1", newRegister())
 	doc := d.core.engine.Document()
-	must.Nil(t, next.query(func(e *engine.Engine, _ time.Time) { e.Apply(2, doc) }))
+	must.Nil(t, next.query(func(e *engine.Engine, now time.Time) { e.Apply(now, 2, doc) }))
 	eventually(t, func() bool { return next.core.inForce.appliedAt.Load() != nil })
 	s, err := next.Status(t.Context())
 	must.Nil(t, err)
