engine: a stopping host waits until its peers have every answer and send no more

The process ended as soon as its own jobs had; the HTTP servers' exit wait hid it whenever an idle connection was open.

Cause: forwards and the answers to them were on the way, or in the queue of a connection, when the process ended.

A stopping host now sends a heartbeat at once when it stops and when it has nothing left to do, and ends when every reachable peer has echoed one that was sent after the last answer. Connections keep order, so that the peer then has all answers, forwards no more, and nothing it sent before is on the way. A drained host tells its peers the same way, so that they do not forward to it.

Ruled out: a fixed wait of two heartbeats (slower, and still a guess); a new message and its answer (the heartbeat's clock echo says it already).

--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -22,7 +22,7 @@
 			EchoAt:  echo.SentAt,
 			Held:    echo.Held,
 			Config:  e.configVersion,
-			Stopped: e.stopping,
+			Stopped: e.Stopping() || e.Drained(),
 		}
 		if p.FailureDomain == e.cfg.Host.FailureDomain {
 			h.Leases = leases
@@ -84,6 +84,7 @@
 }
 
 func (e *Engine) receiveHeartbeat(now time.Time, from string, h *peer.Heartbeat) {
+	e.shutdown.echoes[from] = h.EchoAt
 	e.members.Measured(now, from, h.SentAt, now.Sub(e.cfg.StartedAt), membership.Echo{SentAt: h.EchoAt, Held: h.Held})
 	if p := e.members.Get(from); p != nil {
 		p.ReportedConfig(now, h.Config)
--- a/internal/engine/configure.go
+++ b/internal/engine/configure.go
@@ -49,7 +49,7 @@
 // admitHost refuses new work on a host that stops or is drained.
 func (e *Engine) admitHost() *result.Error {
 	switch {
-	case e.stopping:
+	case e.Stopping():
 		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
 	case e.Drained():
 		return result.Errorf(result.Stopping, "host %s is drained", e.cfg.Host.Name)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -96,7 +96,7 @@
 	configVersion uint64
 	document      *config.Document
 	listedIn      uint64 // first version in force here that lists this host
-	stopping      bool
+	shutdown      shutdown
 	nextBeat      time.Time
 	searches      map[job.ID]*search
 	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
@@ -117,6 +117,7 @@
 
 		searches:  make(map[job.ID]*search),
 		followers: make(map[job.ID]map[string]bool),
+		shutdown:  shutdown{echoes: make(map[string]time.Duration)},
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
 	}
@@ -144,20 +145,12 @@
 // Incarnation returns the identity of this process start.
 func (e *Engine) Incarnation() membership.Incarnation { return e.cfg.Incarnation }
 
-// Stopping reports whether new work is refused.
-func (e *Engine) Stopping() bool { return e.stopping }
-
-// Stop refuses new submissions from now on; jobs in progress go on.
-func (e *Engine) Stop() { e.stopping = true }
-
-// Idle reports whether no job and no search is in progress.
-func (e *Engine) Idle() bool { return e.jobs.Active() == 0 && len(e.searches) == 0 }
-
 func (e *Engine) log(id event.ID, attrs ...slog.Attr) {
 	e.ready.Events = append(e.ready.Events, Record{ID: id, Attrs: attrs})
 }
 
 func (e *Engine) send(to string, b peer.Body) {
+	e.shutdown.noteSent(b)
 	e.ready.Messages = append(e.ready.Messages, Outgoing{To: to, Body: b})
 }
 
@@ -336,6 +329,7 @@
 		e.reshare()
 	}
 	e.tickSearches(now)
+	e.tickShutdown(now)
 	e.members.ForgetDepartures(now.Add(-e.cfg.Jobs.KeyLifetime - 2*e.cfg.Jobs.ClockError))
 	if !now.Before(e.nextBeat) {
 		e.nextBeat = now.Add(e.cfg.HeartbeatEvery)
--- /dev/null
+++ b/internal/engine/shutdown.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+// shutdown is the state of a graceful stop. The process may end when nothing
+// is in progress and every reachable peer has echoed a heartbeat that was sent
+// after the last answer: connections keep order, so that the peer has all
+// answers, knows that this host takes no new work, and nothing that it sent
+// before is on the way.
+type shutdown struct {
+	stopping bool
+	quiet    bool                     // nothing was in progress or answered since quietAt
+	quietAt  time.Duration            // this host's clock
+	echoes   map[string]time.Duration // latest of this host's heartbeats that each peer has got
+}
+
+// Stopping reports whether new work is refused.
+func (e *Engine) Stopping() bool { return e.shutdown.stopping }
+
+// Stop refuses new submissions from now on; jobs in progress go on. The peers
+// are told by the next Tick.
+func (e *Engine) Stop() {
+	e.shutdown.stopping = true
+	e.nextBeat = time.Time{}
+}
+
+// Idle reports, once Stop was called, whether the process may end.
+func (e *Engine) Idle() bool {
+	if !e.shutdown.quiet || e.busy() {
+		return false
+	}
+	for _, p := range e.members.All() {
+		if p.Up() && e.shutdown.echoes[p.Name] < e.shutdown.quietAt {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Engine) busy() bool { return e.jobs.Active() > 0 || len(e.searches) > 0 }
+
+// tickShutdown notes since when a stopping host has had nothing to do, and
+// tells the peers at once.
+func (e *Engine) tickShutdown(now time.Time) {
+	s := &e.shutdown
+	if !s.stopping || s.quiet || e.busy() {
+		return
+	}
+	s.quiet = true
+	s.quietAt = now.Sub(e.cfg.StartedAt)
+	e.nextBeat = time.Time{}
+}
+
+// noteSent starts the quiet period again when an answer is sent.
+func (s *shutdown) noteSent(b peer.Body) {
+	if _, ok := b.(*peer.JobAnswer); ok {
+		s.quiet = false
+	}
+}
