--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -97,6 +97,15 @@
 	KindLocateReply:  func() Body { return &LocateReply{} },
 	KindAttach:       func() Body { return &Attach{} },
 	KindJobAnswer:    func() Body { return &JobAnswer{} },
+
+	KindControlPrepare:  func() Body { return &ControlPrepare{} },
+	KindControlPromise:  func() Body { return &ControlPromise{} },
+	KindControlAccept:   func() Body { return &ControlAccept{} },
+	KindControlAccepted: func() Body { return &ControlAccepted{} },
+	KindControlDecided:  func() Body { return &ControlDecided{} },
+	KindControlChosen:   func() Body { return &ControlChosen{} },
+	KindControlFetch:    func() Body { return &ControlFetch{} },
+	KindControlReport:   func() Body { return &ControlReport{} },
 }
 
 func newBody(k Kind) (Body, error) {
