daemon: the controller agrees on configuration versions and keeps them on disk

Cause: the machines of internal/control had no disk, no network and no caller. Ways ruled out: agreement inside the decision duty (a synced write takes milliseconds and would hold up dispatch); a file per field (a promise and the version it belongs to could part). Before: every proposal was refused with 501. Nothing is measured yet. Conclusion: the proposer works for every host that knows the control hosts.

--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -107,6 +107,8 @@
 	Stopping      bool         `json:"stopping"`
 	ActiveJobs    int          `json:"active_jobs"`
 	Records       int          `json:"records"`
+	Disk          string       `json:"disk,omitempty"` // identity of the data folder's contents
+	Voting        bool         `json:"voting"`         // takes part in choosing configuration versions
 	ConfigVersion uint64       `json:"config_version"`
 	Hosts         []HostInfo   `json:"hosts"`
 	Minions       []MinionInfo `json:"minions"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,8 @@
 	"github.com/google/uuid"
 	"github.com/laburnumwalk/laburnumwalk/internal/api"
 	"github.com/laburnumwalk/laburnumwalk/internal/backend"
+	"github.com/laburnumwalk/laburnumwalk/internal/config"
+	"github.com/laburnumwalk/laburnumwalk/internal/control"
 	"github.com/laburnumwalk/laburnumwalk/internal/engine"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
@@ -24,6 +27,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
+	"github.com/laburnumwalk/laburnumwalk/internal/store"
 	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
 	"github.com/pkg/errors"
 )
@@ -41,6 +45,7 @@
 	sender    *sender
 	mesh      *link.Mesh
 	proposer  proposer
+	control   *controller
 	servers   []*server.Hertz
 	listeners listeners
 	wg        sync.WaitGroup
@@ -126,11 +131,79 @@
 	hello := peer.Hello{Version: peer.Version, Host: cfg.Host.Name, FailureDomain: cfg.Host.FailureDomain, Incarnation: inc}
 	d.mesh = link.New(d.listeners.peers, hello, cfg.Peers, d.receive, d.rejectPeer)
 	d.core.mesh = d.mesh
+	if err := d.wireControl(cfg); err != nil {
+		return err
+	}
 	a := api.New(d, &d.settings, d.log)
 	d.servers = []*server.Hertz{a.Callers(d.listeners.callers), a.Minions(d.listeners.minions), a.Operators(d.listeners.operators)}
 	return nil
 }
 
+// wireControl opens the data folder, puts the version that it holds in force
+// and prepares the controller.
+func (d *Daemon) wireControl(cfg engine.Config) error {
+	s, state, err := openStore(store.OS{}, d.settings.DataFolder, d.log)
+	if err != nil {
+		return err
+	}
+	timing := control.DefaultTiming()
+	timing.Propose = settings.Millis(d.settings.Timing.ProposeMS)
+	c := &controller{
+		machine: control.New(control.Config{
+			Self:        cfg.Host,
+			Incarnation: cfg.Incarnation,
+			Peers:       cfg.Peers,
+			Bootstrap:   d.settings.Control.Members,
+			State:       state,
+			Relays:      controlRelays,
+			Seed:        rand.Uint64(),
+			Timing:      timing,
+		}),
+		store:   s,
+		inputs:  ring.New[controlInput](controlRing),
+		mesh:    d.mesh,
+		apply:   d.applyConfig,
+		waiters: make(map[uint64]chan control.Outcome),
+		self:    cfg.Host.Name,
+		log:     d.log,
+		done:    make(chan struct{}),
+		timeout: timing.Propose,
+	}
+	c.publish()
+	d.control = c
+	if len(d.settings.Control.Members) > 0 || state.Chosen != nil {
+		d.proposer = c
+	}
+	if s != nil {
+		event.Log(context.Background(), d.log, event.DiskOpened, slog.String("disk", state.Disk),
+			slog.Uint64("version", state.Version()), slog.Bool("voting", c.machine.Voting()))
+	}
+	if state.Chosen != nil {
+		d.applyFirst(state.Chosen)
+	}
+	return nil
+}
+
+// applyFirst puts the version of the disk in force before any duty runs.
+func (d *Daemon) applyFirst(r *peer.ConfigRecord) {
+	doc, err := decodeRecord(r)
+	if err != nil {
+		event.Log(context.Background(), d.log, event.ConfigUnreadable, slog.Uint64("version", r.Version), slog.String("error", err.Error()))
+		return
+	}
+	d.core.engine.Apply(r.Version, doc)
+}
+
+// applyConfig hands a version to the decision duty.
+func (d *Daemon) applyConfig(version uint64, doc *config.Document) {
+	k := &call{f: func(e *engine.Engine, _ time.Time) { e.Apply(version, doc) }, out: make(chan struct{})}
+	d.core.requests.Push(k, d.core.done)
+}
+
+// controlRelays is the number of hosts per failure domain that a chosen
+// version is pushed to.
+const controlRelays = 2
+
 func (d *Daemon) engineConfig(inc membership.Incarnation) engine.Config {
 	s := &d.settings
 	cfg := engine.Config{
@@ -165,6 +238,13 @@
 const locateTries = 5
 
 func (d *Daemon) receive(from string, inc membership.Incarnation, b peer.Body) {
+	if peer.IsControl(b.Kind()) {
+		d.control.receive(from, b)
+		return
+	}
+	if h, ok := b.(*peer.Heartbeat); ok {
+		d.control.hint(from, h.Config)
+	}
 	d.core.messages.TryPush(&message{from: from, inc: inc, body: b})
 }
 
@@ -190,6 +270,7 @@
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.wg.Go(func() { d.core.run(duties) })
+	d.wg.Go(func() { d.control.run(duties) })
 	d.wg.Go(func() { d.mesh.Run(duties) })
 	for _, s := range d.servers {
 		d.wg.Go(func() { d.serve(duties, s) })
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -105,6 +105,8 @@
 func (d *Daemon) Status(context.Context) (api.StatusResponse, *result.Error) {
 	var s api.StatusResponse
 	err := d.query(func(e *engine.Engine, now time.Time) { s = status(e, now, d.startedAt) })
+	v := d.control.view.Load()
+	s.Disk, s.Voting = v.Disk, v.Voting
 	return s, err
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,12 +39,14 @@
 	PeerDown     ID = 4002
 	PeerRejected ID = 4003
 
-	ConfigApplied   ID = 5001
-	StoreCorrupt    ID = 5002
-	StoreWriteError ID = 5003
-	VotingStopped   ID = 5004
-	ChangeAccepted  ID = 5005
-	PlanConfirmed   ID = 5006
+	ConfigApplied    ID = 5001
+	StoreCorrupt     ID = 5002
+	StoreWriteError  ID = 5003
+	VotingStopped    ID = 5004
+	ChangeAccepted   ID = 5005
+	PlanConfirmed    ID = 5006
+	DiskOpened       ID = 5007
+	ConfigUnreadable ID = 5008
 
 	RequestPanicked ID = 6001
 	ServerFailed    ID = 6002
@@ -87,6 +89,8 @@
 	{VotingStopped, slog.LevelError, "control host stopped voting", "Mend its disk, restart it and admit it again."},
 	{ChangeAccepted, slog.LevelInfo, "configuration change accepted", "None."},
 	{PlanConfirmed, slog.LevelInfo, "plan confirmed", "None."},
+	{DiskOpened, slog.LevelInfo, "data folder opened", "None; a new disk votes once a configuration change has admitted its identity."},
+	{ConfigUnreadable, slog.LevelError, "configuration version unreadable", "Bring the host to the release of the others; the version before stays in force."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
 }
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -15,6 +15,10 @@
 	KindControlReport
 )
 
+// IsControl reports whether a message is about agreeing on configuration
+// versions.
+func IsControl(k Kind) bool { return k >= KindControlPrepare && k <= KindControlReport }
+
 // Ballot orders the attempts to choose one version. The zero value is lower
 // than every attempt.
 type Ballot struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,7 @@
 	Listen        Listen   `json:"listen" validate:"required"`
 	Peers         []Peer   `json:"peers" validate:"max=256,unique=Name,dive"`
 	DataFolder    string   `json:"data_folder"`
+	Control       Control  `json:"control"`
 	Limits        Limits   `json:"limits"`
 	Timing        Timing   `json:"timing"`
 	Dispatch      Dispatch `json:"dispatch"`
@@ -40,6 +42,12 @@
 	Address       string `json:"address" validate:"required,hostname_port"`
 }
 
+// Control names the hosts that choose the first configuration version; later
+// ones are named by the configuration itself.
+type Control struct {
+	Members []string `json:"members" validate:"max=7,unique,dive,required,max=64"`
+}
+
 // Limits bounds requests and memory.
 type Limits struct {
 	MaxBodyBytes    int `json:"max_body_bytes" validate:"min=1024,max=268435456"`
@@ -67,6 +75,7 @@
 	TickMS          int `json:"tick_ms" validate:"min=1,max=1000"`
 	LocateTimeoutMS int `json:"locate_timeout_ms" validate:"min=10,max=60000"`
 	BusyPauseMS     int `json:"busy_pause_ms" validate:"min=0,max=10000"`
+	ProposeMS       int `json:"propose_timeout_ms" validate:"min=100,max=60000"`
 }
 
 // Dispatch holds the dispatch policy.
@@ -114,6 +123,7 @@
 			TickMS:          10,
 			LocateTimeoutMS: 500,
 			BusyPauseMS:     5,
+			ProposeMS:       3000,
 		},
 		Dispatch: Dispatch{RetryBudget: 32},
 		Log:      Log{Level: "info"},
@@ -135,5 +145,24 @@
 	if err := Decode(path, text, &s); err != nil {
 		return Settings{}, err
 	}
+	if err := s.checkControl(); err != nil {
+		return Settings{}, Problems{{File: path, Line: 1, Key: "control.members", Text: err.Error()}}
+	}
 	return s, nil
 }
+
+// checkControl refuses members that are no hosts, and one without a disk.
+func (s *Settings) checkControl() error {
+	for _, m := range s.Control.Members {
+		if m == s.Host {
+			if s.DataFolder == "" {
+				return errors.New("this host is a member and needs a data_folder")
+			}
+			continue
+		}
+		if !slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Name == m }) {
+			return errors.Errorf("%q is neither this host nor one of its peers", m)
+		}
+	}
+	return nil
+}
