--- a/cmd/laburnumctl/status.go
+++ b/cmd/laburnumctl/status.go
@@ -29,8 +29,8 @@
 }
 
 func printStatus(r *api.StatusResponse) {
-	t := newTable("HOST", "DOMAIN", "STATE", "ACTIVE JOBS", "CONFIG", "UPTIME", "INCARNATION")
-	t.row(r.Host, r.FailureDomain, hostState(r), r.ActiveJobs, r.ConfigVersion, age(r.UptimeMS), r.Incarnation)
+	t := newTable("HOST", "DOMAIN", "STATE", "ACTIVE JOBS", "CONFIG", "UPTIME", "INCARNATION", "DISK", "VOTING")
+	t.row(r.Host, r.FailureDomain, hostState(r), r.ActiveJobs, r.ConfigVersion, age(r.UptimeMS), r.Incarnation, orDash(r.Disk), r.Voting)
 	t.flush()
 	fmt.Println()
 	printHosts(r)
--- a/cmd/laburnumctl/table.go
+++ b/cmd/laburnumctl/table.go
@@ -47,3 +47,10 @@
 	}
 	return strings.Join(names, ", ")
 }
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
