--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -109,7 +109,9 @@
 	Records       int          `json:"records"`
 	Disk          string       `json:"disk,omitempty"` // identity of the data folder's contents
 	Voting        bool         `json:"voting"`         // takes part in choosing configuration versions
+	Drained       bool         `json:"drained"`
 	ConfigVersion uint64       `json:"config_version"`
+	ConfigAgeMS   int64        `json:"config_age_ms"` // since this host put it in force
 	Hosts         []HostInfo   `json:"hosts"`
 	Minions       []MinionInfo `json:"minions"`
 }
@@ -122,6 +124,8 @@
 	Up            bool   `json:"up"`
 	RoundTripUS   int64  `json:"round_trip_us"`
 	ConfigVersion uint64 `json:"config_version"`
+	ConfigAgeMS   int64  `json:"config_age_ms"` // since it first reported the version
+	HeardMS       int64  `json:"heard_ms"`      // since its last message; -1: never
 }
 
 // MinionInfo is one minion as seen by the answering host.
--- a/internal/daemon/controller_test.go
+++ b/internal/daemon/controller_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,10 +19,31 @@
 	"github.com/shoenig/test/wait"
 )
 
-// silent drops every message to a peer.
-type silent struct{}
+// sent records the kinds of the messages to peers.
+type sent struct {
+	mu    sync.Mutex
+	kinds []peer.Kind
+}
+
+func (s *sent) Send(_ string, b peer.Body) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kinds = append(s.kinds, b.Kind())
+	return true
+}
 
-func (silent) Send(string, peer.Body) bool { return true }
+func (s *sent) SetPeers([]membership.Host) {}
+
+func (s *sent) has(k peer.Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.kinds, k)
+}
+
+func eventuallyTrue(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(20*time.Second), wait.Gap(time.Millisecond)))
+}
 
 // startController runs the controller of the only control host on a folder.
 func startController(t *testing.T, folder string, fs store.FS) (*controller, func()) {
@@ -33,7 +56,7 @@
 			Self: membership.Host{Name: "h"}, Incarnation: "i", Bootstrap: []string{"h"},
 			State: state, Timing: control.DefaultTiming(),
 		}),
-		store: s, inputs: ring.New[controlInput](controlRing), mesh: silent{},
+		store: s, inputs: ring.New[controlInput](controlRing), mesh: &sent{},
 		apply:   func(uint64, *config.Document) {},
 		waiters: make(map[uint64]chan control.Outcome),
 		self:    "h", log: log, done: make(chan struct{}), timeout: time.Minute,
@@ -85,10 +108,36 @@
 	c.timeout = 0 // the outcome is not waited for
 	o := c.Propose(context.Background(), control.Proposal{Command: "c1", Operator: "o", Document: []byte("{}")})
 	must.Eq(t, result.NoMajority, o.Code)
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return !c.view.Load().Voting }), wait.Timeout(20*time.Second), wait.Gap(time.Millisecond)))
+	eventuallyTrue(t, func() bool { return !c.view.Load().Voting })
 	must.Eq(t, uint64(0), c.view.Load().Version)
 }
 
+// A promise whose write failed is never sent.
+func TestUnsyncedPromiseIsNotSent(t *testing.T) {
+	fs := &failingFS{}
+	c, stop := startController(t, t.TempDir(), fs)
+	defer stop()
+	fs.broken = true
+	c.receive("p", &peer.ControlPrepare{Version: 1, Ballot: peer.Ballot{Round: 1, Proposer: "p"}})
+	eventuallyTrue(t, func() bool { return !c.view.Load().Voting })
+	c.receive("p", &peer.ControlPrepare{Version: 1, Ballot: peer.Ballot{Round: 1, Proposer: "p"}})
+	out := c.mesh.(*sent)
+	eventuallyTrue(t, func() bool { return out.has(peer.KindControlReport) })
+	must.False(t, out.has(peer.KindControlPromise))
+}
+
+// What an earlier process wrote is synced again before it counts.
+func TestStateThatCannotBeSyncedDoesNotVote(t *testing.T) {
+	fs := &failingFS{}
+	folder := t.TempDir()
+	_, stop := startController(t, folder, fs)
+	stop()
+	fs.broken = true
+	c, stop := startController(t, folder, fs)
+	defer stop()
+	must.False(t, c.view.Load().Voting)
+}
+
 func TestCorruptStateDoesNotVote(t *testing.T) {
 	folder := t.TempDir()
 	s, err := store.Open(store.OS{}, folder)
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -31,21 +31,24 @@
 // messenger sends messages to peers.
 type messenger interface {
 	Send(to string, b peer.Body) bool
+	SetPeers(peers []membership.Host)
 }
 
 // core is the decision duty: the only goroutine that touches the engine.
 type core struct {
-	engine   *engine.Engine
-	requests *ring.Ring[input] // from HTTP handlers
-	outcomes *ring.Ring[input] // of started tasks; sized so that it is never full
-	messages *ring.Ring[input] // from peers
-	waiters  map[job.ID][]waiter
-	sender   starter
-	mesh     messenger
-	metrics  *telemetry.Metrics
-	log      *slog.Logger
-	tick     time.Duration
-	done     chan struct{}
+	engine       *engine.Engine
+	requests     *ring.Ring[input] // from HTTP handlers
+	outcomes     *ring.Ring[input] // of started tasks; sized so that it is never full
+	messages     *ring.Ring[input] // from peers
+	waiters      map[job.ID][]waiter
+	sender       starter
+	mesh         messenger
+	metrics      *telemetry.Metrics
+	log          *slog.Logger
+	tick         time.Duration
+	done         chan struct{}
+	hostsChanged func(hosts []membership.Host)
+	inForce      *inForce
 }
 
 // input is one event for the decision duty.
@@ -91,6 +94,7 @@
 // flush carries out what the engine decided. A start that finds no room in
 // the sender is disproved, which may lead to further decisions.
 func (c *core) flush(ctx context.Context) {
+	c.inForce.update(time.Now(), c.engine)
 	for {
 		r := c.engine.Ready()
 		for _, e := range r.Events {
@@ -102,6 +106,10 @@
 		for _, id := range r.Pending {
 			c.deliverPending(id)
 		}
+		if r.Hosts != nil {
+			c.mesh.SetPeers(r.Hosts)
+			c.hostsChanged(r.Hosts)
+		}
 		for _, m := range r.Messages {
 			if c.mesh.Send(m.To, m.Body) {
 				c.metrics.PeerSent.Add(1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	mesh      *link.Mesh
 	proposer  proposer
 	control   *controller
+	operators *operators
 	servers   []*server.Hertz
 	listeners listeners
 	wg        sync.WaitGroup
@@ -95,6 +96,7 @@
 		metrics:   &telemetry.Metrics{},
 		listeners: ln,
 		proposer:  noControl{},
+		operators: newOperators(),
 	}
 	d.metrics.Answered.Init()
 	if err := d.wire(); err != nil {
@@ -127,6 +129,7 @@
 		log:      d.log,
 		tick:     settings.Millis(d.settings.Timing.TickMS),
 		done:     make(chan struct{}),
+		inForce:  newInForce(),
 	}
 	hello := peer.Hello{Version: peer.Version, Host: cfg.Host.Name, FailureDomain: cfg.Host.FailureDomain, Incarnation: inc}
 	d.mesh = link.New(d.listeners.peers, hello, cfg.Peers, d.receive, d.rejectPeer)
@@ -171,6 +174,7 @@
 	}
 	c.publish()
 	d.control = c
+	d.core.hostsChanged = c.setPeers
 	if len(d.settings.Control.Members) > 0 || state.Chosen != nil {
 		d.proposer = c
 	}
@@ -191,12 +195,12 @@
 		event.Log(context.Background(), d.log, event.ConfigUnreadable, slog.Uint64("version", r.Version), slog.String("error", err.Error()))
 		return
 	}
-	d.core.engine.Apply(r.Version, doc)
+	d.core.engine.Apply(d.startedAt, r.Version, doc)
 }
 
 // applyConfig hands a version to the decision duty.
 func (d *Daemon) applyConfig(version uint64, doc *config.Document) {
-	k := &call{f: func(e *engine.Engine, _ time.Time) { e.Apply(version, doc) }, out: make(chan struct{})}
+	k := &call{f: func(e *engine.Engine, now time.Time) { e.Apply(now, version, doc) }, out: make(chan struct{})}
 	d.core.requests.Push(k, d.core.done)
 }
 
@@ -210,6 +214,7 @@
 		Host:        membership.Host{Name: s.Host, FailureDomain: s.FailureDomain, Region: s.Region, Address: s.Listen.Peers},
 		Incarnation: inc,
 		StartedAt:   d.startedAt,
+		Joining:     s.Joining,
 		Jobs: job.Limits{
 			MaxActive:      s.Limits.MaxActiveJobs,
 			MaxRecords:     s.Limits.MaxRecords,
@@ -257,7 +262,8 @@
 	event.Log(context.Background(), d.log, event.InvariantBroken, slog.String("invariant", description))
 }
 
-// Run serves until ctx ends, then shuts down: not ready, no new work, jobs in
+// Run serves until ctx ends or the configuration stops the process, then shuts
+// down: not ready, no new work, jobs in
 // progress finish within the bound of the settings.
 func (d *Daemon) Run(ctx context.Context) error {
 	invariant.SetHandler(d.reportInvariant)
@@ -277,7 +283,10 @@
 	}
 	d.ready.Store(true)
 	event.Log(ctx, d.log, event.Started, slog.String("host", d.settings.Host), slog.String("failure_domain", d.settings.FailureDomain))
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.core.inForce.stop:
+	}
 	d.shutdown(stop)
 	stopTraces()
 	event.Log(context.Background(), d.log, event.Stopped, slog.String("host", d.settings.Host))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -27,6 +27,7 @@
 	Host        membership.Host
 	Incarnation membership.Incarnation
 	Peers       []membership.Host
+	Joining     bool // added to a running system: no work before the region knows the host
 	StartedAt   time.Time
 
 	Jobs           job.Limits
@@ -40,6 +41,8 @@
 	LocateResend  time.Duration // interval of repeated questions
 	FollowTimeout time.Duration // bound on a fetch from the owner
 	MaxSearches   int           // keys looked for at a time
+
+	Slots SlotPolicy
 }
 
 // Start is a task to send to a minion.
@@ -79,6 +82,7 @@
 	Answers  []*job.Answer
 	Pending  []job.ID // jobs in progress whose owner is another host
 	Messages []Outgoing
+	Hosts    []membership.Host // when not nil, the peers to be connected from now on
 	Events   []Record
 }
 
@@ -91,12 +95,15 @@
 	members       *membership.View
 	configVersion uint64
 	document      *config.Document
+	listedIn      uint64 // first version in force here that lists this host
 	stopping      bool
 	nextBeat      time.Time
 	searches      map[job.ID]*search
 	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
 	round         uint64
-	ready         Ready
+	sharing
+	sizes map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
+	ready Ready
 }
 
 // New returns an Engine with no jobs and no minions.
@@ -110,6 +117,8 @@
 
 		searches:  make(map[job.ID]*search),
 		followers: make(map[job.ID]map[string]bool),
+		sizes:     make(map[job.TaskID]job.Size),
+		sharing:   newSharing(),
 	}
 }
 
@@ -157,6 +166,8 @@
 		return
 	}
 	e.ready.Answers = append(e.ready.Answers, a)
+	e.queue.Remove(a.ID)
+	delete(e.forwards, a.ID)
 	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
 	e.cancelStarted(a.ID)
@@ -164,6 +175,7 @@
 
 // cancelStarted asks the minions of a job's tasks in progress to stop them.
 func (e *Engine) cancelStarted(id job.ID) {
+	e.cancelForward(id)
 	j := e.jobs.Get(id)
 	if j == nil {
 		return
@@ -202,15 +214,18 @@
 		e.log(event.JobRefused, slog.String("job", s.ID.String()), slog.Int("code", int(err.Code)))
 		return err
 	}
-	e.queue.Add(j)
+	e.place(now, j)
 	e.dispatch(now)
 	return nil
 }
 
 // admit refuses what can be refused without a job record.
 func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
-	if e.stopping {
-		return result.Errorf(result.Stopping, "host %s", e.cfg.Host.Name)
+	if err := e.admitHost(); err != nil {
+		return err
+	}
+	if !e.admitted() {
+		return result.Errorf(result.Joining, "host %s waits until its region knows it", e.cfg.Host.Name)
 	}
 	if err := e.admitTeam(s); err != nil {
 		return err
@@ -244,7 +259,10 @@
 		if !e.jobs.Start(now, a.Task, a.Minion.Name) {
 			return
 		}
-		e.minions.Acquire(a.Minion)
+		e.minions.Acquire(now, a.Minion, a.Size)
+		if a.Size != (job.Size{}) {
+			e.sizes[a.Task] = a.Size
+		}
 		e.ready.Starts = append(e.ready.Starts, e.start(a))
 	}
 }
@@ -266,7 +284,6 @@
 
 // TaskFinished records the outcome of a start that reached its minion.
 func (e *Engine) TaskFinished(now time.Time, id job.TaskID, name string, o job.Outcome) {
-	e.release(id, name, time.Time{})
 	switch o.Code {
 	case result.AnswerMismatch:
 		e.log(event.AnswerMismatch, slog.String("job", id.Job.String()), slog.Int("task", id.Index), slog.String("minion", name))
@@ -275,6 +292,7 @@
 			slog.String("minion", name), slog.String("detail", o.Detail))
 	}
 	a := e.jobs.Finish(now, id, o)
+	e.release(id, name, time.Time{})
 	if o.Code != result.OK && a == nil {
 		e.cancelStarted(id.Job)
 	}
@@ -284,10 +302,11 @@
 
 // TaskDisproved records a start that certainly did not happen.
 func (e *Engine) TaskDisproved(now time.Time, id job.TaskID, name string, reason result.Code) {
+	a := e.jobs.Disprove(now, id)
 	e.release(id, name, now.Add(e.cfg.BusyPause))
 	e.log(event.TaskStartRefused, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
 		slog.String("minion", name), slog.Int("code", int(reason)))
-	e.answer(e.jobs.Disprove(now, id))
+	e.answer(a)
 	if j := e.jobs.Get(id.Job); j != nil && !j.Ended() && j.Retries() > e.cfg.RetryBudget+len(j.Tasks) {
 		e.log(event.TaskStartsStopped, slog.String("job", id.Job.String()))
 		e.answer(e.jobs.Refuse(now, id.Job, result.TaskNotStarted, "retry budget used up"))
@@ -295,9 +314,12 @@
 	e.dispatch(now)
 }
 
+// release frees the slot of a start that has ended. The job table must have
+// recorded the end.
 func (e *Engine) release(id job.TaskID, name string, retryAt time.Time) {
-	e.minions.Release(name, retryAt)
-	e.queue.Finished(id.Job.Team)
+	e.minions.Release(name, e.sizes[id], retryAt)
+	delete(e.sizes, id)
+	e.queue.Finished(id)
 }
 
 // Tick advances time: deadlines, leases, heartbeats.
@@ -310,11 +332,15 @@
 	}
 	for _, c := range e.members.Tick(now) {
 		e.log(event.PeerDown, slog.String("host", c.Peer.Name))
+		e.failForwards(now, c.Peer)
+		e.reshare()
 	}
 	e.tickSearches(now)
+	e.members.ForgetDepartures(now.Add(-e.cfg.Jobs.KeyLifetime - 2*e.cfg.Jobs.ClockError))
 	if !now.Before(e.nextBeat) {
 		e.nextBeat = now.Add(e.cfg.HeartbeatEvery)
 		e.heartbeat(now)
+		e.resendForwards(now)
 	}
 	e.dispatch(now)
 }
