--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,8 +45,8 @@
 	sender    *sender
 	mesh      *link.Mesh
 	proposer  proposer
-	control   *controller
 	operators *operators
+	control   *controller
 	servers   []*server.Hertz
 	listeners listeners
 	wg        sync.WaitGroup
