--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -85,7 +85,7 @@
 // check returns the first key that contradicts another one, and why.
 func (d *Document) check() (key, problem string) {
 	for i, c := range d.ControlHosts {
-		if d.HostDomain(c.Host) == nil {
+		if len(d.FailureDomains) > 0 && d.HostDomain(c.Host) == nil { // without, the hosts of the settings are in force
 			return fmt.Sprintf("control_hosts[%d].host", i), fmt.Sprintf("host %q is in no failure domain", c.Host)
 		}
 	}
--- a/internal/plan/want.go
+++ b/internal/plan/want.go
@@ -37,13 +37,16 @@
 
 // wantChange keeps the drains in force where the document does not list them,
 // so that a file without drains does not end those that operators declared
-// since.
+// since. The control hosts stay in the same way.
 func wantChange(r Request, before *config.Document) (*config.Document, *result.Error) {
 	if r.Document == nil {
 		return nil, result.Errorf(result.InvalidField, "document is missing")
 	}
 	d := r.Document.Drains
 	wanted := r.Document.Clone()
+	if r.Document.ControlHosts == nil {
+		wanted.ControlHosts = before.ControlHosts
+	}
 	if d.Minions == nil {
 		wanted.Drains.Minions = before.Drains.Minions
 	}
