--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -141,6 +141,9 @@
 	return false
 }
 
+// SetPeers replaces the hosts that chosen versions are pushed to.
+func (m *Machine) SetPeers(peers []membership.Host) { m.cfg.Peers = peers }
+
 // Ready returns and clears what is to be done.
 func (m *Machine) Ready() Ready {
 	r := m.ready
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -12,6 +12,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/config"
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
@@ -43,6 +44,7 @@
 	self    string
 	log     *slog.Logger
 	view    atomic.Pointer[controlView]
+	hosts   atomic.Pointer[[]membership.Host] // new list of peers, until it is taken over
 	done    chan struct{}
 	timeout time.Duration // bound on a proposal
 }
@@ -127,6 +129,9 @@
 		case in := <-c.inputs.C():
 			in(c, time.Now())
 		}
+		if hosts := c.hosts.Swap(nil); hosts != nil {
+			c.machine.SetPeers(*hosts)
+		}
 		c.flush(ctx)
 	}
 }
@@ -231,6 +236,10 @@
 	}
 }
 
+// setPeers takes the hosts that the configuration lists. It never waits: the
+// caller is the duty that the controller itself waits for.
+func (c *controller) setPeers(hosts []membership.Host) { c.hosts.Store(&hosts) }
+
 // Propose implements proposer. A document without control hosts keeps those
 // of its base.
 func (c *controller) Propose(ctx context.Context, p control.Proposal) control.Outcome {
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -36,18 +36,19 @@
 
 // core is the decision duty: the only goroutine that touches the engine.
 type core struct {
-	engine   *engine.Engine
-	requests *ring.Ring[input] // from HTTP handlers
-	outcomes *ring.Ring[input] // of started tasks; sized so that it is never full
-	messages *ring.Ring[input] // from peers
-	waiters  map[job.ID][]waiter
-	sender   starter
-	mesh     messenger
-	metrics  *telemetry.Metrics
-	log      *slog.Logger
-	tick     time.Duration
-	done     chan struct{}
-	inForce  *inForce
+	engine       *engine.Engine
+	requests     *ring.Ring[input] // from HTTP handlers
+	outcomes     *ring.Ring[input] // of started tasks; sized so that it is never full
+	messages     *ring.Ring[input] // from peers
+	waiters      map[job.ID][]waiter
+	sender       starter
+	mesh         messenger
+	metrics      *telemetry.Metrics
+	log          *slog.Logger
+	tick         time.Duration
+	done         chan struct{}
+	hostsChanged func(hosts []membership.Host)
+	inForce      *inForce
 }
 
 // input is one event for the decision duty.
@@ -107,6 +108,7 @@
 		}
 		if r.Hosts != nil {
 			c.mesh.SetPeers(r.Hosts)
+			c.hostsChanged(r.Hosts)
 		}
 		for _, m := range r.Messages {
 			if c.mesh.Send(m.To, m.Body) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,6 +174,7 @@
 	}
 	c.publish()
 	d.control = c
+	d.core.hostsChanged = c.setPeers
 	if len(d.settings.Control.Members) > 0 || state.Chosen != nil {
 		d.proposer = c
 	}
