test: one set of operators' requests for all process tests

Ruled out: renaming alone (the code would stand twice). Before: vet fails. After: vet clean, internal/daemon and test/process pass.

--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -137,6 +136,8 @@
 	return c
 }
 
+const operatorName = "tester"
+
 // cut drops silently all that the host sends and, if both is set, receives.
 func (c *controlSystem) cut(name string, dropping, both bool) {
 	for link, r := range c.relays {
@@ -146,44 +147,20 @@
 	}
 }
 
-// post sends a JSON request to the operators' listener.
-func (h *host) post(path string, in, out any) error {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	resp, err := http.Post("http://"+h.settings.Listen.Operators+path, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(out)
-}
-
-// plan makes a plan for a document on the host and returns its identity.
-func (h *host) plan(t *testing.T, document string) string {
-	t.Helper()
-	var p api.PlanResponse
-	must.NoError(t, h.post("/v1/plans", api.PlanRequest{Intent: plan.Change, Document: document}, &p))
-	must.Eq(t, result.OK, p.Code, must.Sprint(p.Detail))
-	return p.ID
-}
-
-func (h *host) confirm(t *testing.T, id, command string) api.ConfirmResponse {
+// planDocument makes a plan for a document on the host and returns its identity.
+func (h *host) planDocument(t *testing.T, document string) string {
 	t.Helper()
-	var r api.ConfirmResponse
-	must.NoError(t, h.post("/v1/plans/"+id+"/confirm", api.ConfirmRequest{Command: command, Operator: "tester"}, &r))
-	return r
+	return h.plan(t, api.PlanRequest{Intent: plan.Change, Document: document}).ID
 }
 
 // accept gets a change accepted. While there is no majority the command is
 // resent: after a start or a cut the hosts first have to find each other.
 func (h *host) accept(t *testing.T, command, document string) uint64 {
 	t.Helper()
-	id := h.plan(t, document)
+	id := h.planDocument(t, document)
 	var r api.ConfirmResponse
 	for range 30 {
-		if r = h.confirm(t, id, command); r.Code != result.NoMajority {
+		if r = h.confirm(t, id, command, operatorName); r.Code != result.NoMajority {
 			must.Eq(t, result.OK, r.Code, must.Sprint(r.Detail))
 			return r.Version
 		}
@@ -282,7 +259,7 @@
 			version := c.hosts[0].accept(t, "first", teams("team"))
 			c.awaitVersion(t, version, c.hosts...)
 			c.cut("h2", true, both)
-			r := cut.confirm(t, cut.plan(t, teams("cut")), "from-the-cut")
+			r := cut.confirm(t, cut.planDocument(t, teams("cut")), "from-the-cut", operatorName)
 			must.Eq(t, result.NoMajority, r.Code, must.Sprint(r.Detail))
 			job, err := cut.submit(newRequest("k", "one"))
 			must.NoError(t, err)
