engine: lend slots for small jobs; learn what a minion takes; forward what waits

Causes, each from the experiment's figures: - A job of one task cost 1.33 messages, since two of three arrive at a host that does not dispatch. The dispatching host now lends each other host a third of what its own small jobs (up to 8 tasks) keep busy, more while slots are idle. Such a job starts there at once when a lent slot is free. Loans and use travel on the heartbeats. - A full or dead minion was tried again every 5 ms and used up retry budgets. After a refusal a minion gets no more tasks than it holds, until it takes one more at a trial; trials back off from 5 ms to 1 s. A job's retry budget grows by one per 100 ms of its age, and a job that has used half of it goes only to slots known to be free. - Jobs that lent slots refuse are forwarded on the next tick.

--- a/cmd/lwbench/experiment.go
+++ b/cmd/lwbench/experiment.go
@@ -158,8 +158,8 @@
 func (c *experimentCommand) printHead() {
 	fmt.Printf("Seed %d, %d tasks a trace, %d hosts, %d minions of %d slots. Response over the ideal.\n\n",
 		c.seed, c.tasks, traceHosts, traceMinions, slotsPerMinion)
-	fmt.Println("| scenario | jobs | load | variant | median | p99 | p99.9 | p99 by size 1 / 2-5 / 6-20 / 21-100 / 101-200 | wasted per task | wasted per job | wasted | goodput | not complete | codes |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Println("| scenario | jobs | load | variant | median | p99 | p99.9 | p99 by size 1 / 2-5 / 6-20 / 21-100 / 101-200 | wasted per task | wasted per job | wasted | refused starts per job | goodput | not complete | codes |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 }
 
 func formatRow(s scenario, m jobMix, load int, name string, o *outcome) string {
@@ -171,10 +171,10 @@
 		}
 		sizes = append(sizes, fmt.Sprintf("%.2f", quantile(h, 99)))
 	}
-	return fmt.Sprintf("| %s | %s | %d%% | %s | %.3f | %.2f | %.2f | %s | %.3f | %.2f | %.2f%% | %.1f%% | %d of %d | %s |",
+	return fmt.Sprintf("| %s | %s | %d%% | %s | %.3f | %.2f | %.2f | %s | %.3f | %.2f | %.2f%% | %.2f | %.1f%% | %d of %d | %s |",
 		s.name, m.name, load, name, quantile(o.ratio, 50), quantile(o.ratio, 99), quantile(o.ratio, 99.9), strings.Join(sizes, " / "),
 		float64(o.wasted())/float64(max(o.tasks, 1)), float64(o.wasted())/float64(max(o.completed, 1)), 100*o.wastedShare(),
-		100*o.goodput(), o.lost(), len(o.trace.arrivals), formatCodes(o))
+		o.refusalsPerJob(), 100*o.goodput(), o.lost(), len(o.trace.arrivals), formatCodes(o))
 }
 
 func formatCodes(o *outcome) string {
--- a/cmd/lwbench/experiment_engine.go
+++ b/cmd/lwbench/experiment_engine.go
@@ -44,6 +44,8 @@
 	}
 	r.Net = experimentNet
 	r.OnAnswer = r.answered
+	started := 0
+	r.OnStart = func(*emulator.Host, *emulator.Minion, engine.Start, int) { started++ }
 	r.build(policy)
 	r.RunUntil(experimentStart.Add(experimentWarmUp))
 	before := r.Counters
@@ -55,6 +57,7 @@
 	c := r.Counters
 	r.out.messages = c.Starts + c.TaskAnswers + c.PeerMessages + c.Cancellations -
 		before.Starts - before.TaskAnswers - before.PeerMessages - before.Cancellations
+	r.out.refusals = c.Starts - before.Starts - started
 	r.out.heartbeats = c.Heartbeats - before.Heartbeats
 	return r.out
 }
--- a/cmd/lwbench/experiment_model.go
+++ b/cmd/lwbench/experiment_model.go
@@ -223,6 +223,7 @@
 func (b *baseline) refused(host int, t modelTask, m int) {
 	h := &b.hosts[host]
 	h.sent[m]--
+	b.out.refusals++
 	h.paused[m] = b.Now().Add(retryPause)
 	h.queue = append([]modelTask{t}, h.queue...)
 	b.After(retryPause, func() { b.dispatch(host) })
--- a/cmd/lwbench/experiment_outcome.go
+++ b/cmd/lwbench/experiment_outcome.go
@@ -23,6 +23,7 @@
 	tasks      int           // of completed jobs
 	inTime     time.Duration // work of the jobs completed before the end of the trace
 	messages   int           // between hosts and minions, and between hosts but for heartbeats
+	refusals   int           // starts that a minion refused
 	heartbeats int
 }
 
@@ -67,6 +68,11 @@
 	return float64(o.wasted()) / float64(2*o.tasks+2*o.completed)
 }
 
+// refusalsPerJob is the number of refused starts per completed job.
+func (o *outcome) refusalsPerJob() float64 {
+	return float64(o.refusals) / float64(max(o.completed, 1))
+}
+
 // goodput is the work of completed jobs over the slots' capacity.
 func (o *outcome) goodput() float64 {
 	return o.inTime.Seconds() / (o.trace.length.Seconds() * traceSlots)
--- a/internal/dispatch/list.go
+++ b/internal/dispatch/list.go
@@ -10,7 +10,7 @@
 // agePerTask is the wait that makes up for one task more: a job with n tasks
 // left goes before a job with one that arrived (n-1)*agePerTask later. It
 // bounds how long large jobs can be passed over.
-const agePerTask = 100 * time.Millisecond
+const agePerTask = 200 * time.Millisecond
 
 const notListed = -1
 
@@ -32,6 +32,13 @@
 	return e.next
 }
 
+func (e *entry) before(other *entry) bool {
+	if e.rank != other.rank {
+		return e.rank < other.rank
+	}
+	return e.job.ID.Key < other.job.ID.Key
+}
+
 // rankOf orders jobs. Both terms only shrink a job's rank relative to later
 // arrivals, so that ranks of waiting jobs need no update as time passes.
 func rankOf(j *job.Job) int64 {
@@ -82,13 +89,8 @@
 
 type entryHeap []*entry
 
-func (h entryHeap) Len() int { return len(h) }
-func (h entryHeap) Less(i, k int) bool {
-	if h[i].rank != h[k].rank {
-		return h[i].rank < h[k].rank
-	}
-	return h[i].job.ID.Key < h[k].job.ID.Key
-}
+func (h entryHeap) Len() int           { return len(h) }
+func (h entryHeap) Less(i, k int) bool { return h[i].before(h[k]) }
 func (h entryHeap) Swap(i, k int) {
 	h[i], h[k] = h[k], h[i]
 	h[i].pos, h[k].pos = i, k
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -6,6 +6,7 @@
 package dispatch
 
 import (
+	"sort"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
@@ -38,6 +39,7 @@
 	active  []*team // teams with jobs or tasks in progress
 	entries map[job.ID]*entry
 	quotas  map[string]Quota
+	trials  int // disproved starts after which a job is tried less often
 	running int
 	round   uint64        // marks the lists tried by one call of Next
 	blocked []requirement // what one call of Next found no minion for
@@ -47,6 +49,7 @@
 type requirement struct {
 	service string
 	size    job.Size
+	sure    bool // a slot known to be free, not a trial
 }
 
 type team struct {
@@ -58,9 +61,12 @@
 	pos     int // in Queue.active
 }
 
-// NewQueue returns an empty queue without quotas.
-func NewQueue() *Queue {
-	return &Queue{teams: make(map[string]*team), entries: make(map[job.ID]*entry)}
+// NewQueue returns an empty queue without quotas. A job with more disproved
+// starts than trials, plus one per trialEvery of its age, goes only where a slot
+// is known to be free, so that minions that refuse do not use up its retry
+// budget.
+func NewQueue(trials int) *Queue {
+	return &Queue{trials: trials, teams: make(map[string]*team), entries: make(map[job.ID]*entry)}
 }
 
 // SetQuotas replaces every team's quota.
@@ -151,6 +157,41 @@
 	q.release(t)
 }
 
+// Waiting reports whether a job waits for the start of a task. It is exact
+// after Next has found nothing to start.
+func (q *Queue) Waiting() bool {
+	for _, t := range q.active {
+		for _, l := range t.lists {
+			if len(l.heap) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TakeUntouched removes and returns the waiting jobs of which no task has
+// started, in the common order.
+func (q *Queue) TakeUntouched() []*job.Job {
+	var out []*entry
+	for _, t := range q.active {
+		for _, l := range t.lists {
+			for _, e := range l.heap {
+				if !e.job.Ended() && e.job.Queued() == len(e.job.Tasks) {
+					out = append(out, e)
+				}
+			}
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].before(out[k]) })
+	jobs := make([]*job.Job, len(out))
+	for i, e := range out {
+		jobs[i] = e.job
+		q.Remove(e.job.ID)
+	}
+	return jobs
+}
+
 // Running returns the team's tasks in progress.
 func (q *Queue) Running(name string) int {
 	if t := q.teams[name]; t != nil {
@@ -258,11 +299,11 @@
 		if index < 0 {
 			continue
 		}
-		need := requirement{service: l.service, size: e.job.Tasks[index].Size}
+		need := requirement{service: l.service, size: e.job.Tasks[index].Size, sure: !q.mayTry(now, e.job)}
 		if q.isBlocked(need) {
 			continue
 		}
-		if m := minions.Pick(now, need.service, need.size); m != nil {
+		if m := minions.Pick(now, need.service, need.size, need.sure); m != nil {
 			return Assignment{Task: job.TaskID{Job: e.job.ID, Index: index}, Size: need.size, Minion: m}, true
 		}
 		q.blocked = append(q.blocked, need)
@@ -270,6 +311,17 @@
 	return Assignment{}, false
 }
 
+// trialEvery is the time that earns a waiting job one more disproved start.
+const trialEvery = 100 * time.Millisecond
+
+// Earned returns the disproved starts that a job's age allows beside its budget.
+func Earned(now time.Time, j *job.Job) int { return int(now.Sub(j.Accepted) / trialEvery) }
+
+// mayTry reports whether the job may be sent to a minion that lately refused.
+func (q *Queue) mayTry(now time.Time, j *job.Job) bool {
+	return j.Retries() < q.trials+Earned(now, j)
+}
+
 func (q *Queue) isBlocked(need requirement) bool {
 	for i := range q.blocked {
 		if q.blocked[i] == need {
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -16,6 +16,7 @@
 	testTeams   = 45
 	testJobs    = 1000
 	testMinions = 70
+	testTrials  = 16
 )
 
 func testTable() *job.Table {
@@ -49,7 +50,7 @@
 func BenchmarkStart(b *testing.B) {
 	const slots = 8
 	now := start.Add(time.Second)
-	t, r, q := testTable(), testRegistry(testMinions, slots), NewQueue()
+	t, r, q := testTable(), testRegistry(testMinions, slots), NewQueue(testTrials)
 	for i := range testJobs {
 		q.Add(submitJob(b, t, fmt.Sprintf("team%d", i%testTeams), fmt.Sprint(i), 600))
 	}
@@ -71,7 +72,7 @@
 		a := last[0]
 		last = last[1:]
 		t.Disprove(now, a.Task)
-		r.Release(a.Minion.Name, a.Size, time.Time{})
+		r.Release(a.Minion.Name, a.Size)
 		q.Finished(a.Task)
 	}
 }
@@ -90,7 +91,7 @@
 		r.Acquire(now, a.Minion, a.Size)
 		order = append(order, a.Task.Job.Key)
 		t.Finish(now, a.Task, job.Outcome{})
-		r.Release(a.Minion.Name, a.Size, time.Time{})
+		r.Release(a.Minion.Name, a.Size)
 		q.Finished(a.Task)
 		if t.Get(a.Task.Job).Ended() {
 			q.Remove(a.Task.Job)
@@ -99,7 +100,7 @@
 }
 
 func TestFewestTasksLeftFirst(t *testing.T) {
-	table, q := testTable(), NewQueue()
+	table, q := testTable(), NewQueue(testTrials)
 	for _, n := range []int{3, 1, 2} {
 		q.Add(submitJob(t, table, "t", fmt.Sprint(n), n))
 	}
@@ -109,7 +110,7 @@
 
 // A large job goes before small ones that arrive agePerTask per task later.
 func TestWaitingAgesLargeJobs(t *testing.T) {
-	table, q := testTable(), NewQueue()
+	table, q := testTable(), NewQueue(testTrials)
 	q.Add(submitJob(t, table, "t", "large", 3))
 	late := &job.Submission{
 		ID: job.ID{Team: "t", Key: "late"}, Attempt: 1, Service: "s", SubmittedAt: start.Add(time.Second),
@@ -122,7 +123,7 @@
 }
 
 func TestTeamOverItsShareYields(t *testing.T) {
-	table, q, r := testTable(), NewQueue(), testRegistry(1, 8)
+	table, q, r := testTable(), NewQueue(testTrials), testRegistry(1, 8)
 	q.SetQuotas(map[string]Quota{"a": {Weight: 3}, "b": {Weight: 1}})
 	q.Add(submitJob(t, table, "a", "a", 20))
 	q.Add(submitJob(t, table, "b", "b", 10))
@@ -137,7 +138,7 @@
 }
 
 func TestQuotaBoundsTasksInProgress(t *testing.T) {
-	table, q, r := testTable(), NewQueue(), testRegistry(1, 8)
+	table, q, r := testTable(), NewQueue(testTrials), testRegistry(1, 8)
 	q.SetQuotas(map[string]Quota{"a": {Weight: 1, MaxSlots: 3}})
 	q.Add(submitJob(t, table, "a", "a", 20))
 	for {
@@ -154,7 +155,7 @@
 
 // A job that no free minion fits does not hold up the jobs behind it.
 func TestLargeTaskDoesNotBlockSmallOnes(t *testing.T) {
-	table, q, r := testTable(), NewQueue(), testRegistry(1, 8)
+	table, q, r := testTable(), NewQueue(testTrials), testRegistry(1, 8)
 	for i, cpu := range []int{40000, 40000, 10000} {
 		j := submitJob(t, table, "t", fmt.Sprint(i), 1)
 		j.Tasks[0].Size.MilliCPU = cpu
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -15,6 +15,7 @@
 // domain also get the leases of the minions that announced here.
 func (e *Engine) heartbeat(now time.Time) {
 	leases := e.localLeases(now)
+	e.adjustLending(now)
 	for _, p := range e.members.All() {
 		echo := e.members.EchoFor(now, p.Name)
 		h := &peer.Heartbeat{
@@ -26,6 +27,9 @@
 		}
 		if p.FailureDomain == e.cfg.Host.FailureDomain {
 			h.Leases = leases
+			h.Demand = int(e.demand)
+			h.Lent = e.lent[p.Name]
+			h.InUse = e.minions.InUse()
 		}
 		e.send(p.Name, h)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -99,6 +99,7 @@
 	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
 	round         uint64
 	sharing
+	lending
 	sizes map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
 	ready Ready
 }
@@ -108,7 +109,7 @@
 	return &Engine{
 		cfg:     cfg,
 		jobs:    job.NewTable(cfg.Jobs, cfg.StartedAt),
-		queue:   dispatch.NewQueue(),
+		queue:   dispatch.NewQueue(cfg.RetryBudget / 2),
 		minions: minion.NewRegistry(cfg.MinionLease),
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
@@ -116,6 +117,7 @@
 		followers: make(map[job.ID]map[string]bool),
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
+		lending:   newLending(),
 	}
 }
 
@@ -165,6 +167,7 @@
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
 	delete(e.forwards, a.ID)
+	e.forgetSmall(a.ID)
 	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
 	e.cancelStarted(a.ID)
@@ -245,6 +248,7 @@
 
 // dispatch starts every task that a free minion can take.
 func (e *Engine) dispatch(now time.Time) {
+	defer e.recordContention(now)
 	for {
 		a, ok := e.queue.Next(now, e.minions)
 		if !ok {
@@ -286,7 +290,8 @@
 			slog.String("minion", name), slog.String("detail", o.Detail))
 	}
 	a := e.jobs.Finish(now, id, o)
-	e.release(id, name, time.Time{})
+	e.minions.Release(name, e.takeSize(id))
+	e.queue.Finished(id)
 	if o.Code != result.OK && a == nil {
 		e.cancelStarted(id.Job)
 	}
@@ -297,23 +302,23 @@
 // TaskDisproved records a start that certainly did not happen.
 func (e *Engine) TaskDisproved(now time.Time, id job.TaskID, name string, reason result.Code) {
 	a := e.jobs.Disprove(now, id)
-	e.release(id, name, now.Add(e.cfg.BusyPause))
+	e.minions.Refuse(now, name, e.takeSize(id), e.cfg.BusyPause)
+	e.queue.Finished(id)
 	e.log(event.TaskStartRefused, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
 		slog.String("minion", name), slog.Int("code", int(reason)))
 	e.answer(a)
-	if j := e.jobs.Get(id.Job); j != nil && !j.Ended() && j.Retries() > e.cfg.RetryBudget+len(j.Tasks) {
+	if j := e.jobs.Get(id.Job); j != nil && !j.Ended() && j.Retries() > e.cfg.RetryBudget+len(j.Tasks)+dispatch.Earned(now, j) {
 		e.log(event.TaskStartsStopped, slog.String("job", id.Job.String()))
 		e.answer(e.jobs.Refuse(now, id.Job, result.TaskNotStarted, "retry budget used up"))
 	}
 	e.dispatch(now)
 }
 
-// release frees the slot of a start that has ended. The job table must have
-// recorded the end.
-func (e *Engine) release(id job.TaskID, name string, retryAt time.Time) {
-	e.minions.Release(name, e.sizes[id], retryAt)
+// takeSize returns and forgets the declared size of a task in progress.
+func (e *Engine) takeSize(id job.TaskID) job.Size {
+	size := e.sizes[id]
 	delete(e.sizes, id)
-	e.queue.Finished(id)
+	return size
 }
 
 // Tick advances time: deadlines, leases, heartbeats.
@@ -327,8 +332,9 @@
 	for _, c := range e.members.Tick(now) {
 		e.log(event.PeerDown, slog.String("host", c.Peer.Name))
 		e.failForwards(now, c.Peer)
-		e.reshare()
 	}
+	e.reshare(now)
+	e.forwardWaiting(now)
 	e.tickSearches(now)
 	if !now.Before(e.nextBeat) {
 		e.nextBeat = now.Add(e.cfg.HeartbeatEvery)
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -67,6 +67,9 @@
 	held    time.Duration // age, at the peer, of the last heartbeat it got from here
 	echoed  bool
 	stopped bool
+	demand  int // tasks of the peer's own small jobs in progress
+	lent    int // slots that the peer lends to this host
+	inUse   int // tasks that the peer has in progress on the minions
 }
 
 // sharing is the state of the slot policy.
@@ -92,7 +95,7 @@
 
 func (e *Engine) peerCameUp(now time.Time, name string) {
 	e.paths[name] = &peerPath{upSince: now}
-	e.reshare()
+	e.reshare(now)
 }
 
 func (e *Engine) recordPath(now time.Time, from string, h *peer.Heartbeat) {
@@ -104,6 +107,10 @@
 	p.held = h.Held
 	p.echoed = h.EchoAt != 0
 	p.stopped = h.Stopped
+	p.demand = h.Demand
+	p.lent = h.Lent
+	p.inUse = h.InUse
+	e.reshare(now)
 }
 
 // canDispatch reports whether both directions to the peer work and it takes
@@ -137,11 +144,41 @@
 
 // place queues an accepted job here or forwards it.
 func (e *Engine) place(now time.Time, j *job.Job) {
+	e.countSmall(j)
 	to := e.dispatcher(now)
-	if to == nil || j.Deadline.Sub(now) <= 2*forwardMargin {
+	if to == nil || j.Deadline.Sub(now) <= 2*forwardMargin || e.startsHere(now, j) {
 		e.queue.Add(j)
 		return
 	}
+	e.forward(now, j, to)
+}
+
+// forwardWaiting hands over the jobs that wait here although another host
+// dispatches: those that lent slots refused, or that are left from a change of
+// roles.
+func (e *Engine) forwardWaiting(now time.Time) {
+	if !e.queue.Waiting() {
+		return
+	}
+	to := e.dispatcher(now)
+	if to == nil {
+		return
+	}
+	for _, j := range e.queue.TakeUntouched() {
+		if j.Deadline.Sub(now) <= 2*forwardMargin || e.followed(j.ID) {
+			e.queue.Add(j)
+			continue
+		}
+		e.forward(now, j, to)
+	}
+}
+
+// followed reports whether another host waits for the job's answer. A job that
+// was forwarded to this host must not go back to its owner.
+func (e *Engine) followed(id job.ID) bool { return len(e.followers[id]) > 0 }
+
+// forward counts every task of the job as started and sends it.
+func (e *Engine) forward(now time.Time, j *job.Job, to *membership.Peer) {
 	for i := range j.Tasks {
 		if !e.jobs.Start(now, job.TaskID{Job: j.ID, Index: i}, to.Name) {
 			return
@@ -322,21 +359,3 @@
 		e.send(f.to, &peer.Attach{Team: id.Team, Key: id.Key, Cancel: true})
 	}
 }
-
-// reshare sets this host's share of every minion.
-func (e *Engine) reshare() {
-	if e.cfg.Slots != SlotsSplit {
-		return
-	}
-	index, hosts := 0, 1
-	for _, p := range e.members.All() {
-		if p.FailureDomain != e.cfg.Host.FailureDomain || !p.Up() {
-			continue
-		}
-		hosts++
-		if p.Name < e.cfg.Host.Name {
-			index++
-		}
-	}
-	e.minions.SetShare(index, hosts)
-}
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -10,7 +10,6 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 )
@@ -41,11 +40,11 @@
 	Draining   bool // drained by an operator; no new work
 	Local      bool // announced to this host, which relays its lease
 
-	share     int      // slots that this host may use
-	inUse     int      // tasks of this host in progress
-	used      job.Size // sum of their declared sizes
-	rack      *rack
-	freeAfter time.Time
+	share int      // slots that this host may use
+	inUse int      // tasks of this host in progress
+	used  job.Size // sum of their declared sizes
+	rack  *rack
+	limit limit
 }
 
 // rack counts the tasks of this host in progress on its minions.
@@ -91,9 +90,11 @@
 	drains  map[string]bool // minion names drained by the configuration
 	racks   map[string]*rack
 	offers  map[string][]*Minion // by service, ordered by name
+	ordered []*Minion            // by name
 
-	shareIndex int // place of this host among those that split the slots
-	shareHosts int
+	share      Share
+	shareTotal int // sum of the minions' shares
+	inUse      int // tasks of this host in progress
 }
 
 // NewRegistry returns an empty registry that grants leases of the given length.
@@ -104,8 +105,7 @@
 		drains:  make(map[string]bool),
 		racks:   make(map[string]*rack),
 		offers:  make(map[string][]*Minion),
-
-		shareHosts: 1,
+		share:   Share{All: true},
 	}
 }
 
@@ -132,6 +132,7 @@
 	}
 	if a.Generation > m.Generation {
 		m.Leaving = false
+		m.limit = limit{}
 	}
 	m.Announcement = a
 	m.Local = local
@@ -146,17 +147,18 @@
 func (r *Registry) index() {
 	r.offers = make(map[string][]*Minion)
 	r.racks = make(map[string]*rack)
-	for _, m := range r.All() {
+	r.ordered = r.All()
+	for _, m := range r.ordered {
 		if r.racks[m.Rack] == nil {
 			r.racks[m.Rack] = &rack{}
 		}
-		m.share = r.shareOf(m)
 		m.rack = r.racks[m.Rack]
 		m.rack.inUse += m.inUse
 		for _, s := range m.Services {
 			r.offers[s] = append(r.offers[s], m)
 		}
 	}
+	r.applyShare()
 }
 
 // Renew extends the lease of a known minion. It reports false when the name
@@ -179,29 +181,6 @@
 	}
 }
 
-// SetShare limits this host to its part of every minion's slots: that of the
-// host with the given index among those that split them.
-func (r *Registry) SetShare(index, hosts int) {
-	r.shareIndex, r.shareHosts = index, hosts
-	for _, m := range r.minions {
-		m.share = r.shareOf(m)
-	}
-}
-
-// shareOf returns an equal part of the slots. What is left over goes to
-// different hosts on different minions.
-func (r *Registry) shareOf(m *Minion) int {
-	if r.shareHosts == 1 {
-		return m.Slots
-	}
-	share, extra := m.Slots/r.shareHosts, m.Slots%r.shareHosts
-	turn := (r.shareIndex + int(xxhash.Sum64String(m.Name)%uint64(r.shareHosts))) % r.shareHosts
-	if turn < extra {
-		share++
-	}
-	return share
-}
-
 // Leave marks a minion as leaving. It reports whether this changed anything.
 func (r *Registry) Leave(name string, generation uint64) bool {
 	m := r.minions[name]
@@ -245,40 +224,57 @@
 func (r *Registry) Acquire(now time.Time, m *Minion, size job.Size) {
 	invariant.Check(m.Ready(now), "start on minion %s, which is %s", m.Name, m.State(now))
 	invariant.Check(m.inUse < m.share, "start on minion %s with %d of %d slots in use", m.Name, m.inUse, m.share)
+	m.limit.started(now, m.inUse)
 	m.inUse++
 	m.rack.inUse++
+	r.inUse++
 	m.used.MilliCPU += size.MilliCPU
 	m.used.MemoryMB += size.MemoryMB
 	m.used.Accelerators += size.Accelerators
 }
 
-// Release gives a slot back. A busy minion is left alone until retryAt.
-func (r *Registry) Release(name string, size job.Size, retryAt time.Time) {
+// Release gives back the slot of a start that reached the minion.
+func (r *Registry) Release(name string, size job.Size) { r.release(name, size) }
+
+// Refuse gives back the slot of a start that the minion, or its closed
+// listener, refused. From then on the minion gets no more tasks at a time than
+// it has, until it takes one more at a trial. The first trial comes after
+// pause, the next after twice as long, so that neither slots which other hosts
+// use nor a dead minion cost many messages.
+func (r *Registry) Refuse(now time.Time, name string, size job.Size, pause time.Duration) {
+	m := r.release(name, size)
+	if m == nil {
+		return
+	}
+	m.limit.refused(now, m.inUse, pause)
+}
+
+func (r *Registry) release(name string, size job.Size) *Minion {
 	m := r.minions[name]
 	if m == nil || m.inUse == 0 {
-		return
+		return nil
 	}
 	m.inUse--
 	m.rack.inUse--
+	r.inUse--
 	m.used.MilliCPU -= size.MilliCPU
 	m.used.MemoryMB -= size.MemoryMB
 	m.used.Accelerators -= size.Accelerators
-	if retryAt.After(m.freeAfter) {
-		m.freeAfter = retryAt
-	}
+	return m
 }
 
 // Pick returns the best minion for one task among those that are ready, offer
-// the service and have a free slot and room for the size, or nil. Minions
+// the service and have a free slot and room for the size, or nil. With sure, a
+// minion that lately refused is not tried beyond what it took. Minions
 // without accelerators are preferred for tasks that need none, then the most
 // free slots, then the rack with the fewest tasks.
-func (r *Registry) Pick(now time.Time, service string, size job.Size) *Minion {
+func (r *Registry) Pick(now time.Time, service string, size job.Size, sure bool) *Minion {
 	var best *Minion
 	for _, m := range r.offers[service] {
 		if m.inUse >= m.share || best != nil && !m.better(best, size.Accelerators == 0) {
 			continue
 		}
-		if m.freeAfter.After(now) || !m.Ready(now) || !m.hasRoom(size) {
+		if !m.limit.allows(now, m.inUse, sure) || !m.Ready(now) || !m.hasRoom(size) {
 			continue
 		}
 		best = m
--- /dev/null
+++ b/internal/minion/share.go
@@ -0,0 +1,83 @@
+package minion
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Share is the part of the minions' slots that this host may use. Hosts
+// compute it alike from the same minions; where their views differ a full
+// minion refuses.
+type Share struct {
+	All   bool   // all slots but the loans; otherwise the loans only
+	Loans []Loan // slots that one host lends to others
+
+	// Hosts above 0 splits every minion's slots evenly instead; Index is the
+	// place of this host among them.
+	Index, Hosts int
+}
+
+// Loan is a number of slots lent to one host, spread over the minions.
+type Loan struct {
+	Slots    int
+	Borrower string
+}
+
+// SetShare changes this host's share.
+func (r *Registry) SetShare(s Share) {
+	r.share = s
+	r.applyShare()
+}
+
+func (r *Registry) applyShare() {
+	r.shareTotal = 0
+	for i, m := range r.ordered {
+		m.share = r.share.of(m, i, len(r.ordered))
+		r.shareTotal += m.share
+	}
+}
+
+// of returns the share of the minion with the given place among count.
+func (s *Share) of(m *Minion, place, count int) int {
+	if s.Hosts > 0 {
+		turn := (s.Index + place) % s.Hosts
+		return part(m.Slots, s.Hosts, turn)
+	}
+	lent := 0
+	for _, l := range s.Loans {
+		first := int(xxhash.Sum64String(l.Borrower) % uint64(count))
+		lent += min(part(l.Slots, count, (place+first)%count), m.Slots)
+	}
+	if s.All {
+		return max(m.Slots-lent, 0)
+	}
+	return min(lent, m.Slots)
+}
+
+// part returns the size of part number index when total is cut into parts as
+// even as possible, the larger ones first.
+func part(total, parts, index int) int {
+	if index < total%parts {
+		return total/parts + 1
+	}
+	return total / parts
+}
+
+// InUse returns this host's tasks in progress on all minions.
+func (r *Registry) InUse() int { return r.inUse }
+
+// Idle returns the unused slots of this host's share.
+func (r *Registry) Idle() int { return r.shareTotal - r.inUse }
+
+// Free returns the slots of this host's share on which a task of the service
+// could start now.
+func (r *Registry) Free(now time.Time, service string) int {
+	n := 0
+	for _, m := range r.offers[service] {
+		if m.inUse < m.share && m.limit.allows(now, m.inUse, true) && m.Ready(now) {
+			n += m.limit.cap(m.share) - m.inUse
+		}
+	}
+	return n
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -45,6 +45,9 @@
 	Config  uint64        `msgpack:"c"` // configuration version in force
 	Leases  []MinionLease `msgpack:"l,omitempty"`
 	Stopped bool          `msgpack:"s,omitempty"` // the sender takes no new work
+	Demand  int           `msgpack:"d,omitempty"` // tasks of the sender's own small jobs in progress
+	InUse   int           `msgpack:"u,omitempty"` // tasks that the sender has in progress on the domain's minions
+	Lent    int           `msgpack:"n,omitempty"` // slots that the sender lends to the receiver
 }
 
 // MinionLease renews the lease of a minion that announced to the sender.
