--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -31,6 +31,7 @@
 // messenger sends messages to peers.
 type messenger interface {
 	Send(to string, b peer.Body) bool
+	SetPeers(peers []membership.Host)
 }
 
 // core is the decision duty: the only goroutine that touches the engine.
@@ -46,6 +47,7 @@
 	log      *slog.Logger
 	tick     time.Duration
 	done     chan struct{}
+	inForce  *inForce
 }
 
 // input is one event for the decision duty.
@@ -91,6 +93,7 @@
 // flush carries out what the engine decided. A start that finds no room in
 // the sender is disproved, which may lead to further decisions.
 func (c *core) flush(ctx context.Context) {
+	c.inForce.update(time.Now(), c.engine)
 	for {
 		r := c.engine.Ready()
 		for _, e := range r.Events {
@@ -102,6 +105,9 @@
 		for _, id := range r.Pending {
 			c.deliverPending(id)
 		}
+		if r.Hosts != nil {
+			c.mesh.SetPeers(r.Hosts)
+		}
 		for _, m := range r.Messages {
 			if c.mesh.Send(m.To, m.Body) {
 				c.metrics.PeerSent.Add(1)
