daemon: a stop that comes while the listeners start is not lost

Cause: `go test ./internal/daemon` hung for ten minutes once, in TestStopEndsOnlyTheNamedProcess: Run never returned. The HTTP library's Shutdown does nothing for a server whose loop does not run yet, and the loop then runs for ever. A daemon that was told to stop right after its start would have stayed. Conclusion: readiness now means that all three listeners answer.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -117,8 +117,11 @@
 	return h
 }
 
+// PathHealth is the liveness check of every listener.
+const PathHealth = "/healthz"
+
 func (a *API) health(h *server.Hertz) {
-	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
+	h.GET(PathHealth, func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
 	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
 		if a.core.Ready() {
 			c.String(200, "ready\n")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/google/uuid"
@@ -278,8 +279,10 @@
 	d.wg.Go(func() { d.core.run(duties) })
 	d.wg.Go(func() { d.control.run(duties) })
 	d.wg.Go(func() { d.mesh.Run(duties) })
-	for _, s := range d.servers {
-		d.wg.Go(func() { d.serve(duties, s) })
+	if err := d.startServers(duties); err != nil {
+		d.shutdown(stop)
+		stopTraces()
+		return err
 	}
 	d.ready.Store(true)
 	event.Log(ctx, d.log, event.Started, slog.String("host", d.settings.Host), slog.String("failure_domain", d.settings.FailureDomain))
@@ -321,6 +324,45 @@
 	}, nil
 }
 
+// startServers returns when every server answers: the HTTP library forgets a
+// shutdown that comes before its loop runs.
+func (d *Daemon) startServers(duties context.Context) error {
+	for _, s := range d.servers {
+		d.wg.Go(func() { d.serve(duties, s) })
+	}
+	for _, l := range []net.Listener{d.listeners.callers, d.listeners.minions, d.listeners.operators} {
+		if err := awaitAnswer(l.Addr().String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	answerTimeout = 10 * time.Second
+	answerPoll    = time.Millisecond
+)
+
+// awaitAnswer waits until the server at the address answers its health check.
+func awaitAnswer(address string) error {
+	c, err := client.NewClient(client.WithDialTimeout(answerTimeout), client.WithKeepAlive(false))
+	if err != nil {
+		return errors.Wrap(err, "health check")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	for {
+		_, _, err = c.Get(ctx, nil, "http://"+address+api.PathHealth)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(err, "no answer at %s", address)
+		}
+		time.Sleep(answerPoll)
+	}
+}
+
 func (d *Daemon) serve(duties context.Context, s *server.Hertz) {
 	if err := s.Run(); err != nil && duties.Err() == nil {
 		event.Log(duties, d.log, event.ServerFailed, slog.String("error", err.Error()))
