test: each test process has a loopback address of its own

Cause: one run of the process tests failed with "peer: frame of bytes" (the bytes "GET "): a readiness check met another process's peer listener. Ports were picked by the kernel, closed, and taken by a test run beside it. The same had been met for outgoing connections and mended for half of the tests by a fixed range of ports. Ruled out: a wrong listener in the daemon (the address belonged to the other run). Conclusion: one way to hand out addresses, for all process tests.

--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -102,36 +101,6 @@
 	out.Close()
 }
 
-// Ports of listeners that are given away before they are opened. They lie below
-// the range from which the system picks ports of outgoing connections: the
-// hosts' many dials took such a port now and then.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort atomic.Int32
-
-// reservedAddress returns a loopback address that nothing listens on and that
-// no outgoing connection gets.
-func reservedAddress(t *testing.T) string {
-	t.Helper()
-	nextPort.CompareAndSwap(0, firstPort+rand.Int32N(lastPort-firstPort))
-	for range lastPort - firstPort {
-		port := nextPort.Add(1)
-		if port >= lastPort {
-			nextPort.Store(firstPort)
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // controlSystem is three control hosts in three failure domains and a host
 // without a disk. Every host reaches every other through a relay of its own.
 type controlSystem struct {
@@ -146,7 +115,7 @@
 	for i := range 4 {
 		s := hostSettings(t, fmt.Sprintf("h%d", i), fmt.Sprintf("d%d", i%3))
 		s.Listen = settings.Listen{
-			Callers: reservedAddress(t), Minions: reservedAddress(t), Operators: reservedAddress(t), Peers: reservedAddress(t),
+			Callers: freeAddress(t), Minions: freeAddress(t), Operators: freeAddress(t), Peers: freeAddress(t),
 		}
 		s.Control.Members = []string{"h0", "h1", "h2"}
 		s.Timing.ProposeMS = 1000
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -107,13 +108,23 @@
 	file     string
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+// firstPort is below the range from which the kernel picks ports by itself.
+const firstPort = 20000
+
+// lastPort is the last port handed out.
+var lastPort atomic.Int32
+
+// loopback returns an address of 127.0.0.0/8 that belongs to this test process
+// alone, so that runs side by side never take each other's ports.
+func loopback() string {
+	const octet = 254
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/octet/octet%octet, 1+pid/octet%octet, 1+pid%octet)
+}
+
+// freeAddress returns a loopback address that is handed out once.
+func freeAddress(*testing.T) string {
+	return net.JoinHostPort(loopback(), fmt.Sprint(firstPort+lastPort.Add(1)))
 }
 
 // hostSettings returns settings on free ports, without peers.
