dispatch: eject minions that fail or stall; admit by deadline and quota

Cause: a minion that fails everything at once looks idle and gets the most work; a slow one holds up every job that meets it; jobs that cannot meet their deadline took slots from those that can.

A minion is ejected when at least 5 and half of its last 16 outcomes failed, and the others fail at most half as often; or when the smoothed logarithm of its run times is 2.5 times the service's. It gets one probe at a time after 1 s, doubling to 1 min; three good ones restore it. At most a fifth of the minions is ejected. The dispatching host names the ejected minions on its heartbeat, so that lent slots there stay unused. Outcomes of tasks asked to stop don't count.

Admission at the dispatching host estimates the end from learned mean run times (declared ones only until 16 tasks ran), the tasks that go before, and the slots that smaller jobs keep busy; MaxQueued bounds a team's waiting tasks.

--- a/cmd/lwbench/experiment_model.go
+++ b/cmd/lwbench/experiment_model.go
@@ -112,6 +112,7 @@
 
 type baselineHost struct {
 	queue  []modelTask
+	again  []modelTask // refused; they go first
 	sent   [traceMinions]int
 	paused [traceMinions]time.Time
 	turn   int
@@ -150,18 +151,36 @@
 // dispatch starts queued tasks until the host knows of no free minion.
 func (b *baseline) dispatch(host int) {
 	h := &b.hosts[host]
-	for len(h.queue) > 0 && !h.dead {
-		if b.expired(h.queue[0].job) {
-			h.queue = h.queue[1:]
+	for !h.dead {
+		t, ok := h.next()
+		if !ok {
+			return
+		}
+		if b.expired(t.job) {
 			continue
 		}
 		m := b.pick(h)
 		if m < 0 {
+			h.again = append(h.again, t)
 			return
 		}
-		b.start(host, h.queue[0], m)
-		h.queue = h.queue[1:]
+		b.start(host, t, m)
+	}
+}
+
+// next takes the first waiting task.
+func (h *baselineHost) next() (modelTask, bool) {
+	if n := len(h.again); n > 0 {
+		t := h.again[n-1]
+		h.again = h.again[:n-1]
+		return t, true
+	}
+	if len(h.queue) == 0 {
+		return modelTask{}, false
 	}
+	t := h.queue[0]
+	h.queue = h.queue[1:]
+	return t, true
 }
 
 // expired reports whether the job failed or passed its deadline.
@@ -225,7 +244,7 @@
 	h.sent[m]--
 	b.out.refusals++
 	h.paused[m] = b.Now().Add(retryPause)
-	h.queue = append([]modelTask{t}, h.queue...)
+	h.again = append(h.again, t)
 	b.After(retryPause, func() { b.dispatch(host) })
 	b.dispatch(host)
 }
--- /dev/null
+++ b/internal/engine/admission.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+)
+
+// admit refuses what can be refused without a job record. Refusals that depend
+// on the load are left to the host that dispatches.
+func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
+	if err := e.admitHost(); err != nil {
+		return err
+	}
+	if !e.admitted() {
+		return result.Errorf(result.Joining, "host %s waits until its region knows it", e.cfg.Host.Name)
+	}
+	if err := e.admitTeam(s); err != nil {
+		return err
+	}
+	if err := e.admitPlacement(now, s); err != nil {
+		return err
+	}
+	if e.dispatcher(now) != nil {
+		return nil
+	}
+	if err := e.admitQuota(s); err != nil {
+		return err
+	}
+	return e.admitDeadline(now, s)
+}
+
+// admitPlacement refuses jobs that no minion could ever run.
+func (e *Engine) admitPlacement(now time.Time, s *job.Submission) *result.Error {
+	for i := range s.Tasks {
+		if i > 0 && s.Tasks[i].Size == s.Tasks[i-1].Size {
+			continue
+		}
+		offered, fits := e.minions.Placeable(now, s.Service, s.Tasks[i].Size)
+		if !offered {
+			return result.Errorf(result.UnknownService, "service %q in failure domain %s", s.Service, e.cfg.Host.FailureDomain)
+		}
+		if !fits {
+			return result.Errorf(result.Unplaceable, "task %d", i)
+		}
+	}
+	return nil
+}
+
+// admitQuota refuses jobs beyond the team's bound on waiting tasks.
+func (e *Engine) admitQuota(s *job.Submission) *result.Error {
+	if e.document == nil {
+		return nil
+	}
+	t := e.document.Team(s.ID.Team)
+	if t == nil || t.MaxQueued == 0 {
+		return nil
+	}
+	if queued := e.queue.Queued(t.Name); queued+len(s.Tasks) > t.MaxQueued {
+		return result.Errorf(result.QuotaExceeded, "team %q has %d tasks waiting, quota %d", t.Name, queued, t.MaxQueued)
+	}
+	return nil
+}
+
+// admitDeadline refuses jobs that would miss their deadline at the present
+// load. Learned run times count, declared ones only until there are any.
+func (e *Engine) admitDeadline(now time.Time, s *job.Submission) *result.Error {
+	mean, known := e.meanRun(s)
+	if !known {
+		return nil
+	}
+	slots := e.minions.Capacity(now, s.Service)
+	finish := e.queue.Finish(now, &e.arrivals, s, slots, mean)
+	if now.Add(finish).After(s.Deadline) {
+		return result.Errorf(result.DeadlineUnreachable, "%v needed at the present load, %v left",
+			finish.Round(time.Millisecond), s.Deadline.Sub(now).Round(time.Millisecond))
+	}
+	e.arrivals.Add(now, len(s.Tasks), mean*time.Duration(len(s.Tasks)))
+	return nil
+}
+
+// meanRun returns the learned mean run time of the service, or the mean of the
+// declared ones.
+func (e *Engine) meanRun(s *job.Submission) (time.Duration, bool) {
+	if mean, ok := e.minions.MeanRun(s.Service); ok {
+		return mean, true
+	}
+	var sum time.Duration
+	for i := range s.Tasks {
+		sum += s.Tasks[i].Size.Run
+	}
+	return sum / time.Duration(len(s.Tasks)), sum > 0
+}
+
+// observe learns from the outcome of a start. Failures of tasks that were
+// asked to stop say nothing about the minion.
+func (e *Engine) observe(now time.Time, id job.TaskID, name string, o job.Outcome) {
+	j := e.jobs.Get(id.Job)
+	if j == nil || o.Code != result.OK && (j.Ended() || e.cancelled[id.Job]) {
+		return
+	}
+	switch e.minions.Observe(now, name, j.Service, o) {
+	case minion.Ejected:
+		e.log(event.MinionEjected, slog.String("minion", name))
+	case minion.Restored:
+		e.log(event.MinionRestored, slog.String("minion", name))
+	}
+}
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -16,6 +16,7 @@
 func (e *Engine) heartbeat(now time.Time) {
 	leases := e.localLeases(now)
 	e.adjustLending(now)
+	ejected := e.ejectedMinions(now)
 	for _, p := range e.members.All() {
 		echo := e.members.EchoFor(now, p.Name)
 		h := &peer.Heartbeat{
@@ -23,13 +24,14 @@
 			EchoAt:  echo.SentAt,
 			Held:    echo.Held,
 			Config:  e.configVersion,
-			Stopped: e.stopping,
+			Stopped: e.admitHost() != nil,
 		}
 		if p.FailureDomain == e.cfg.Host.FailureDomain {
 			h.Leases = leases
 			h.Demand = int(e.demand)
 			h.Lent = e.lent[p.Name]
 			h.InUse = e.minions.InUse()
+			h.Ejected = ejected
 		}
 		e.send(p.Name, h)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -103,8 +103,10 @@
 	round         uint64
 	sharing
 	lending
-	sizes map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
-	ready Ready
+	arrivals  dispatch.Arrivals
+	cancelled map[job.ID]bool         // jobs in progress whose started tasks were asked to stop
+	sizes     map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
+	ready     Ready
 }
 
 // New returns an Engine with no jobs and no minions.
@@ -121,6 +123,7 @@
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
 		lending:   newLending(),
+		cancelled: make(map[job.ID]bool),
 	}
 }
 
@@ -170,6 +173,7 @@
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
 	delete(e.forwards, a.ID)
+	delete(e.cancelled, a.ID)
 	e.forgetSmall(a.ID)
 	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
@@ -183,6 +187,9 @@
 	if j == nil {
 		return
 	}
+	if !j.Ended() {
+		e.cancelled[id] = true
+	}
 	j.Started(func(index int, name string) {
 		m := e.minions.Get(name)
 		if m == nil {
@@ -222,29 +229,6 @@
 	return nil
 }
 
-// admit refuses what can be refused without a job record.
-func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
-	if err := e.admitHost(); err != nil {
-		return err
-	}
-	if !e.admitted() {
-		return result.Errorf(result.Joining, "host %s waits until its region knows it", e.cfg.Host.Name)
-	}
-	if err := e.admitTeam(s); err != nil {
-		return err
-	}
-	for i := range s.Tasks {
-		offered, fits := e.minions.Placeable(now, s.Service, s.Tasks[i].Size)
-		if !offered {
-			return result.Errorf(result.UnknownService, "service %q in failure domain %s", s.Service, e.cfg.Host.FailureDomain)
-		}
-		if !fits {
-			return result.Errorf(result.Unplaceable, "task %d", i)
-		}
-	}
-	return nil
-}
-
 // cancel withdraws a known job's queued tasks and stops its started ones.
 func (e *Engine) cancel(now time.Time, id job.ID) {
 	a := e.jobs.Cancel(now, id)
@@ -295,6 +279,7 @@
 		e.log(event.TaskStartUnknown, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
 			slog.String("minion", name), slog.String("detail", o.Detail))
 	}
+	e.observe(now, id, name, o)
 	a := e.jobs.Finish(now, id, o)
 	e.minions.Release(name, e.takeSize(id))
 	e.queue.Finished(id)
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -76,7 +76,7 @@
 
 // recordContention notes how scarce the slots are after a round of starts.
 func (e *Engine) recordContention(now time.Time) {
-	idle := e.minions.Idle()
+	idle := e.minions.Idle(now)
 	e.minIdle = min(e.minIdle, idle)
 	if idle <= 0 && e.queue.Waiting() {
 		e.contendedAt = now
@@ -124,6 +124,16 @@
 	return scarce
 }
 
+// ejectedMinions names the minions that the dispatching host has ejected; the
+// others start nothing on them either.
+func (e *Engine) ejectedMinions(now time.Time) []string {
+	if e.cfg.Slots != SlotsCentral || e.dispatcher(now) != nil {
+		return nil
+	}
+	e.minions.Bar(nil)
+	return e.minions.Ejected()
+}
+
 // reshare sets this host's share of every minion's slots.
 func (e *Engine) reshare(now time.Time) {
 	switch e.cfg.Slots {
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -110,6 +110,9 @@
 	p.demand = h.Demand
 	p.lent = h.Lent
 	p.inUse = h.InUse
+	if d := e.dispatcher(now); d != nil && d.Name == from {
+		e.minions.Bar(h.Ejected)
+	}
 	e.reshare(now)
 }
 
@@ -305,7 +308,7 @@
 		}
 	}
 	switch m.Code {
-	case result.Stopping, result.UnknownService, result.Unplaceable, result.UnknownTeam:
+	case result.Stopping, result.Joining, result.UnknownService, result.Unplaceable, result.UnknownTeam:
 		e.queue.Add(j)
 		e.dispatch(now)
 		return nil
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -40,11 +40,12 @@
 	Draining   bool // drained by an operator; no new work
 	Local      bool // announced to this host, which relays its lease
 
-	share int      // slots that this host may use
-	inUse int      // tasks of this host in progress
-	used  job.Size // sum of their declared sizes
-	rack  *rack
-	limit limit
+	share  int      // slots that this host may use
+	inUse  int      // tasks of this host in progress
+	used   job.Size // sum of their declared sizes
+	rack   *rack
+	limit  limit
+	health health
 }
 
 // rack counts the tasks of this host in progress on its minions.
@@ -91,10 +92,10 @@
 	racks   map[string]*rack
 	offers  map[string][]*Minion // by service, ordered by name
 	ordered []*Minion            // by name
+	runs    map[string]*serviceRun
 
-	share      Share
-	shareTotal int // sum of the minions' shares
-	inUse      int // tasks of this host in progress
+	share Share
+	inUse int // tasks of this host in progress
 }
 
 // NewRegistry returns an empty registry that grants leases of the given length.
@@ -105,6 +106,7 @@
 		drains:  make(map[string]bool),
 		racks:   make(map[string]*rack),
 		offers:  make(map[string][]*Minion),
+		runs:    make(map[string]*serviceRun),
 		share:   Share{All: true},
 	}
 }
@@ -133,6 +135,7 @@
 	if a.Generation > m.Generation {
 		m.Leaving = false
 		m.limit = limit{}
+		m.health = health{}
 	}
 	m.Announcement = a
 	m.Local = local
@@ -274,7 +277,7 @@
 		if m.inUse >= m.share || best != nil && !m.better(best, size.Accelerators == 0) {
 			continue
 		}
-		if !m.limit.allows(now, m.inUse, sure) || !m.Ready(now) || !m.hasRoom(size) {
+		if !m.limit.allows(now, m.inUse, sure) || !m.health.allows(now, m.inUse) || !m.Ready(now) || !m.hasRoom(size) {
 			continue
 		}
 		best = m
--- a/internal/minion/share.go
+++ b/internal/minion/share.go
@@ -31,10 +31,8 @@
 }
 
 func (r *Registry) applyShare() {
-	r.shareTotal = 0
 	for i, m := range r.ordered {
 		m.share = r.share.of(m, i, len(r.ordered))
-		r.shareTotal += m.share
 	}
 }
 
@@ -67,15 +65,29 @@
 // InUse returns this host's tasks in progress on all minions.
 func (r *Registry) InUse() int { return r.inUse }
 
-// Idle returns the unused slots of this host's share.
-func (r *Registry) Idle() int { return r.shareTotal - r.inUse }
+// Idle returns the unused slots of this host's share on the minions that may
+// be given work.
+func (r *Registry) Idle(now time.Time) int {
+	n := 0
+	for _, m := range r.ordered {
+		if m.inUse < m.share && m.usable(now) {
+			n += m.limit.cap(m.share) - m.inUse
+		}
+	}
+	return n
+}
+
+// usable reports whether the minion takes more than probes and trials.
+func (m *Minion) usable(now time.Time) bool {
+	return !m.health.ejected && !m.health.barred && m.limit.allows(now, m.inUse, true) && m.Ready(now)
+}
 
 // Free returns the slots of this host's share on which a task of the service
 // could start now.
 func (r *Registry) Free(now time.Time, service string) int {
 	n := 0
 	for _, m := range r.offers[service] {
-		if m.inUse < m.share && m.limit.allows(now, m.inUse, true) && m.Ready(now) {
+		if m.inUse < m.share && m.usable(now) {
 			n += m.limit.cap(m.share) - m.inUse
 		}
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -47,6 +47,7 @@
 	Stopped bool          `msgpack:"s,omitempty"` // the sender takes no new work
 	Demand  int           `msgpack:"d,omitempty"` // tasks of the sender's own small jobs in progress
 	InUse   int           `msgpack:"u,omitempty"` // tasks that the sender has in progress on the domain's minions
+	Ejected []string      `msgpack:"j,omitempty"` // minions that the dispatching host has ejected
 	Lent    int           `msgpack:"n,omitempty"` // slots that the sender lends to the receiver
 }
 
