--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -108,6 +108,8 @@
 	ActiveJobs    int          `json:"active_jobs"`
 	Records       int          `json:"records"`
 	Drained       bool         `json:"drained"`
+	Disk          string       `json:"disk,omitempty"` // identity of the data folder's contents
+	Voting        bool         `json:"voting"`         // takes part in choosing configuration versions
 	ConfigVersion uint64       `json:"config_version"`
 	ConfigAgeMS   int64        `json:"config_age_ms"` // since this host put it in force
 	Hosts         []HostInfo   `json:"hosts"`
