--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -269,7 +269,7 @@
 	}
 	var a *job.Answer
 	if m.Code.Class() == result.NotRun {
-		a = e.takeBack(now, j, m)
+		a = e.takeBack(now, f, j, m)
 	} else {
 		a = e.finishForward(now, j, m)
 	}
@@ -287,8 +287,13 @@
 
 // finishForward records the outcome of a forwarded job's tasks.
 func (e *Engine) finishForward(now time.Time, j *job.Job, m *peer.JobAnswer) *job.Answer {
+	code := m.Code
+	if code == result.CancelledRan {
+		e.jobs.Cancel(now, j.ID)
+		code = result.TaskFailed // of a cancelled job: what started has ended
+	}
 	for i := range len(j.Tasks) {
-		o := job.Outcome{Code: m.Code, Detail: m.Detail}
+		o := job.Outcome{Code: code, Detail: m.Detail}
 		if m.Code == result.OK {
 			o.Result = m.Results[i]
 		}
@@ -301,7 +306,7 @@
 
 // takeBack records that nothing of a forwarded job has run or will run there.
 // What the other host could not judge is dispatched here.
-func (e *Engine) takeBack(now time.Time, j *job.Job, m *peer.JobAnswer) *job.Answer {
+func (e *Engine) takeBack(now time.Time, f *forward, j *job.Job, m *peer.JobAnswer) *job.Answer {
 	for i := range len(j.Tasks) {
 		if a := e.jobs.Disprove(now, job.TaskID{Job: j.ID, Index: i}); a != nil {
 			return a
@@ -309,6 +314,7 @@
 	}
 	switch m.Code {
 	case result.Stopping, result.Joining, result.UnknownService, result.Unplaceable, result.UnknownTeam:
+		e.passOver(now, f.to)
 		e.queue.Add(j)
 		e.dispatch(now)
 		return nil
@@ -316,6 +322,15 @@
 	return e.jobs.Refuse(now, j.ID, m.Code, m.Detail)
 }
 
+// passOver keeps a peer from dispatching for this host until its next
+// heartbeat.
+func (e *Engine) passOver(now time.Time, name string) {
+	if p := e.paths[name]; p != nil {
+		p.stopped = true
+	}
+	e.reshare(now)
+}
+
 // failForwards ends the jobs that a lost process of a peer dispatched.
 func (e *Engine) failForwards(now time.Time, p *membership.Peer) {
 	lost := e.selectForwards(func(f *forward) bool {
