--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -16,6 +16,7 @@
 func (e *Engine) heartbeat(now time.Time) {
 	leases := e.localLeases(now)
 	e.adjustLending(now)
+	ejected := e.ejectedMinions(now)
 	for _, p := range e.members.All() {
 		echo := e.members.EchoFor(now, p.Name)
 		h := &peer.Heartbeat{
@@ -30,6 +31,7 @@
 			h.Demand = int(e.demand)
 			h.Lent = e.lent[p.Name]
 			h.InUse = e.minions.InUse()
+			h.Ejected = ejected
 		}
 		e.send(p.Name, h)
 	}
