job: legs of an answer's time in the breakdown

Cause: the breakdown had queue, trip and run only; time in the host's rings, in disproved starts, in the search for a key's owner, in the caller's sending and on the way through another host was nowhere, so it would have been blamed on whichever leg was left.

Each leg is a difference on one host's clock, but for the owner's share of a fetch through another host (PeerHeld), which is a difference on the owner's.

Ruled out: timestamps instead of durations (they would cross clocks between hosts).

--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -73,7 +73,7 @@
 	case *peer.Attach:
 		e.receiveAttach(now, from, m)
 	case *peer.JobAnswer:
-		e.receiveJobAnswer(from, m)
+		e.receiveJobAnswer(now, from, m)
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -94,7 +94,7 @@
 	stopping      bool
 	nextBeat      time.Time
 	searches      map[job.ID]*search
-	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
+	followers     map[job.ID]map[string]time.Time // hosts that attached to a job of this host, and when
 	round         uint64
 	ready         Ready
 }
@@ -109,7 +109,7 @@
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
 		searches:  make(map[job.ID]*search),
-		followers: make(map[job.ID]map[string]bool),
+		followers: make(map[job.ID]map[string]time.Time),
 	}
 }
 
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -22,6 +22,9 @@
 	ownerInc   membership.Incarnation
 	until      time.Time // when the search, or the wait for the owner, is given up
 	resendAt   time.Time
+	since      time.Time // when the search began
+	found      time.Time // when the owner was found
+	ticked     time.Time // last tick during the search
 }
 
 // Lookup returns the answer of a job, after cancelling it if asked to. While
@@ -72,6 +75,7 @@
 	}
 	e.round++
 	s.round = e.round
+	s.since = now
 	s.asked = make(map[string]bool)
 	for _, p := range e.members.All() {
 		if p.Region == e.cfg.Host.Region {
@@ -165,6 +169,7 @@
 func (e *Engine) follow(now time.Time, s *search, owner string, inc membership.Incarnation, ended bool) {
 	s.owner = owner
 	s.ownerInc = inc
+	s.found = now
 	s.until = now.Add(e.cfg.FollowTimeout)
 	if s.submission != nil {
 		s.until = s.submission.Deadline
@@ -191,6 +196,7 @@
 		return
 	}
 	delete(e.searches, s.id)
+	s.submission.Control = now.Sub(s.since)
 	if err := e.accept(now, s.submission, true); err != nil {
 		e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail})
 		return
@@ -201,7 +207,14 @@
 // giveUp ends a search without an answer from an owner.
 func (e *Engine) giveUp(s *search, err *result.Error) {
 	delete(e.searches, s.id)
-	e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail})
+	b := job.Breakdown{Peer: s.owner}
+	if s.owner == "" {
+		b.Control = max(0, s.ticked.Sub(s.since))
+	} else {
+		b.Control = s.found.Sub(s.since)
+		b.PeerTrip = max(0, s.ticked.Sub(s.found))
+	}
+	e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail, Breakdown: b})
 }
 
 // receiveAttach handles another host's wish for the answer of a job of this host.
@@ -221,9 +234,11 @@
 		return
 	}
 	if e.followers[id] == nil {
-		e.followers[id] = make(map[string]bool)
+		e.followers[id] = make(map[string]time.Time)
+	}
+	if _, ok := e.followers[id][from]; !ok {
+		e.followers[id][from] = now
 	}
-	e.followers[id][from] = true
 	if a.Cancel {
 		e.cancel(now, id)
 	}
@@ -235,21 +250,27 @@
 	if len(followers) == 0 {
 		return
 	}
-	m := jobAnswer(a)
-	for host := range followers {
+	end := e.jobs.Get(a.ID).Accepted.Add(a.Breakdown.Total)
+	for host, attached := range followers {
+		m := jobAnswer(a)
+		m.Breakdown.PeerHeld = max(0, end.Sub(attached))
 		e.send(host, m)
 	}
 	delete(e.followers, a.ID)
 }
 
 // receiveJobAnswer ends a search by the owner's answer.
-func (e *Engine) receiveJobAnswer(from string, m *peer.JobAnswer) {
+func (e *Engine) receiveJobAnswer(now time.Time, from string, m *peer.JobAnswer) {
 	s := e.searches[job.ID{Team: m.Team, Key: m.Key}]
 	if s == nil || s.owner != from {
 		return
 	}
 	delete(e.searches, s.id)
-	e.answer(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: job.Breakdown(m.Breakdown)})
+	b := job.Breakdown(m.Breakdown)
+	b.Control = s.found.Sub(s.since)
+	b.Peer = from
+	b.PeerTrip = now.Sub(s.found)
+	e.answer(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: b})
 }
 
 func jobAnswer(a *job.Answer) *peer.JobAnswer {
@@ -262,6 +283,7 @@
 // tickSearches repeats questions and gives up on hosts that do not answer.
 func (e *Engine) tickSearches(now time.Time) {
 	for _, s := range e.searches {
+		s.ticked = now
 		switch {
 		case e.ownerLost(s):
 			e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s, which owns the key, is unreachable", s.owner))
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -52,6 +52,10 @@
 	Deadline    time.Time // the host's clock
 	Digest      uint64    // hash of the body, to detect a key used twice
 	Tasks       []Task
+
+	Receive    time.Duration // from the first byte of the request to its last
+	ReceivedAt time.Time     // the last byte; zero when not known
+	Control    time.Duration // looking for the owner of the key
 }
 
 // State is the state of one task.
@@ -74,6 +78,8 @@
 	Detail string        // failure text
 	Run    time.Duration // the minion's own run time, zero when not given
 	Trip   time.Duration // from sending to the answer, on the host's clock
+	Own    time.Duration // the minion's whole time for the task; the run when not given
+	SentAt time.Time     // when the request was sent; zero when not known
 }
 
 // Answer is the whole answer to one submission.
@@ -95,6 +101,21 @@
 	Minion  string        // minion of the last task
 	Task    int           // index of the last task
 	Retries int           // disproved starts in the whole job
+
+	Receive   time.Duration // from the first byte of the request to its last
+	Admit     time.Duration // from the last byte to acceptance, without Control
+	Control   time.Duration // looking for the owner of the key
+	Refused   time.Duration // in disproved starts of the task
+	RefusedBy string        // minion of the last of them
+	Handoff   time.Duration // from the decision to start until the request was sent
+	Own       time.Duration // the minion's whole time for the task
+	Open      time.Duration // since the start of a task that was not answered
+	Collect   time.Duration // from the minion's answer until the host decided on it
+	Pause     time.Duration // of the trip, during which the host stood still
+	Peer      string        // owner of the job, when it is another host
+	PeerTrip  time.Duration // from asking the owner to its answer
+	PeerHeld  time.Duration // of PeerTrip, the owner's own time
+	Verdict   Verdict
 }
 
 type task struct {
@@ -105,6 +126,10 @@
 	queued   time.Time
 	started  time.Time
 	outcome  Outcome
+
+	waited    time.Duration // queued before disproved starts
+	refused   time.Duration // in disproved starts
+	refusedBy string
 }
 
 // Job is one accepted submission.
@@ -208,15 +233,26 @@
 }
 
 func (j *Job) breakdown(now time.Time, last int) Breakdown {
-	b := Breakdown{Total: now.Sub(j.Accepted), Task: last, Retries: j.retries}
 	t := &j.tasks[last]
-	b.Minion = t.minion
-	b.Trip = t.outcome.Trip
-	b.Run = t.outcome.Run
-	if t.starts > t.disprove {
-		b.Queue = t.started.Sub(t.queued)
-	} else {
-		b.Queue = now.Sub(t.queued)
+	b := Breakdown{
+		Total: now.Sub(j.Accepted), Task: last, Retries: j.retries, Minion: t.minion,
+		Receive: j.Receive, Control: j.Control, Refused: t.refused, RefusedBy: t.refusedBy,
+		Trip: t.outcome.Trip, Run: t.outcome.Run, Own: t.outcome.Own,
+	}
+	if !j.ReceivedAt.IsZero() {
+		b.Admit = max(0, j.Accepted.Sub(j.ReceivedAt)-j.Control)
+	}
+	if t.starts == t.disprove {
+		b.Queue = t.waited + now.Sub(t.queued)
+		return b
+	}
+	b.Queue = t.waited + t.started.Sub(t.queued)
+	if t.state == Started {
+		b.Open = now.Sub(t.started)
+	}
+	if sent := t.outcome.SentAt; !sent.IsZero() {
+		b.Handoff = max(0, sent.Sub(t.started))
+		b.Collect = max(0, now.Sub(sent)-t.outcome.Trip)
 	}
 	return b
 }
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -189,6 +189,9 @@
 	k.disprove++
 	j.retries++
 	j.running--
+	k.waited += k.started.Sub(k.queued)
+	k.refused += now.Sub(k.started)
+	k.refusedBy = k.minion
 	k.queued = now
 	if j.ended || j.stopCode != result.OK {
 		k.state = Withdrawn
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
@@ -70,6 +71,21 @@
 	Minion  string        `msgpack:"m"`
 	Task    int           `msgpack:"k"`
 	Retries int           `msgpack:"n"`
+
+	Receive   time.Duration `msgpack:"a"`
+	Admit     time.Duration `msgpack:"d"`
+	Control   time.Duration `msgpack:"c"`
+	Refused   time.Duration `msgpack:"f"`
+	RefusedBy string        `msgpack:"fb"`
+	Handoff   time.Duration `msgpack:"h"`
+	Own       time.Duration `msgpack:"o"`
+	Open      time.Duration `msgpack:"oo"`
+	Collect   time.Duration `msgpack:"l"`
+	Pause     time.Duration `msgpack:"s"`
+	Peer      string        `msgpack:"w"`
+	PeerTrip  time.Duration `msgpack:"wt"`
+	PeerHeld  time.Duration `msgpack:"wh"`
+	Verdict   job.Verdict   `msgpack:"v"`
 }
 
 // Kind implements Body.
