verdict: which part an answer waited for, and a trial of it in virtual time

Cause: a breakdown alone leaves the reader to guess. The verdict counts each leg by how far it exceeds what is usual. A trip to a minion that does not report its own time is unknown; a trip during which the host stood still is the host's.

--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -18,6 +18,7 @@
 	subcommands.Register(&minionCommand{}, "stand-ins")
 	subcommands.Register(&loadCommand{}, "measurements")
 	subcommands.Register(&floorCommand{}, "measurements")
+	subcommands.Register(&slowCommand{}, "measurements")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -43,6 +43,13 @@
 	// OnStart is told of every task that a minion really starts, and of the
 	// attempt number under which its host accepted the job.
 	OnStart func(h *Host, m *Minion, s engine.Start, attempt int)
+	// OnInput is told of every input of a host before it is handled, and
+	// OnSend and OnOutcome of the beginning and end of every start.
+	OnInput   func(h *Host, now time.Time)
+	OnSend    func(h *Host, s engine.Start)
+	OnOutcome func(h *Host, s engine.Start, o job.Outcome, disproved bool)
+	// PeerDelay is added to every message between hosts.
+	PeerDelay time.Duration
 
 	now     time.Time
 	rng     *rand.Rand
@@ -128,7 +135,7 @@
 	}
 	inc := from.Engine.Incarnation()
 	for range copies {
-		e.After(e.delay(), func() {
+		e.After(e.delay()+e.PeerDelay, func() {
 			to := e.hosts[m.To]
 			to.Do(func(now time.Time) { to.Engine.Receive(now, from.Name, inc, m.Body) })
 		})
@@ -138,14 +145,23 @@
 // start carries a task to its minion and the outcome back.
 func (e *Emulator) start(h *Host, s engine.Start) {
 	e.Counters.Starts++
+	if e.OnSend != nil {
+		e.OnSend(h, s)
+	}
 	generation := h.generation
+	sent := h.now()
+	link := e.linkDelay(s.Minion)
 	finish := func(o job.Outcome, disproved bool) {
-		e.After(e.delay(), func() {
+		e.After(e.delay()+link, func() {
 			if h.generation != generation {
 				return // the process that asked is gone
 			}
 			e.Counters.TaskAnswers++
 			h.Do(func(now time.Time) {
+				o.SentAt, o.Trip = sent, now.Sub(sent)
+				if e.OnOutcome != nil {
+					e.OnOutcome(h, s, o, disproved)
+				}
 				if disproved {
 					h.Engine.TaskDisproved(now, s.Task, s.Minion, o.Code)
 					return
@@ -154,9 +170,8 @@
 			})
 		})
 	}
-	sent := e.now
 	attempt := h.Engine.Jobs().Get(s.Task.Job).Attempt
-	e.After(e.delay(), func() {
+	e.After(e.delay()+link, func() {
 		m := e.minions[s.Minion]
 		if m == nil || m.Dead || e.chance(e.Net.Refused) {
 			finish(job.Outcome{Code: result.Busy}, true)
@@ -169,10 +184,18 @@
 		if e.OnStart != nil {
 			e.OnStart(h, m, s, attempt)
 		}
-		m.run(e, h, s, sent, finish)
+		m.run(e, h, s, finish)
 	})
 }
 
+// linkDelay returns the extra delay of each way to the named minion.
+func (e *Emulator) linkDelay(name string) time.Duration {
+	if m := e.minions[name]; m != nil {
+		return m.LinkDelay
+	}
+	return 0
+}
+
 type event struct {
 	at  time.Time
 	seq uint64
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -96,7 +96,11 @@
 		h.waiting = append(h.waiting, f)
 		return
 	}
-	f(h.now())
+	now := h.now()
+	if on := h.emulator.OnInput; on != nil {
+		on(h, now)
+	}
+	f(now)
 	h.flush()
 }
 
--- a/internal/emulator/minion.go
+++ b/internal/emulator/minion.go
@@ -19,6 +19,9 @@
 	Failing bool    // fails every task at once
 	Dead    bool    // refuses connections; tasks in progress are lost
 	Leaving bool    // refuses tasks
+	// LinkDelay is added to each way between hosts and the minion.
+	LinkDelay time.Duration
+	Unmetered bool // does not report its own time
 
 	running map[string]*runningTask
 	hosts   []*Host
@@ -107,7 +110,7 @@
 }
 
 // run ends a begun task after its run time.
-func (m *Minion) run(e *Emulator, h *Host, s engine.Start, sent time.Time, finish func(job.Outcome, bool)) {
+func (m *Minion) run(e *Emulator, h *Host, s engine.Start, finish func(job.Outcome, bool)) {
 	identity := identityOf(h, s.Task)
 	t := m.running[identity]
 	run := m.runTime(s)
@@ -118,7 +121,7 @@
 			return
 		}
 		delete(m.running, identity)
-		finish(m.outcome(e, t, s, run, sent), false)
+		finish(m.outcome(e, t, s, run), false)
 	})
 }
 
@@ -133,8 +136,11 @@
 	return run
 }
 
-func (m *Minion) outcome(e *Emulator, t *runningTask, s engine.Start, run time.Duration, sent time.Time) job.Outcome {
-	o := job.Outcome{Code: result.OK, Run: run, Trip: e.now.Sub(sent) + e.Net.MinDelay}
+func (m *Minion) outcome(e *Emulator, t *runningTask, s engine.Start, run time.Duration) job.Outcome {
+	o := job.Outcome{Code: result.OK}
+	if !m.Unmetered {
+		o.Run, o.Own = run, run
+	}
 	switch {
 	case e.chance(e.Net.Broken):
 		o.Code = result.StartUnknown
--- /dev/null
+++ b/internal/verdict/judge.go
@@ -0,0 +1,183 @@
+package verdict
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+)
+
+// slowShare is the share of an answer's time beyond which the excess over the
+// usual decides; below it the answer took as long as usual, and the longest
+// leg is named.
+const slowShare = 0.2
+
+// Case is one answer to judge.
+type Case struct {
+	Service   string
+	Team      string
+	Now       time.Time
+	Accepted  time.Time // zero when another host owns the job
+	Breakdown *job.Breakdown
+	// PeerRoundTrip is the usual round trip to the owner, from heartbeats.
+	PeerRoundTrip time.Duration
+}
+
+// blame is one candidate for the verdict.
+type blame struct {
+	part   job.Part
+	where  string
+	excess time.Duration // beyond the usual
+	whole  time.Duration
+}
+
+// Judge sets the pause and the verdict of the answer's breakdown.
+func (m *Model) Judge(c Case) {
+	b := c.Breakdown
+	var blames []blame
+	if b.Peer != "" {
+		blames = m.fetched(c)
+	} else {
+		blames = m.owned(c)
+	}
+	b.Verdict = decide(blames, whole(b))
+}
+
+// whole returns the time of the answer on the judging host.
+func whole(b *job.Breakdown) time.Duration {
+	if b.Peer != "" {
+		return b.Receive + b.Control + b.PeerTrip
+	}
+	return b.Receive + b.Admit + b.Control + b.Total
+}
+
+func (m *Model) owned(c Case) []blame {
+	b := c.Breakdown
+	queuePause, tripPause := m.pausesOf(c)
+	blames := []blame{
+		{job.PartCaller, c.Team, b.Receive, b.Receive},
+		{job.PartControl, m.host, b.Control, b.Control},
+		{job.PartQueue, m.host, b.Queue - queuePause, b.Queue - queuePause},
+	}
+	host := b.Admit + b.Handoff + b.Collect + queuePause
+	if b.Refused > 0 {
+		blames = append(blames, m.network(b.RefusedBy, b.Refused))
+	}
+	if b.Open > 0 {
+		open := b.Open - tripPause
+		blames = append(blames, blame{job.PartUnknown, b.Minion, open, open})
+		host += tripPause
+	}
+	if b.Trip > 0 {
+		trip, stood := m.trip(c, tripPause)
+		blames = append(blames, trip...)
+		host += stood
+	}
+	b.Pause = queuePause + tripPause
+	return append(blames, blame{job.PartHost, m.host, host, host})
+}
+
+// pausesOf returns how long the host stood still while the task was queued,
+// and while it was on its way or with the minion.
+func (m *Model) pausesOf(c Case) (queue, trip time.Duration) {
+	if c.Accepted.IsZero() {
+		return 0, 0
+	}
+	b := c.Breakdown
+	end := c.Accepted.Add(b.Total)
+	started := c.Accepted.Add(b.Queue + b.Refused)
+	queue = min(b.Queue, m.pauses.overlap(c.Accepted, started))
+	if b.Open > 0 {
+		return queue, min(b.Open, m.pauses.overlap(end.Add(-b.Open), end))
+	}
+	answered := end.Add(-b.Collect)
+	return queue, m.pauses.overlap(answered.Add(-b.Trip), answered)
+}
+
+// trip splits the time from sending the task to its answer. stood is the part
+// of it that the host lost by itself.
+func (m *Model) trip(c Case, pause time.Duration) (blames []blame, stood time.Duration) {
+	b := c.Breakdown
+	own := max(b.Own, b.Run)
+	if own == 0 {
+		stood = min(pause, b.Trip)
+		rest := b.Trip - stood
+		return []blame{{job.PartUnknown, b.Minion, m.unreportedExcess(c.Service, rest), rest}}, stood
+	}
+	own = min(own, b.Trip)
+	run := m.run(c, b.Run)
+	// What the minion spent outside the run is its own affair.
+	run.excess += own - min(own, b.Run)
+	run.whole = own
+	link := m.network(b.Minion, b.Trip-own)
+	stood = min(pause, link.excess)
+	link.excess -= stood
+	link.whole -= stood
+	return []blame{run, link}, stood
+}
+
+func (m *Model) run(c Case, took time.Duration) blame {
+	minion := c.Breakdown.Minion
+	excess, straggler := m.runExcess(c.Now, c.Service, minion, took)
+	part := job.PartMinionRun
+	if straggler {
+		part = job.PartStraggler
+	}
+	return blame{part, minion, excess, took}
+}
+
+func (m *Model) network(minion string, took time.Duration) blame {
+	return blame{job.PartNetwork, m.host + " to " + minion, max(0, took-m.usualTrip(minion)), took}
+}
+
+// fetched judges an answer that came from its owner: the owner's verdict
+// covers its own time.
+func (m *Model) fetched(c Case) []blame {
+	b := c.Breakdown
+	trip := max(0, b.PeerTrip-b.PeerHeld)
+	ownerTime := time.Duration(b.Verdict.Share * float64(b.PeerHeld))
+	return []blame{
+		{job.PartCaller, c.Team, b.Receive, b.Receive},
+		{job.PartControl, b.Peer, max(0, b.Control-c.PeerRoundTrip), b.Control},
+		{job.PartNetwork, m.host + " to " + b.Peer, max(0, trip-c.PeerRoundTrip), trip},
+		{b.Verdict.Part, b.Verdict.Where, ownerTime, ownerTime},
+	}
+}
+
+func decide(blames []blame, total time.Duration) job.Verdict {
+	var sum time.Duration
+	var byExcess, byWhole blame
+	for _, x := range blames {
+		sum += x.excess
+		if x.excess > byExcess.excess {
+			byExcess = x
+		}
+		if x.whole > byWhole.whole {
+			byWhole = x
+		}
+	}
+	if float64(sum) >= slowShare*float64(total) && byExcess.part != "" {
+		return job.Verdict{Part: byExcess.part, Where: byExcess.where, Share: share(byExcess.excess, total)}
+	}
+	if byWhole.part != "" {
+		return job.Verdict{Part: byWhole.part, Where: byWhole.where, Share: share(byWhole.whole, total)}
+	}
+	return job.Verdict{Part: job.PartUnknown}
+}
+
+func share(part, total time.Duration) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return min(1, float64(part)/float64(total))
+}
+
+// Answer judges the final answer of a job. j is nil when another host owns the
+// job; peerRoundTrip is the usual round trip to that host.
+func (m *Model) Answer(now time.Time, j *job.Job, a *job.Answer, peerRoundTrip time.Duration) {
+	c := Case{Now: now, Team: a.ID.Team, Breakdown: &a.Breakdown, PeerRoundTrip: peerRoundTrip}
+	if j != nil {
+		c.Service = j.Service
+		c.Accepted = j.Accepted
+	}
+	m.Judge(c)
+}
--- /dev/null
+++ b/internal/verdict/judge_test.go
@@ -0,0 +1,91 @@
+package verdict
+
+import (
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/shoenig/test/must"
+)
+
+const ms = time.Millisecond
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// learned returns a model that has seen runs of 100 ms and trips of 101 ms on
+// four minions.
+func learned() *Model {
+	m := NewModel("h")
+	for i := range 100 {
+		name := []string{"m0", "m1", "m2", "m3"}[i%4]
+		at := begin.Add(time.Duration(i) * 20 * ms)
+		m.Observe("s", name, job.TaskID{Index: i}, job.Outcome{Run: 100 * ms, Own: 100 * ms, Trip: 101 * ms, SentAt: at})
+	}
+	return m
+}
+
+func judge(m *Model, b job.Breakdown) job.Verdict {
+	now := begin.Add(time.Minute)
+	m.Judge(Case{Service: "s", Team: "t", Now: now, Accepted: now.Add(-b.Total), Breakdown: &b})
+	return b.Verdict
+}
+
+func TestVerdictByLeg(t *testing.T) {
+	usual := job.Breakdown{Total: 102 * ms, Trip: 101 * ms, Run: 100 * ms, Own: 100 * ms, Minion: "m0"}
+	cases := []struct {
+		name   string
+		change func(b *job.Breakdown)
+		part   job.Part
+		where  string
+	}{
+		{"usual", func(*job.Breakdown) {}, job.PartMinionRun, "m0"},
+		{"slow link", func(b *job.Breakdown) { b.Trip += 80 * ms; b.Total += 80 * ms }, job.PartNetwork, "h to m0"},
+		{"refused start", func(b *job.Breakdown) { b.Refused = 500 * ms; b.RefusedBy = "m3"; b.Total += 500 * ms }, job.PartNetwork, "h to m3"},
+		{"queue", func(b *job.Breakdown) { b.Queue = 80 * ms; b.Total += 80 * ms }, job.PartQueue, "h"},
+		{"minion outside its run", func(b *job.Breakdown) { b.Own += 80 * ms; b.Trip += 80 * ms; b.Total += 80 * ms }, job.PartMinionRun, "m0"},
+		{"straggler", func(b *job.Breakdown) { b.Run += 400 * ms; b.Own += 400 * ms; b.Trip += 400 * ms; b.Total += 400 * ms }, job.PartStraggler, "m0"},
+		{"search", func(b *job.Breakdown) { b.Control = 300 * ms }, job.PartControl, "h"},
+		{"slow caller", func(b *job.Breakdown) { b.Receive = 300 * ms }, job.PartCaller, "t"},
+		{"ring", func(b *job.Breakdown) { b.Handoff = 80 * ms; b.Total += 80 * ms }, job.PartHost, "h"},
+		{"no report", func(b *job.Breakdown) { b.Run, b.Own = 0, 0; b.Trip += 300 * ms; b.Total += 300 * ms }, job.PartUnknown, "m0"},
+		{"not answered", func(b *job.Breakdown) { b.Run, b.Own, b.Trip = 0, 0, 0; b.Open = 400 * ms; b.Total = 400 * ms }, job.PartUnknown, "m0"},
+		{"owner's link", func(b *job.Breakdown) { b.Peer = "p"; b.PeerTrip = 300 * ms; b.PeerHeld = 100 * ms }, job.PartNetwork, "h to p"},
+		{"owner's queue", func(b *job.Breakdown) {
+			b.Peer, b.PeerTrip, b.PeerHeld = "p", 300*ms, 299*ms
+			b.Verdict = job.Verdict{Part: job.PartQueue, Where: "p", Share: 0.8}
+		}, job.PartQueue, "p"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := usual
+			c.change(&b)
+			v := judge(learned(), b)
+			must.Eq(t, c.part, v.Part)
+			must.Eq(t, c.where, v.Where)
+			must.Positive(t, v.Share)
+		})
+	}
+}
+
+// A pause of the host during a trip is the host's, not the network's.
+func TestPauseIsTheHosts(t *testing.T) {
+	m := learned()
+	end := begin.Add(time.Minute)
+	for at := end.Add(-time.Second); at.Before(end); at = at.Add(10 * ms) {
+		if at.Before(end.Add(-400*ms)) || at.After(end.Add(-50*ms)) {
+			m.Beat(at)
+		}
+	}
+	v := judge(m, job.Breakdown{Total: 502 * ms, Trip: 501 * ms, Run: 100 * ms, Own: 100 * ms, Minion: "m0"})
+	must.Eq(t, job.PartHost, v.Part)
+}
+
+// A link that has been slow for long is still the network's.
+func TestChronicallySlowLink(t *testing.T) {
+	m := learned()
+	for i := range 2 * linkWindow {
+		m.Observe("s", "far", job.TaskID{Index: i}, job.Outcome{Run: 100 * ms, Own: 100 * ms, Trip: 190 * ms, SentAt: begin})
+	}
+	v := judge(m, job.Breakdown{Total: 190 * ms, Trip: 190 * ms, Run: 100 * ms, Own: 100 * ms, Minion: "far"})
+	must.Eq(t, job.PartNetwork, v.Part)
+}
--- /dev/null
+++ b/internal/verdict/trial/trial_test.go
@@ -0,0 +1,30 @@
+package trial
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	fixedSeeds   = 2
+	seedEpisodes = 16
+	wantRight    = 0.99 // of all slow answers
+	wantEach     = 0.97 // of the slow answers of each fault
+)
+
+// The verdict names the part and the place of the injected delay in at least
+// 99% of the slow answers, and each fault makes some answers slow.
+func TestVerdictNamesInjectedDelay(t *testing.T) {
+	var m Matrix
+	for seed := range uint64(fixedSeeds) {
+		Run(seed, seedEpisodes, &m)
+	}
+	for _, f := range Faults() {
+		t.Logf("%-16s slow %5d right %5d %v", f, m.Slow[f], m.Right[f], m.Counts[f])
+		must.Positive(t, m.Slow[f], must.Sprintf("fault %s made no answer slow", f))
+		must.GreaterEq(t, wantEach, float64(m.Right[f])/float64(m.Slow[f]))
+	}
+	slow, right := m.Total()
+	must.GreaterEq(t, wantRight, float64(right)/float64(slow))
+}
