daemon: legs and verdict in answers, and laburnumctl explain

Cause: the breakdown and the verdict existed only in the pure decisions. The daemon now measures the first byte and the last of a request, the sending and the answer of each task, and the writing of an answer; a minion may report its whole time as Server-Timing total beside run.

Ruled out: mutating the shared answer after delivery with the time of writing (a data race with other waiters); slow writes are remembered apart, bounded. Conclusion: not measured yet.

--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "help")
 	subcommands.Register(subcommands.CommandsCommand(), "help")
 	subcommands.Register(&statusCommand{client: c}, "inspect")
+	subcommands.Register(&explainCommand{client: c}, "inspect")
 	subcommands.Register(&submitCommand{client: c}, "jobs")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/cmd/lwbench/minion.go
+++ b/cmd/lwbench/minion.go
@@ -21,6 +21,7 @@
 	listen       string
 	hosts        string
 	services     string
+	delays       standin.Delays
 }
 
 func (*minionCommand) Name() string     { return "minion" }
@@ -40,6 +41,10 @@
 	f.IntVar(&a.Slots, "slots", 8, "tasks at a time")
 	f.IntVar(&a.Connections, "connections", 64, "connections at a time")
 	f.StringVar(&m.listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.DurationVar(&m.delays.Before, "delay-before", 0, "delay between a request's arrival and its run")
+	f.DurationVar(&m.delays.Run, "delay-run", 0, "delay in each run")
+	f.DurationVar(&m.delays.After, "delay-after", 0, "delay between a run and its answer")
+	f.BoolVar(&m.delays.Unreported, "unreported", false, "do not report run times")
 	f.StringVar(&m.hosts, "hosts", "", "minion listeners of the entry hosts, separated by commas")
 }
 
@@ -51,7 +56,9 @@
 		fmt.Fprintln(os.Stderr, "lwbench:", err)
 		return subcommands.ExitFailure
 	}
-	if err := standin.New(m.announcement, l, strings.Split(m.hosts, ",")).Run(ctx); err != nil {
+	standIn := standin.New(m.announcement, l, strings.Split(m.hosts, ","))
+	standIn.Delays = m.delays
+	if err := standIn.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "lwbench:", err)
 		return subcommands.ExitFailure
 	}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -31,6 +31,11 @@
 	Announce(ctx context.Context, a minion.Announcement) (lease time.Duration, err *result.Error)
 	Renew(ctx context.Context, name string, generation uint64) (lease time.Duration, err *result.Error)
 	Leave(ctx context.Context, name string, generation uint64) *result.Error
+	// Explain returns the answer of a job that ended here, with the time of
+	// writing it to its caller.
+	Explain(ctx context.Context, id job.ID) (*job.Answer, *result.Error)
+	// Written tells how long encoding and writing a job's answer took.
+	Written(id job.ID, encode, write time.Duration)
 	Status(ctx context.Context) (StatusResponse, *result.Error)
 	Jobs(ctx context.Context, limit int) ([]JobInfo, *result.Error)
 	Ready() bool
@@ -76,9 +81,10 @@
 		server.WithReadTimeout(readTimeout),
 		server.WithExitWaitTime(time.Second),
 		server.WithDisablePrintRoute(true),
+		server.WithTracer(&stopwatch{a}),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
-	h.Use(a.recover)
+	h.Use(a.receive, a.recover)
 	h.NoRoute(a.noRoute)
 	h.NoMethod(a.noRoute)
 	return h
@@ -111,6 +117,7 @@
 	h.GET("/v1/jobs", a.jobs)
 	h.GET("/v1/jobs/:team/:key", a.fetch)
 	h.DELETE("/v1/jobs/:team/:key", a.cancel)
+	h.GET("/v1/explain/:team/:key", a.explain)
 	a.control(h)
 	h.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 	a.health(h)
@@ -158,14 +165,23 @@
 	a.reply(c, e.Code.HTTPStatus(), errorResponse(e))
 }
 
-func (a *API) respond(c *app.RequestContext, answer *job.Answer, err *result.Error) {
+func (a *API) respond(ctx context.Context, c *app.RequestContext, answer *job.Answer, err *result.Error) {
 	switch {
 	case err != nil:
 		a.fail(c, err)
 	case answer == nil:
 		a.fail(c, &result.Error{Code: result.JobPending})
 	default:
-		a.reply(c, answer.Code.HTTPStatus(), jobResponse(answer))
+		a.respondJob(ctx, c, answer)
+	}
+}
+
+func (a *API) respondJob(ctx context.Context, c *app.RequestContext, answer *job.Answer) {
+	begin := time.Now()
+	a.reply(c, answer.Code.HTTPStatus(), jobResponse(answer))
+	if at := arrivalOf(ctx); at != nil {
+		at.job = answer.ID
+		at.encode = time.Since(begin)
 	}
 }
 
@@ -177,8 +193,12 @@
 		a.fail(c, err)
 		return
 	}
+	if at := arrivalOf(ctx); at != nil {
+		s.Receive = at.received.Sub(at.firstByte)
+		s.ReceivedAt = at.received
+	}
 	answer, err := a.core.Submit(ctx, s, waitWanted(c))
-	a.respond(c, answer, err)
+	a.respond(ctx, c, answer, err)
 }
 
 func pathID(c *app.RequestContext) job.ID {
@@ -187,12 +207,23 @@
 
 func (a *API) fetch(ctx context.Context, c *app.RequestContext) {
 	answer, err := a.core.Fetch(ctx, pathID(c), waitWanted(c))
-	a.respond(c, answer, err)
+	a.respond(ctx, c, answer, err)
 }
 
 func (a *API) cancel(ctx context.Context, c *app.RequestContext) {
 	answer, err := a.core.Cancel(ctx, pathID(c), waitWanted(c))
-	a.respond(c, answer, err)
+	a.respond(ctx, c, answer, err)
+}
+
+func (a *API) explain(ctx context.Context, c *app.RequestContext) {
+	answer, err := a.core.Explain(ctx, pathID(c))
+	if err != nil {
+		a.fail(c, err)
+		return
+	}
+	r := jobResponse(answer)
+	r.Results = nil
+	a.reply(c, 200, r)
 }
 
 func (a *API) lease(c *app.RequestContext, lease time.Duration, err *result.Error) {
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"math"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
@@ -47,30 +48,58 @@
 	Timing  *TimingResponse `json:"timing,omitempty"`
 }
 
-// TimingResponse is the breakdown of an answer's time, in microseconds.
+// TimingResponse is the breakdown of an answer's time, in microseconds, for
+// the task that ended last. docs/design/slowness.md describes the legs.
 type TimingResponse struct {
-	TotalUS int64  `json:"total_us"`
+	TotalUS int64  `json:"total_us"` // from acceptance to the answer
 	QueueUS int64  `json:"queue_us"`
 	TripUS  int64  `json:"trip_us"`
-	RunUS   int64  `json:"run_us"`
+	RunUS   int64  `json:"run_us"` // 0: the minion did not report it
 	Minion  string `json:"minion,omitempty"`
 	Task    int    `json:"task"`
 	Retries int    `json:"retries"`
+
+	ReceiveUS  int64       `json:"receive_us,omitempty"`
+	AdmitUS    int64       `json:"admit_us,omitempty"`
+	ControlUS  int64       `json:"control_us,omitempty"`
+	RefusedUS  int64       `json:"refused_us,omitempty"`
+	RefusedBy  string      `json:"refused_by,omitempty"`
+	HandoffUS  int64       `json:"handoff_us,omitempty"`
+	OwnUS      int64       `json:"own_us,omitempty"`
+	OpenUS     int64       `json:"open_us,omitempty"`
+	CollectUS  int64       `json:"collect_us,omitempty"`
+	PauseUS    int64       `json:"pause_us,omitempty"`
+	Peer       string      `json:"peer,omitempty"`
+	PeerTripUS int64       `json:"peer_trip_us,omitempty"`
+	PeerHeldUS int64       `json:"peer_held_us,omitempty"`
+	EncodeUS   int64       `json:"encode_us,omitempty"`
+	WriteUS    int64       `json:"write_us,omitempty"`
+	Verdict    job.Verdict `json:"verdict"`
+}
+
+func timingResponse(b *job.Breakdown) *TimingResponse {
+	v := b.Verdict
+	v.Share = math.Round(v.Share*shareDigits) / shareDigits
+	return &TimingResponse{
+		TotalUS: b.Total.Microseconds(), QueueUS: b.Queue.Microseconds(), TripUS: b.Trip.Microseconds(),
+		RunUS: b.Run.Microseconds(), Minion: b.Minion, Task: b.Task, Retries: b.Retries,
+
+		ReceiveUS: b.Receive.Microseconds(), AdmitUS: b.Admit.Microseconds(), ControlUS: b.Control.Microseconds(),
+		RefusedUS: b.Refused.Microseconds(), RefusedBy: b.RefusedBy, HandoffUS: b.Handoff.Microseconds(),
+		OwnUS: b.Own.Microseconds(), OpenUS: b.Open.Microseconds(), CollectUS: b.Collect.Microseconds(),
+		PauseUS: b.Pause.Microseconds(), Peer: b.Peer, PeerTripUS: b.PeerTrip.Microseconds(),
+		PeerHeldUS: b.PeerHeld.Microseconds(), EncodeUS: b.Encode.Microseconds(), WriteUS: b.Write.Microseconds(),
+		Verdict: v,
+	}
 }
 
+// shareDigits keeps three decimals of a share.
+const shareDigits = 1000
+
 func jobResponse(a *job.Answer) JobResponse {
 	r := errorResponse(&result.Error{Code: a.Code, Detail: a.Detail})
 	r.Team, r.Key = a.ID.Team, a.ID.Key
-	b := a.Breakdown
-	r.Timing = &TimingResponse{
-		TotalUS: b.Total.Microseconds(),
-		QueueUS: b.Queue.Microseconds(),
-		TripUS:  b.Trip.Microseconds(),
-		RunUS:   b.Run.Microseconds(),
-		Minion:  b.Minion,
-		Task:    b.Task,
-		Retries: b.Retries,
-	}
+	r.Timing = timingResponse(&a.Breakdown)
 	if a.Code == result.OK {
 		r.Results = make([]string, len(a.Results))
 		for i, b := range a.Results {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -31,6 +31,7 @@
 	// answerGrace is how long after the deadline an answer is still read, so
 	// that the slot is known to be free.
 	answerGrace = 2 * time.Second
+	maxTimingMS = 1e9 // longest run that is believed
 )
 
 // Request is one task start.
@@ -115,9 +116,9 @@
 	err := c.http.Do(ctx, req, resp)
 	trip := time.Since(sent)
 	if err != nil {
-		return failure(err, trip)
+		return failure(err, sent, trip)
 	}
-	return c.reply(resp, identity, trip)
+	return c.reply(resp, identity, sent, trip)
 }
 
 func (c *Client) fill(req *protocol.Request, r Request, identity string, left time.Duration) {
@@ -142,16 +143,17 @@
 
 // failure classifies a transport error. Only a failed dial, or no free
 // connection, proves that nothing was sent.
-func failure(err error, trip time.Duration) Reply {
+func failure(err error, sent time.Time, trip time.Duration) Reply {
 	var d *dialError
 	if errors.As(err, &d) || errors.Is(err, hertzerrors.ErrNoFreeConns) {
 		return disproved(err.Error())
 	}
-	return Reply{Outcome: job.Outcome{Code: result.StartUnknown, Detail: err.Error(), Trip: trip}}
+	return Reply{Outcome: job.Outcome{Code: result.StartUnknown, Detail: err.Error(), SentAt: sent, Trip: trip}}
 }
 
-func (c *Client) reply(resp *protocol.Response, identity string, trip time.Duration) Reply {
-	o := job.Outcome{Trip: trip, Run: runTime(string(resp.Header.Peek(HeaderTiming)))}
+func (c *Client) reply(resp *protocol.Response, identity string, sent time.Time, trip time.Duration) Reply {
+	o := job.Outcome{SentAt: sent, Trip: trip}
+	o.Run, o.Own = serverTiming(string(resp.Header.Peek(HeaderTiming)))
 	if got := string(resp.Header.Peek(HeaderTask)); got != identity {
 		o.Code = result.AnswerMismatch
 		o.Detail = fmt.Sprintf("sent %q, answered %.128q", identity, got)
@@ -179,24 +181,33 @@
 	return Reply{Outcome: o}
 }
 
-// runTime reads the duration of the "run" metric of a Server-Timing header.
-func runTime(header string) time.Duration {
+// serverTiming reads the metrics "run" and "total" of a Server-Timing header.
+// A metric that is given is at least 1 ns, one that is not is zero. Without
+// "total" own is the run.
+func serverTiming(header string) (run, own time.Duration) {
 	for metric := range strings.SplitSeq(header, ",") {
 		name, params, _ := strings.Cut(strings.TrimSpace(metric), ";")
-		if name != "run" {
+		switch name {
+		case timingRun:
+			run = timingDuration(params)
+		case timingTotal:
+			own = timingDuration(params)
+		}
+	}
+	return run, max(run, own)
+}
+
+func timingDuration(params string) time.Duration {
+	for p := range strings.SplitSeq(params, ";") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(p), "dur=")
+		if !ok {
 			continue
 		}
-		for p := range strings.SplitSeq(params, ";") {
-			value, ok := strings.CutPrefix(strings.TrimSpace(p), "dur=")
-			if !ok {
-				continue
-			}
-			ms, err := strconv.ParseFloat(value, 64)
-			if err != nil || ms < 0 {
-				return 0
-			}
-			return time.Duration(ms * float64(time.Millisecond))
+		ms, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(ms >= 0 && ms <= maxTimingMS) {
+			return 0
 		}
+		return max(1, time.Duration(ms*float64(time.Millisecond)))
 	}
 	return 0
 }
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -24,10 +24,16 @@
 	HeaderNoRepeat   = "Lw-No-Repeat"   // "1" when the caller marked the task as not idempotent
 	HeaderTraceID    = "Traceparent"    // W3C trace context, when sampled
 	HeaderOutcome    = "Lw-Outcome"     // in the answer: one of the Outcome values
-	HeaderTiming     = "Server-Timing"  // in the answer: run;dur=<milliseconds>
+	HeaderTiming     = "Server-Timing"  // in the answer: run;dur=<milliseconds>, total;dur=<milliseconds>
 	outcomeBodyBytes = 512              // bytes of a failure text that are kept
 )
 
+// Metrics of HeaderTiming.
+const (
+	timingRun   = "run"   // the task's run
+	timingTotal = "total" // from the request's arrival to the answer
+)
+
 // Values of HeaderOutcome.
 const (
 	OutcomeDone       = "done"
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
 	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
+	"github.com/laburnumwalk/laburnumwalk/internal/verdict"
 )
 
 // maxBatch is how many inputs are handled before their consequences are sent.
@@ -40,8 +41,10 @@
 	outcomes *ring.Ring[input] // of started tasks; sized so that it is never full
 	messages *ring.Ring[input] // from peers
 	waiters  map[job.ID][]waiter
+	writes   writes
 	sender   starter
 	mesh     messenger
+	model    *verdict.Model
 	metrics  *telemetry.Metrics
 	log      *slog.Logger
 	tick     time.Duration
@@ -63,7 +66,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.engine.Tick(time.Now())
+			c.tickNow(time.Now())
 		case in := <-c.outcomes.C():
 			c.batch(in, c.outcomes)
 		case in := <-c.requests.C():
@@ -75,13 +78,24 @@
 	}
 }
 
+func (c *core) tickNow(now time.Time) {
+	c.model.Beat(now)
+	c.engine.Tick(now)
+}
+
+func (c *core) apply(in input) {
+	now := time.Now()
+	c.model.Beat(now)
+	in.apply(c, now)
+}
+
 // batch applies first and what else the ring holds, up to maxBatch inputs.
 func (c *core) batch(first input, from *ring.Ring[input]) {
-	first.apply(c, time.Now())
+	c.apply(first)
 	for range maxBatch - 1 {
 		select {
 		case in := <-from.C():
-			in.apply(c, time.Now())
+			c.apply(in)
 		default:
 			return
 		}
@@ -103,6 +117,7 @@
 			c.deliverPending(id)
 		}
 		for _, m := range r.Messages {
+			c.addVerdict(m.Body)
 			if c.mesh.Send(m.To, m.Body) {
 				c.metrics.PeerSent.Add(1)
 			}
@@ -121,16 +136,19 @@
 	for i := range starts {
 		s := &starts[i]
 		c.metrics.TaskStarts.Add(1)
+		c.model.Started(time.Now(), s.Service, s.Minion, s.Task)
 		if c.sender.Start(*s) {
 			continue
 		}
 		refused = true
+		c.model.Disproved(s.Service, s.Task)
 		c.engine.TaskDisproved(time.Now(), s.Task, s.Minion, result.Busy)
 	}
 	return refused
 }
 
 func (c *core) deliver(a *job.Answer) {
+	c.judge(a)
 	c.metrics.Answered.Add(a.Code.String(), 1)
 	for _, w := range c.waiters[a.ID] {
 		w.out <- a // each has room for its one answer
@@ -138,6 +156,31 @@
 	delete(c.waiters, a.ID)
 }
 
+// judge sets the verdict of a final answer, once.
+func (c *core) judge(a *job.Answer) {
+	if a.Breakdown.Verdict.Part != "" {
+		return
+	}
+	var trip time.Duration
+	if p := c.engine.Members().Get(a.Breakdown.Peer); p != nil {
+		trip = p.RoundTrip
+	}
+	c.model.Answer(time.Now(), c.engine.Jobs().Get(a.ID), a, trip)
+}
+
+// addVerdict completes an answer to another host, which the engine wrote
+// before it was judged.
+func (c *core) addVerdict(b peer.Body) {
+	m, ok := b.(*peer.JobAnswer)
+	if !ok {
+		return
+	}
+	j := c.engine.Jobs().Get(job.ID{Team: m.Team, Key: m.Key})
+	if j != nil && j.Ended() {
+		m.Breakdown.Verdict = j.Answer().Breakdown.Verdict
+	}
+}
+
 // deliverPending answers the requesters who do not want to wait for the end
 // of a job in progress on another host.
 func (c *core) deliverPending(id job.ID) {
@@ -185,6 +228,9 @@
 // respond replies at once, or registers the requester as a waiter. One who
 // does not want to wait still waits for the search of the key's owner.
 func (c *core) respond(id job.ID, answer *job.Answer, err *result.Error, wait bool, out chan submitted) {
+	if answer != nil {
+		c.judge(answer)
+	}
 	r := submitted{answer: answer, err: err}
 	if answer == nil && err == nil && (wait || c.engine.Searching(id)) {
 		r.wait = make(chan *job.Answer, 1)
@@ -209,6 +255,7 @@
 // outcome is the end of a start.
 type outcome struct {
 	task      job.TaskID
+	service   string
 	minion    string
 	disproved bool
 	outcome   job.Outcome
@@ -217,12 +264,14 @@
 func (o *outcome) apply(c *core, now time.Time) {
 	if o.disproved {
 		c.metrics.TaskDisproved.Add(1)
+		c.model.Disproved(o.service, o.task)
 		c.engine.TaskDisproved(now, o.task, o.minion, o.outcome.Code)
 		return
 	}
 	if o.outcome.Code.Class() == result.MayHaveRun {
 		c.metrics.TaskUnknown.Add(1)
 	}
+	c.model.Observe(o.service, o.minion, o.task, o.outcome)
 	c.engine.TaskFinished(now, o.task, o.minion, o.outcome)
 }
 
--- a/internal/daemon/core_test.go
+++ b/internal/daemon/core_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
+	"github.com/laburnumwalk/laburnumwalk/internal/verdict"
 	"github.com/shoenig/test/must"
 )
 
@@ -24,7 +25,7 @@
 // ahead of it; otherwise a fresh submission looks as if it came from the future.
 func TestBatchTimeIsNeverStale(t *testing.T) {
 	var given, ended []time.Time
-	c := &core{}
+	c := &core{model: verdict.NewModel("h")}
 	r := ring.New[input](2)
 	must.True(t, r.TryPush(probe{&given, &ended}))
 	c.batch(probe{&given, &ended}, r)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
 	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
+	"github.com/laburnumwalk/laburnumwalk/internal/verdict"
 	"github.com/pkg/errors"
 )
 
@@ -117,7 +118,9 @@
 		outcomes: outcomes,
 		messages: ring.New[input](d.settings.Limits.RingSize),
 		waiters:  make(map[job.ID][]waiter),
+		writes:   newWrites(),
 		sender:   d.sender,
+		model:    verdict.NewModel(cfg.Host.Name),
 		metrics:  d.metrics,
 		log:      d.log,
 		tick:     settings.Millis(d.settings.Timing.TickMS),
--- a/internal/daemon/sender.go
+++ b/internal/daemon/sender.go
@@ -54,7 +54,7 @@
 		Address:  st.Address,
 		Deadline: st.Deadline,
 	})
-	s.outcomes.Push(&outcome{task: st.Task, minion: st.Minion, disproved: r.Disproved, outcome: r.Outcome}, nil)
+	s.outcomes.Push(&outcome{task: st.Task, service: st.Service, minion: st.Minion, disproved: r.Disproved, outcome: r.Outcome}, nil)
 }
 
 func (s *sender) cancel(c engine.Cancel) {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -115,6 +115,8 @@
 	Peer      string        // owner of the job, when it is another host
 	PeerTrip  time.Duration // from asking the owner to its answer
 	PeerHeld  time.Duration // of PeerTrip, the owner's own time
+	Encode    time.Duration // of the answer
+	Write     time.Duration // until the caller's connection had taken the answer
 	Verdict   Verdict
 }
 
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -85,6 +85,8 @@
 	Peer      string        `msgpack:"w"`
 	PeerTrip  time.Duration `msgpack:"wt"`
 	PeerHeld  time.Duration `msgpack:"wh"`
+	Encode    time.Duration `msgpack:"e"`
+	Write     time.Duration `msgpack:"we"`
 	Verdict   job.Verdict   `msgpack:"v"`
 }
 
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -29,8 +29,18 @@
 	idleTimeout    = 60 * time.Second
 )
 
+// Delays are added to every task.
+type Delays struct {
+	Before     time.Duration // between the request's arrival and the run
+	Run        time.Duration // in the run
+	After      time.Duration // between the run and the answer
+	Unreported bool          // leave out Server-Timing
+}
+
 // Minion is a running stand-in.
 type Minion struct {
+	// Delays is set before Run.
+	Delays       Delays
 	announcement minion.Announcement
 	hosts        []string // minion listeners of the entry hosts
 	http         http.Client
@@ -168,6 +178,7 @@
 }
 
 func (m *Minion) task(_ context.Context, c *app.RequestContext) {
+	arrived := time.Now()
 	identity := string(c.GetHeader(backend.HeaderTask))
 	c.Response.Header.Set(backend.HeaderTask, identity)
 	cancelled, ok := m.begin(identity)
@@ -177,10 +188,15 @@
 		return
 	}
 	defer m.end(identity)
+	pause(m.Delays.Before)
 	begin := time.Now()
+	pause(m.Delays.Run)
 	body, done := work(string(c.Request.Body()), cancelled)
-	ms := float64(time.Since(begin)) / float64(time.Millisecond)
-	c.Response.Header.Set(backend.HeaderTiming, "run;dur="+strconv.FormatFloat(ms, 'f', 3, 64))
+	run := time.Since(begin)
+	pause(m.Delays.After)
+	if !m.Delays.Unreported {
+		c.Response.Header.Set(backend.HeaderTiming, timing(run, time.Since(arrived)))
+	}
 	outcome := backend.OutcomeDone
 	if !done {
 		outcome = backend.OutcomeFailed
@@ -189,6 +205,25 @@
 	c.String(http.StatusOK, body)
 }
 
+func pause(d time.Duration) {
+	if d > 0 {
+		time.Sleep(d)
+	}
+}
+
+// timing returns a Server-Timing header.
+func timing(run, total time.Duration) string {
+	b := append(make([]byte, 0, 48), "run;dur="...)
+	b = appendMillis(b, run)
+	b = append(b, ", total;dur="...)
+	return string(appendMillis(b, total))
+}
+
+func appendMillis(b []byte, d time.Duration) []byte {
+	const digits = 3
+	return strconv.AppendFloat(b, float64(d)/float64(time.Millisecond), 'f', digits, 64)
+}
+
 // work carries out a payload: "sleep <duration>" waits, "fail" fails, anything
 // else is returned with a prefix.
 func work(payload string, cancelled <-chan struct{}) (string, bool) {
--- a/internal/verdict/judge.go
+++ b/internal/verdict/judge.go
@@ -45,20 +45,20 @@
 // whole returns the time of the answer on the judging host.
 func whole(b *job.Breakdown) time.Duration {
 	if b.Peer != "" {
-		return b.Receive + b.Control + b.PeerTrip
+		return b.Receive + b.Control + b.PeerTrip + b.Encode + b.Write
 	}
-	return b.Receive + b.Admit + b.Control + b.Total
+	return b.Receive + b.Admit + b.Control + b.Total + b.Encode + b.Write
 }
 
 func (m *Model) owned(c Case) []blame {
 	b := c.Breakdown
 	queuePause, tripPause := m.pausesOf(c)
 	blames := []blame{
-		{job.PartCaller, c.Team, b.Receive, b.Receive},
+		{job.PartCaller, c.Team, b.Receive + b.Write, b.Receive + b.Write},
 		{job.PartControl, m.host, b.Control, b.Control},
 		{job.PartQueue, m.host, b.Queue - queuePause, b.Queue - queuePause},
 	}
-	host := b.Admit + b.Handoff + b.Collect + queuePause
+	host := b.Admit + b.Handoff + b.Collect + b.Encode + queuePause
 	if b.Refused > 0 {
 		blames = append(blames, m.network(b.RefusedBy, b.Refused))
 	}
@@ -136,7 +136,7 @@
 	trip := max(0, b.PeerTrip-b.PeerHeld)
 	ownerTime := time.Duration(b.Verdict.Share * float64(b.PeerHeld))
 	return []blame{
-		{job.PartCaller, c.Team, b.Receive, b.Receive},
+		{job.PartCaller, c.Team, b.Receive + b.Write, b.Receive + b.Write},
 		{job.PartControl, b.Peer, max(0, b.Control-c.PeerRoundTrip), b.Control},
 		{job.PartNetwork, m.host + " to " + b.Peer, max(0, trip-c.PeerRoundTrip), trip},
 		{b.Verdict.Part, b.Verdict.Where, ownerTime, ownerTime},
