--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -32,6 +32,7 @@
 // messenger sends messages to peers.
 type messenger interface {
 	Send(to string, b peer.Body) bool
+	SetPeers(peers []membership.Host)
 }
 
 // core is the decision duty: the only goroutine that touches the engine.
@@ -49,6 +50,7 @@
 	log      *slog.Logger
 	tick     time.Duration
 	done     chan struct{}
+	inForce  *inForce
 }
 
 // input is one event for the decision duty.
@@ -105,6 +107,7 @@
 // flush carries out what the engine decided. A start that finds no room in
 // the sender is disproved, which may lead to further decisions.
 func (c *core) flush(ctx context.Context) {
+	c.inForce.update(time.Now(), c.engine)
 	for {
 		r := c.engine.Ready()
 		for _, e := range r.Events {
@@ -116,8 +119,10 @@
 		for _, id := range r.Pending {
 			c.deliverPending(id)
 		}
+		if r.Hosts != nil {
+			c.mesh.SetPeers(r.Hosts)
+		}
 		for _, m := range r.Messages {
-			c.addVerdict(m.Body)
 			if c.mesh.Send(m.To, m.Body) {
 				c.metrics.PeerSent.Add(1)
 			}
@@ -148,7 +153,6 @@
 }
 
 func (c *core) deliver(a *job.Answer) {
-	c.judge(a)
 	c.metrics.Answered.Add(a.Code.String(), 1)
 	for _, w := range c.waiters[a.ID] {
 		w.out <- a // each has room for its one answer
@@ -156,31 +160,6 @@
 	delete(c.waiters, a.ID)
 }
 
-// judge sets the verdict of a final answer, once.
-func (c *core) judge(a *job.Answer) {
-	if a.Breakdown.Verdict.Part != "" {
-		return
-	}
-	var trip time.Duration
-	if p := c.engine.Members().Get(a.Breakdown.Peer); p != nil {
-		trip = p.RoundTrip
-	}
-	c.model.Answer(time.Now(), c.engine.Jobs().Get(a.ID), a, trip)
-}
-
-// addVerdict completes an answer to another host, which the engine wrote
-// before it was judged.
-func (c *core) addVerdict(b peer.Body) {
-	m, ok := b.(*peer.JobAnswer)
-	if !ok {
-		return
-	}
-	j := c.engine.Jobs().Get(job.ID{Team: m.Team, Key: m.Key})
-	if j != nil && j.Ended() {
-		m.Breakdown.Verdict = j.Answer().Breakdown.Verdict
-	}
-}
-
 // deliverPending answers the requesters who do not want to wait for the end
 // of a job in progress on another host.
 func (c *core) deliverPending(id job.ID) {
@@ -228,9 +207,6 @@
 // respond replies at once, or registers the requester as a waiter. One who
 // does not want to wait still waits for the search of the key's owner.
 func (c *core) respond(id job.ID, answer *job.Answer, err *result.Error, wait bool, out chan submitted) {
-	if answer != nil {
-		c.judge(answer)
-	}
 	r := submitted{answer: answer, err: err}
 	if answer == nil && err == nil && (wait || c.engine.Searching(id)) {
 		r.wait = make(chan *job.Answer, 1)
@@ -285,6 +261,11 @@
 func (m *message) apply(c *core, now time.Time) {
 	c.metrics.PeerReceived.Add(1)
 	c.engine.Receive(now, m.from, m.inc, m.body)
+	if _, ok := m.body.(*peer.Heartbeat); ok {
+		if p := c.engine.Members().Get(m.from); p != nil {
+			c.model.ObservePeer(m.from, p.LastTrip)
+		}
+	}
 }
 
 // call runs a function in the decision duty, for the rare requests of minions
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -56,6 +56,8 @@
 	if c, changed := e.members.Heard(now, from, inc); changed {
 		e.log(event.PeerUp, slog.String("host", from), slog.Bool("restarted", c.Restart))
 		e.relayAll(now, c.Peer)
+		e.failForwards(now, c.Peer)
+		e.peerCameUp(now, from)
 	}
 	switch m := b.(type) {
 	case *peer.Heartbeat:
@@ -73,15 +75,20 @@
 	case *peer.Attach:
 		e.receiveAttach(now, from, m)
 	case *peer.JobAnswer:
-		e.receiveJobAnswer(now, from, m)
+		if !e.settleForward(now, from, m) {
+			e.receiveJobAnswer(now, from, m)
+		}
+	case *peer.Forward:
+		e.receiveForward(now, from, m)
 	}
 }
 
 func (e *Engine) receiveHeartbeat(now time.Time, from string, h *peer.Heartbeat) {
 	e.members.Measured(now, from, h.SentAt, now.Sub(e.cfg.StartedAt), membership.Echo{SentAt: h.EchoAt, Held: h.Held})
 	if p := e.members.Get(from); p != nil {
-		p.ConfigSeen = h.Config
+		p.ReportedConfig(now, h.Config)
 	}
+	e.recordPath(now, from, h)
 	var unknown []string
 	for _, l := range h.Leases {
 		if !e.minions.Renew(now, l.Name, l.Generation, l.Remaining, false) {
--- a/internal/verdict/model.go
+++ b/internal/verdict/model.go
@@ -42,14 +42,15 @@
 // Model holds what is usual on one host.
 type Model struct {
 	host     string
-	links    map[string]*link
+	links    map[string]*link // to minions
+	peers    map[string]*link
 	services map[string]*service
 	pauses   pauses
 }
 
 // NewModel returns a Model of the named host that has learned nothing.
 func NewModel(host string) *Model {
-	return &Model{host: host, links: make(map[string]*link), services: make(map[string]*service)}
+	return &Model{host: host, links: make(map[string]*link), peers: make(map[string]*link), services: make(map[string]*service)}
 }
 
 // link is what is usual between the host and one minion.
@@ -110,19 +111,34 @@
 	s.add(run{minion, o.SentAt, o.Run}, o.SentAt.Add(o.Trip))
 	// What the host itself lost while it waited says nothing about the link.
 	stood := m.pauses.overlap(o.SentAt, o.SentAt.Add(o.Trip))
-	m.link(minion).add(max(0, o.Trip-own-stood))
+	linkOf(m.links, minion).add(max(0, o.Trip-own-stood))
 }
 
-func (m *Model) link(minion string) *link {
-	l := m.links[minion]
+// ObservePeer learns the round trip of a heartbeat to another host.
+func (m *Model) ObservePeer(host string, trip time.Duration) {
+	if trip > 0 {
+		linkOf(m.peers, host).add(trip)
+	}
+}
+
+func linkOf(links map[string]*link, name string) *link {
+	l := links[name]
 	if l == nil {
-		makeRoom(m.links, maxLinks)
+		makeRoom(links, maxLinks)
 		l = &link{trips: newWindow(linkWindow)}
-		m.links[minion] = l
+		links[name] = l
 	}
 	return l
 }
 
+// usualPeerTrip returns the usual round trip to another host.
+func (m *Model) usualPeerTrip(host string) time.Duration {
+	if l := m.peers[host]; l != nil {
+		return l.baseline
+	}
+	return 0
+}
+
 func (m *Model) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
--- a/internal/verdict/pause.go
+++ b/internal/verdict/pause.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// resumeTime is how long after a pause an input may have waited for its end.
+	resumeTime = 20 * time.Millisecond
 	// pauseThreshold is the shortest gap between two beats that counts as a
 	// pause. Beats are at most a timer interval apart on a host that runs.
 	pauseThreshold = 50 * time.Millisecond
@@ -35,3 +37,13 @@
 	}
 	return sum
 }
+
+// before returns the length of a pause that ended just before t.
+func (p *pauses) before(t time.Time) time.Duration {
+	for i := range p.to {
+		if since := t.Sub(p.to[i]); since >= 0 && since <= resumeTime {
+			return p.to[i].Sub(p.from[i])
+		}
+	}
+	return 0
+}
