--- a/internal/api/arrival.go
+++ b/internal/api/arrival.go
@@ -23,6 +23,7 @@
 	job       job.ID    // set when the answer is a job's
 	encode    time.Duration
 	replied   time.Time // the handler ended
+	finished  bool
 }
 
 type arrivalKey struct{}
@@ -43,14 +44,24 @@
 	if r := c.GetReader(); r != nil {
 		_, _ = r.Peek(1) // an error comes again when the header is read
 	}
-	c.Response.HijackWriter(&refusal{api: s.api, c: c})
+	conn, ok := c.GetConn().(*refusingConn)
+	if !ok {
+		conn = &refusingConn{Conn: c.GetConn(), api: s.api}
+		c.SetConn(conn)
+	}
+	conn.c = c
+	conn.understood = false
 	return context.WithValue(ctx, arrivalKey{}, &arrival{firstByte: time.Now()})
 }
 
 // Finish reports slow writing of a job's answer.
 func (s *stopwatch) Finish(ctx context.Context, _ *app.RequestContext) {
 	a := arrivalOf(ctx)
-	if a == nil || a.job.Key == "" {
+	if a == nil || a.finished {
+		return // the end of an idle connection comes with its last request
+	}
+	a.finished = true
+	if a.job.Key == "" {
 		return
 	}
 	write := time.Since(a.replied)
@@ -61,7 +72,9 @@
 
 // receive is the first middleware: the request is complete and understood.
 func (a *API) receive(ctx context.Context, c *app.RequestContext) {
-	c.Response.HijackWriter(nil)
+	if conn, ok := c.GetConn().(*refusingConn); ok {
+		conn.understood = true
+	}
 	at := arrivalOf(ctx)
 	if at == nil {
 		c.Next(ctx)
@@ -72,34 +85,51 @@
 	at.replied = time.Now()
 }
 
-// refusal replaces the text with which the HTTP library refuses a request
-// before any handler runs. It implements network.ExtWriter.
-type refusal struct {
-	api *API
-	c   *app.RequestContext
+// refusingConn replaces the text with which the HTTP library refuses a request
+// before any handler runs. What is written while the request is not understood
+// is dropped, and a numbered refusal with the library's status goes out instead.
+type refusingConn struct {
+	network.Conn
+	api        *API
+	c          *app.RequestContext
+	understood bool // a handler answers the request
 }
 
-var _ network.ExtWriter = (*refusal)(nil)
+// continueLine asks a client to go on with the body; no handler has run then.
+const continueLine = "HTTP/1.1 100 Continue\r\n\r\n"
 
-// Write drops the library's text.
-func (*refusal) Write(p []byte) (int, error) { return len(p), nil }
+// WriteBinary implements network.Writer.
+func (r *refusingConn) WriteBinary(b []byte) (int, error) {
+	if r.understood || string(b) == continueLine {
+		return r.Conn.WriteBinary(b)
+	}
+	return len(b), nil
+}
 
-// Flush does nothing.
-func (*refusal) Flush() error { return nil }
+// Flush implements network.Writer.
+func (r *refusingConn) Flush() error {
+	if !r.understood && r.c.Response.StatusCode() >= http.StatusBadRequest {
+		r.understood = true
+		r.refuse()
+		if err := resp.Write(&r.c.Response, r.Conn); err != nil {
+			return err
+		}
+	}
+	return r.Conn.Flush()
+}
 
-// Finalize writes a numbered refusal with the library's status.
-func (r *refusal) Finalize() error {
-	r.c.Response.HijackWriter(nil)
+func (r *refusingConn) refuse() {
 	status := r.c.Response.StatusCode()
-	e := result.Errorf(result.Malformed, "not an HTTP request that this listener understands")
+	e := result.Errorf(result.Malformed, "not a well-formed HTTP request")
 	switch status {
 	case http.StatusRequestEntityTooLarge:
-		e = result.Errorf(result.TooLarge, "body exceeds %d bytes", r.api.maxBodyBytes)
+		e = result.Errorf(result.TooLarge, "body exceeds the listener's bound")
 	case http.StatusRequestHeaderFieldsTooLarge:
 		e = result.Errorf(result.TooLarge, "header exceeds %d bytes", r.api.maxHeaderBytes)
 	case http.StatusRequestTimeout:
 		e = result.Errorf(result.Malformed, "request incomplete after %v", readTimeout)
 	}
+	r.c.Response.Reset()
+	r.c.SetConnectionClose()
 	r.api.reply(r.c, status, errorResponse(e))
-	return resp.Write(&r.c.Response, r.c.GetWriter())
 }
