telemetry: a span per hop, to a file and by OTLP over HTTP

Cause: the provider existed, but the daemon made no spans. A sampled request now leaves request, admission, control, queue or peer, and answer spans, made from the breakdown when the answer is written, and a task span with its run for every start, on the host that starts it; the caller's traceparent is followed and each task carries its own to the minion.

Ruled out: spans made while the job runs (state in the decision duty for a sampled share of jobs). Export is by a bounded queue that drops; a failed batch is event 1008.

Seen to fail: without the report, and with task spans outside the caller's trace. Against stand-ins: a collector (protobuf decoded), one that hangs and refuses, a file; and over two daemons in test/process. Not made: a queue span on a dispatching host for another's job.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/minion"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
+	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
 )
 
 // Core is what the handlers need of a daemon.
@@ -49,6 +50,10 @@
 	maxBodyBytes   int
 	maxHeaderBytes int
 	log            *slog.Logger
+
+	// Spans makes the spans of callers' requests. It is set before serving; nil
+	// makes none.
+	Spans *telemetry.Spans
 }
 
 // New returns an API with the limits of the settings.
@@ -180,7 +185,7 @@
 	begin := time.Now()
 	a.reply(c, answer.Code.HTTPStatus(), jobResponse(answer))
 	if at := arrivalOf(ctx); at != nil {
-		at.job = answer.ID
+		at.answer = answer
 		at.encode = time.Since(begin)
 	}
 }
@@ -196,6 +201,8 @@
 	if at := arrivalOf(ctx); at != nil {
 		s.Receive = at.received.Sub(at.firstByte)
 		s.ReceivedAt = at.received
+		at.span = a.Spans.StartRequest(string(c.GetHeader(telemetry.HeaderTraceparent)), at.firstByte)
+		s.Trace = at.span.Traceparent()
 	}
 	answer, err := a.core.Submit(ctx, s, waitWanted(c))
 	a.respond(ctx, c, answer, err)
--- a/internal/api/arrival.go
+++ b/internal/api/arrival.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
 )
 
 // slowWrite is the shortest time of encoding and writing an answer that is
@@ -19,8 +20,9 @@
 // arrival holds the times of one HTTP request.
 type arrival struct {
 	firstByte time.Time
-	received  time.Time // the handler began
-	job       job.ID    // set when the answer is a job's
+	received  time.Time   // the handler began
+	answer    *job.Answer // when it is a job's
+	span      *telemetry.Request
 	encode    time.Duration
 	replied   time.Time // the handler ended
 	finished  bool
@@ -61,12 +63,11 @@
 		return // the end of an idle connection comes with its last request
 	}
 	a.finished = true
-	if a.job.Key == "" {
-		return
-	}
-	write := time.Since(a.replied)
-	if a.encode+write >= slowWrite {
-		s.api.core.Written(a.job, a.encode, write)
+	written := time.Now()
+	a.span.End(a.received, a.replied.Add(-a.encode), written, a.answer)
+	write := written.Sub(a.replied)
+	if a.answer != nil && a.encode+write >= slowWrite {
+		s.api.core.Written(a.answer.ID, a.encode, write)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,7 @@
 	mesh      *link.Mesh
 	proposer  proposer
 	operators *operators
+	api       *api.API
 	servers   []*server.Hertz
 	listeners listeners
 	wg        sync.WaitGroup
@@ -133,7 +134,8 @@
 	hello := peer.Hello{Version: peer.Version, Host: cfg.Host.Name, FailureDomain: cfg.Host.FailureDomain, Incarnation: inc}
 	d.mesh = link.New(d.listeners.peers, hello, cfg.Peers, d.receive, d.rejectPeer)
 	d.core.mesh = d.mesh
-	a := api.New(d, &d.settings, d.log)
+	d.api = api.New(d, &d.settings, d.log)
+	a := d.api
 	d.servers = []*server.Hertz{a.Callers(d.listeners.callers), a.Minions(d.listeners.minions), a.Operators(d.listeners.operators)}
 	return nil
 }
@@ -221,19 +223,27 @@
 	}
 }
 
+func (d *Daemon) reportSpans(err error) {
+	event.Log(context.Background(), d.log, event.SpanExportFailed, slog.String("error", err.Error()))
+}
+
 const traceFlushTimeout = 3 * time.Second
 
 func (d *Daemon) startTraces(ctx context.Context) (func(), error) {
 	t := d.settings.Traces
-	_, closeTraces, err := telemetry.NewTracerProvider(ctx, telemetry.TraceConfig{
+	provider, closeTraces, err := telemetry.NewTracerProvider(ctx, telemetry.TraceConfig{
 		Host:       d.settings.Host,
 		File:       t.File,
 		Endpoint:   t.OTLP,
 		SampleRate: t.SampleRate,
+		Failed:     d.reportSpans,
 	})
 	if err != nil {
 		return nil, err
 	}
+	spans := telemetry.NewSpans(provider)
+	d.api.Spans = spans
+	d.sender.spans = spans
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 		defer cancel()
--- a/internal/daemon/sender.go
+++ b/internal/daemon/sender.go
@@ -6,6 +6,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/backend"
 	"github.com/laburnumwalk/laburnumwalk/internal/engine"
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
+	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 )
@@ -17,6 +18,7 @@
 // sender carries starts and cancellations to minions on two pools.
 type sender struct {
 	client  *backend.Client
+	spans   *telemetry.Spans
 	starts  *ants.PoolWithFuncGeneric[engine.Start]
 	cancels *ants.PoolWithFuncGeneric[engine.Cancel]
 	// outcomes has room for one entry per start in progress, so that a push
@@ -46,6 +48,7 @@
 func (s *sender) Cancel(c engine.Cancel) { _ = s.cancels.Invoke(c) }
 
 func (s *sender) start(st engine.Start) {
+	span := s.spans.StartTask(st.Trace, st.Task, st.Minion)
 	r := s.client.Start(context.Background(), backend.Request{
 		Task:     st.Task,
 		Service:  st.Service,
@@ -53,7 +56,10 @@
 		NoRepeat: st.NoRepeat,
 		Address:  st.Address,
 		Deadline: st.Deadline,
+
+		Traceparent: span.Traceparent(),
 	})
+	span.End(&r.Outcome, r.Disproved)
 	s.outcomes.Push(&outcome{task: st.Task, service: st.Service, minion: st.Minion, disproved: r.Disproved, outcome: r.Outcome}, nil)
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,7 @@
 	Minion   string
 	Address  string
 	Deadline time.Time
+	Trace    string // W3C trace context, when sampled
 }
 
 // Cancel is a request to a minion to stop a task.
@@ -286,6 +287,7 @@
 		Minion:   a.Minion.Name,
 		Address:  a.Minion.Address,
 		Deadline: j.Deadline,
+		Trace:    j.Trace,
 	}
 }
 
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -158,6 +158,7 @@
 	e.send(f.to, &peer.Forward{
 		To: f.inc, Team: j.ID.Team, Key: j.ID.Key, Attempt: j.Attempt, Service: j.Service,
 		SubmittedAt: j.SubmittedAt, Remaining: j.Deadline.Sub(now) - forwardMargin, Digest: j.Digest, Tasks: j.Tasks,
+		Trace: j.Trace,
 	})
 }
 
@@ -184,6 +185,7 @@
 	s := &job.Submission{
 		ID: id, Attempt: m.Attempt, Service: m.Service, SubmittedAt: m.SubmittedAt,
 		Deadline: now.Add(m.Remaining), Digest: m.Digest, Tasks: m.Tasks,
+		Trace: m.Trace,
 	}
 	err := e.admit(now, s)
 	if err == nil {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -56,6 +56,7 @@
 	Receive    time.Duration // from the first byte of the request to its last
 	ReceivedAt time.Time     // the last byte; zero when not known
 	Control    time.Duration // looking for the owner of the key
+	Trace      string        // W3C trace context of the request, when sampled
 }
 
 // State is the state of one task.
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -27,6 +27,7 @@
 	Remaining   time.Duration          `msgpack:"r"` // until the deadline
 	Digest      uint64                 `msgpack:"d"`
 	Tasks       []job.Task             `msgpack:"j"`
+	Trace       string                 `msgpack:"tr,omitempty"` // W3C trace context, when sampled
 }
 
 // Kind implements Body.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"io"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -50,6 +51,17 @@
 	File       string  // spans as JSON lines; empty: none
 	Endpoint   string  // host:port of an OTLP/HTTP collector; empty: none
 	SampleRate float64 // share of jobs that are traced
+	// Failed is told of each batch of spans that was not exported.
+	Failed func(error)
+}
+
+const (
+	exportTimeout = 5 * time.Second
+	maxQueueSpans = 4096 // waiting for export; more are dropped
+)
+
+func batcher(e sdktrace.SpanExporter, failed func(error)) sdktrace.TracerProviderOption {
+	return sdktrace.WithBatcher(reporting{e, failed}, sdktrace.WithMaxQueueSize(maxQueueSpans), sdktrace.WithExportTimeout(exportTimeout))
 }
 
 // NewTracerProvider returns a provider that exports to the configured places.
@@ -63,6 +75,9 @@
 		sdktrace.WithResource(res),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(c.SampleRate))),
 	}
+	if c.File == "" && c.Endpoint == "" {
+		opts = append(opts, sdktrace.WithSampler(sdktrace.NeverSample())) // nowhere to send them
+	}
 	var file io.Closer = io.NopCloser(nil)
 	if c.File != "" {
 		f, err := os.OpenFile(c.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -75,15 +90,15 @@
 			return nil, nil, errors.Wrap(err, "span file")
 		}
 		file = f
-		opts = append(opts, sdktrace.WithBatcher(exporter))
+		opts = append(opts, batcher(exporter, c.Failed))
 	}
 	if c.Endpoint != "" {
-		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(c.Endpoint), otlptracehttp.WithInsecure())
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(c.Endpoint), otlptracehttp.WithInsecure(), otlptracehttp.WithTimeout(exportTimeout))
 		if err != nil {
 			file.Close()
 			return nil, nil, errors.Wrap(err, "otlp exporter")
 		}
-		opts = append(opts, sdktrace.WithBatcher(exporter))
+		opts = append(opts, batcher(exporter, c.Failed))
 	}
 	tp := sdktrace.NewTracerProvider(opts...)
 	closer := func(ctx context.Context) error {
