job, api: bounds on bytes of jobs in progress and on connections

Cause: payloads and results of jobs in progress were bounded by the number of jobs only; an ended job kept its tasks and every result after its answer was released, so that max_answer_bytes bounded nothing; listeners took any number of connections.

Payloads beyond limits.max_active_bytes are refused as not run; a result beyond it ends its job with 304 (it ran; its answer can't be kept whole). Connections beyond limits.max_connections are closed unread, event 6003. The listeners use the HTTP library's standard transport, which takes any net.Listener.

Ruled out: counting connections under the epoll transport (it insists on its own listener). Seen to fail: TestEndedJobsKeepNoTasks without the drop, TestActiveResultsAreBounded without the count.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/minion"
@@ -49,6 +50,7 @@
 	limits         Limits
 	maxBodyBytes   int
 	maxHeaderBytes int
+	maxConnections int
 	log            *slog.Logger
 
 	// Spans makes the spans of callers' requests. It is set before serving; nil
@@ -67,6 +69,7 @@
 		},
 		maxBodyBytes:   s.Limits.MaxBodyBytes,
 		maxHeaderBytes: s.Limits.MaxHeaderBytes,
+		maxConnections: s.Limits.MaxConnections,
 		log:            log,
 	}
 }
@@ -78,8 +81,10 @@
 )
 
 func (a *API) server(l net.Listener, maxBody int) *server.Hertz {
+	bounded := &boundedListener{Listener: l, bound: int64(a.maxConnections), refused: a.refuseConnection}
 	h := server.New(
-		server.WithListener(l),
+		server.WithTransport(standard.NewTransporter),
+		server.WithListener(bounded),
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(a.maxHeaderBytes),
 		server.WithIdleTimeout(idleTimeout),
@@ -95,6 +100,10 @@
 	return h
 }
 
+func (a *API) refuseConnection(remote net.Addr) {
+	event.Log(context.Background(), a.log, event.ConnectionRefused, slog.String("remote", remote.String()))
+}
+
 // Callers returns the server of the callers' listener.
 func (a *API) Callers(l net.Listener) *server.Hertz {
 	h := a.server(l, a.maxBodyBytes)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -47,8 +47,9 @@
 	ChangeAccepted  ID = 5005
 	PlanConfirmed   ID = 5006
 
-	RequestPanicked ID = 6001
-	ServerFailed    ID = 6002
+	RequestPanicked   ID = 6001
+	ServerFailed      ID = 6002
+	ConnectionRefused ID = 6003
 )
 
 // Info describes one event.
@@ -91,6 +92,7 @@
 	{PlanConfirmed, slog.LevelInfo, "plan confirmed", "None."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
+	{ConnectionRefused, slog.LevelWarn, "connection refused at the listener's bound", "Find who holds so many connections, or raise max_connections."},
 }
 
 var byID = indexTable()
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -151,6 +151,7 @@
 	answer    *Answer
 	endedAt   time.Time
 	retention time.Time
+	bytes     int // payloads and results that count as active
 }
 
 // Queued returns the number of tasks that may still start.
--- /dev/null
+++ b/internal/job/memory_test.go
@@ -0,0 +1,71 @@
+package job
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/shoenig/test/must"
+)
+
+func boundedTable(maxActive int) (*Table, time.Time) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := Limits{MaxActive: 10, MaxRecords: 10, MaxAnswerBytes: 8, MaxActiveBytes: maxActive, KeyLifetime: time.Minute}
+	return NewTable(l, now.Add(-time.Hour)), now
+}
+
+func submitBytes(t *testing.T, b *Table, now time.Time, key string, payload int, tasks int) *result.Error {
+	t.Helper()
+	s := &Submission{ID: ID{Team: "t", Key: key}, Attempt: 1, SubmittedAt: now, Deadline: now.Add(time.Second), Tasks: make([]Task, tasks)}
+	for i := range s.Tasks {
+		s.Tasks[i].Payload = []byte(strings.Repeat("x", payload))
+	}
+	_, _, err := b.Submit(now, s, false)
+	return err
+}
+
+func finishTask(b *Table, now time.Time, key string, index, resultBytes int) *Answer {
+	id := TaskID{Job: ID{Team: "t", Key: key}, Index: index}
+	b.Start(now, id, "m")
+	return b.Finish(now, id, Outcome{Code: result.OK, Result: make([]byte, resultBytes)})
+}
+
+// Payloads beyond the bound are refused as not run, and room comes back when a
+// job ends.
+func TestActivePayloadsAreBounded(t *testing.T) {
+	b, now := boundedTable(100)
+	must.Nil(t, submitBytes(t, b, now, "a", 60, 1))
+	must.Eq(t, result.QueueFull, submitBytes(t, b, now, "b", 41, 1).Code)
+	must.NotNil(t, finishTask(b, now, "a", 0, 40))
+	must.Zero(t, b.activeBytes)
+	must.Nil(t, submitBytes(t, b, now, "b", 100, 1))
+}
+
+// A result without room ends the job as one that ran, and keeps nothing.
+func TestActiveResultsAreBounded(t *testing.T) {
+	b, now := boundedTable(100)
+	must.Nil(t, submitBytes(t, b, now, "a", 10, 3))
+	must.Nil(t, finishTask(b, now, "a", 0, 60))
+	a := finishTask(b, now, "a", 1, 11)
+	must.NotNil(t, a)
+	must.Eq(t, result.AnswerReleased, a.Code)
+	must.Nil(t, a.Results)
+	must.Zero(t, b.activeBytes)
+}
+
+// An ended job keeps neither tasks nor results; an outcome that comes after
+// the end is taken and dropped.
+func TestEndedJobsKeepNoTasks(t *testing.T) {
+	b, now := boundedTable(0)
+	must.Nil(t, submitBytes(t, b, now, "a", 1, 2))
+	b.Start(now, TaskID{Job: ID{Team: "t", Key: "a"}}, "m")
+	must.Nil(t, finishTask(b, now, "a", 1, 50))
+	must.Len(t, 1, b.Tick(now.Add(time.Second)))
+	j := b.Get(ID{Team: "t", Key: "a"})
+	must.Nil(t, j.tasks[1].outcome.Result)
+	must.Nil(t, b.Finish(now, TaskID{Job: j.ID}, Outcome{Code: result.OK, Result: make([]byte, 50)}))
+	must.Nil(t, j.tasks)
+	must.Nil(t, b.Finish(now, TaskID{Job: j.ID}, Outcome{Code: result.OK}))
+	must.Zero(t, b.activeBytes)
+}
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -13,6 +13,7 @@
 	MaxActive      int           // jobs in progress
 	MaxRecords     int           // keys remembered, in progress or ended
 	MaxAnswerBytes int           // bytes of ended answers kept for later fetches
+	MaxActiveBytes int           // payloads and results of jobs in progress; 0: no bound
 	KeyLifetime    time.Duration // from SubmittedAt; older submissions are refused
 	ClockError     time.Duration // tolerated difference between clocks
 }
@@ -35,6 +36,7 @@
 	jobs        map[ID]*Job
 	active      int
 	answerBytes int
+	activeBytes int
 	deadlines   deadlineHeap
 	fences      map[ID]time.Time // keys refused here, until then
 	ended       []*Job           // oldest first
@@ -81,6 +83,7 @@
 	t.jobs[s.ID] = j
 	delete(t.fences, s.ID)
 	t.active++
+	t.hold(j, s.bytes())
 	heap.Push(&t.deadlines, j)
 	return j, Accepted, nil
 }
@@ -111,6 +114,8 @@
 		return result.Errorf(result.Expired, "submitted %v ago, key lifetime %v", age, t.limits.KeyLifetime)
 	case t.active >= t.limits.MaxActive:
 		return result.Errorf(result.QueueFull, "%d jobs in progress", t.active)
+	case !t.roomFor(s.bytes()):
+		return result.Errorf(result.QueueFull, "%d bytes of payloads and results in progress", t.activeBytes)
 	case t.full():
 		return result.Errorf(result.QueueFull, "%d keys remembered", t.Records())
 	}
@@ -178,12 +183,8 @@
 // Disprove records that a start never reached a minion, or that the minion
 // refused it before starting. The task may start again while the job goes on.
 func (t *Table) Disprove(now time.Time, id TaskID) *Answer {
-	j := t.jobs[id.Job]
-	if j == nil {
-		return nil
-	}
-	k := &j.tasks[id.Index]
-	if k.state != Started {
+	j, k := t.task(id)
+	if k == nil {
 		return nil
 	}
 	k.disprove++
@@ -205,12 +206,8 @@
 // Finish records the outcome of a start and returns the answer when the job
 // has ended by it.
 func (t *Table) Finish(now time.Time, id TaskID, o Outcome) *Answer {
-	j := t.jobs[id.Job]
-	if j == nil {
-		return nil
-	}
-	k := &j.tasks[id.Index]
-	if k.state != Started {
+	j, k := t.task(id)
+	if k == nil {
 		return nil
 	}
 	j.running--
@@ -219,6 +216,7 @@
 	case result.OK:
 		k.state = Done
 		j.done++
+		t.holdResult(j, k)
 	case result.TaskFailed:
 		k.state = Failed
 		j.stop(result.TaskFailed, o.Detail)
@@ -233,6 +231,7 @@
 func (t *Table) settle(now time.Time, j *Job, last int) *Answer {
 	switch {
 	case j.ended:
+		j.dropTasks()
 		return nil
 	case j.anyOutcomeUnknown():
 		return t.end(now, j, result.StartUnknown, j.detail, last)
@@ -260,7 +259,9 @@
 	invariant.Check(code != result.OK || j.done == len(j.tasks), "job %s complete with %d of %d tasks", j.ID, j.done, len(j.tasks))
 	invariant.Check(code.Class() != result.NotRun || !(j.anyRan() || j.anyUnknown()), "job %s answered %s after a start", j.ID, code)
 	t.active--
+	t.hold(j, -j.bytes)
 	j.Tasks = nil // payloads are no longer needed
+	j.dropTasks()
 	for _, r := range a.Results {
 		t.answerBytes += len(r)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,8 @@
 	MaxPayloadBytes int `json:"max_payload_bytes" validate:"min=1,max=67108864"`
 	MaxResultBytes  int `json:"max_result_bytes" validate:"min=1,max=67108864"`
 	MaxHeaderBytes  int `json:"max_header_bytes" validate:"min=1024,max=1048576"`
+	MaxConnections  int `json:"max_connections" validate:"min=1,max=1000000"`
+	MaxActiveBytes  int `json:"max_active_bytes" validate:"min=1024"`
 	MaxActiveJobs   int `json:"max_active_jobs" validate:"min=1,max=1000000"`
 	MaxRecords      int `json:"max_records" validate:"min=1,max=10000000"`
 	MaxAnswerBytes  int `json:"max_answer_bytes" validate:"min=1024"`
@@ -97,6 +99,8 @@
 			MaxPayloadBytes: 1 << 20,
 			MaxResultBytes:  1 << 20,
 			MaxHeaderBytes:  16 << 10,
+			MaxConnections:  4096,
+			MaxActiveBytes:  256 << 20,
 			MaxActiveJobs:   20000,
 			MaxRecords:      1000000,
 			MaxAnswerBytes:  64 << 20,
