--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -45,6 +45,9 @@
 	Config  uint64        `msgpack:"c"` // configuration version in force
 	Leases  []MinionLease `msgpack:"l,omitempty"`
 	Stopped bool          `msgpack:"s,omitempty"` // the sender takes no new work
+	Demand  int           `msgpack:"d,omitempty"` // tasks of the sender's own small jobs in progress
+	InUse   int           `msgpack:"u,omitempty"` // tasks that the sender has in progress on the domain's minions
+	Lent    int           `msgpack:"n,omitempty"` // slots that the sender lends to the receiver
 }
 
 // MinionLease renews the lease of a minion that announced to the sender.
@@ -98,6 +101,15 @@
 	KindAttach:       func() Body { return &Attach{} },
 	KindJobAnswer:    func() Body { return &JobAnswer{} },
 	KindForward:      func() Body { return &Forward{} },
+
+	KindControlPrepare:  func() Body { return &ControlPrepare{} },
+	KindControlPromise:  func() Body { return &ControlPromise{} },
+	KindControlAccept:   func() Body { return &ControlAccept{} },
+	KindControlAccepted: func() Body { return &ControlAccepted{} },
+	KindControlDecided:  func() Body { return &ControlDecided{} },
+	KindControlChosen:   func() Body { return &ControlChosen{} },
+	KindControlFetch:    func() Body { return &ControlFetch{} },
+	KindControlReport:   func() Body { return &ControlReport{} },
 }
 
 func newBody(k Kind) (Body, error) {
