emulator: a start is identified by the process that sent it

Cause: a fake minion named a start by the host's incarnation at its arrival, not at its sending, so a task of a restarted host could be taken for another. Also hooks for what a run must check: every request sent, every start that ended and whether its outcome was sent, how long a host was frozen, since when a minion is quiet, and a minion that falls silent but runs its tasks. Ruled out: identity from the payload (the product's minion knows none).

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -40,9 +40,14 @@
 	Counters Counters
 	// OnAnswer receives every final answer of a host.
 	OnAnswer func(h *Host, a *job.Answer)
+	// OnSend is told of every task request that leaves a host.
+	OnSend func(h *Host, s engine.Start)
 	// OnStart is told of every task that a minion really starts, and of the
 	// attempt number under which its host accepted the job.
 	OnStart func(h *Host, m *Minion, s engine.Start, attempt int)
+	// OnEnd is told of every started task that no longer runs; known says that
+	// its outcome was sent to the host.
+	OnEnd func(m *Minion, s engine.Start, known bool)
 
 	now     time.Time
 	rng     *rand.Rand
@@ -154,7 +159,11 @@
 			})
 		})
 	}
+	if e.OnSend != nil {
+		e.OnSend(h, s)
+	}
 	sent := e.now
+	identity := identityOf(h.Engine.Incarnation(), s.Task)
 	attempt := h.Engine.Jobs().Get(s.Task.Job).Attempt
 	e.After(e.delay(), func() {
 		m := e.minions[s.Minion]
@@ -162,14 +171,14 @@
 			finish(job.Outcome{Code: result.Busy}, true)
 			return
 		}
-		if m.begin(h, s) == nil {
+		if m.begin(identity) == nil {
 			finish(job.Outcome{Code: result.Busy}, true)
 			return
 		}
 		if e.OnStart != nil {
 			e.OnStart(h, m, s, attempt)
 		}
-		m.run(e, h, s, sent, finish)
+		m.run(e, identity, s, sent, finish)
 	})
 }
 
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -22,7 +22,9 @@
 	up         bool
 	frozen     bool
 	waiting    []func(now time.Time) // inputs that arrived while frozen
-	generation int                   // process starts so far
+	generation int                   // process starts and ends so far
+	frozenAt   time.Time
+	frozenFor  time.Duration // in all freezes that have ended
 }
 
 // AddHost adds a running host. cfg.Peers must name hosts of this run.
@@ -48,7 +50,7 @@
 	cfg.StartedAt = h.now()
 	h.Engine = engine.New(cfg)
 	h.up = true
-	h.frozen = false
+	h.thaw()
 	h.waiting = nil
 }
 
@@ -56,6 +58,7 @@
 func (h *Host) Kill() {
 	h.generation++
 	h.up = false
+	h.thaw()
 	h.waiting = nil
 }
 
@@ -63,14 +66,37 @@
 func (h *Host) Up() bool { return h.up }
 
 // Freeze suspends the process: inputs wait.
-func (h *Host) Freeze() { h.frozen = h.up }
+func (h *Host) Freeze() {
+	if h.up && !h.frozen {
+		h.frozen = true
+		h.frozenAt = h.emulator.now
+	}
+}
+
+func (h *Host) thaw() {
+	if h.frozen {
+		h.frozenFor += h.emulator.now.Sub(h.frozenAt)
+	}
+	h.frozen = false
+}
+
+// FrozenFor returns how long the host was frozen so far.
+func (h *Host) FrozenFor() time.Duration {
+	if h.frozen {
+		return h.frozenFor + h.emulator.now.Sub(h.frozenAt)
+	}
+	return h.frozenFor
+}
+
+// Generation changes whenever a process of the host starts or ends.
+func (h *Host) Generation() int { return h.generation }
 
 // Resume ends a freeze and handles the inputs that waited.
 func (h *Host) Resume() {
 	if !h.frozen {
 		return
 	}
-	h.frozen = false
+	h.thaw()
 	waiting := h.waiting
 	h.waiting = nil
 	for _, f := range waiting {
--- a/internal/emulator/minion.go
+++ b/internal/emulator/minion.go
@@ -6,6 +6,7 @@
 
 	"github.com/laburnumwalk/laburnumwalk/internal/engine"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/minion"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
@@ -19,10 +20,14 @@
 	Failing bool    // fails every task at once
 	Dead    bool    // refuses connections; tasks in progress are lost
 	Leaving bool    // refuses tasks
+	Silent  bool    // sends no heartbeats, but runs tasks
+
+	emulator *Emulator
 
 	running map[string]*runningTask
 	hosts   []*Host
 	life    int
+	quietAt time.Time // when it left, died or fell silent; zero while it serves
 }
 
 type runningTask struct {
@@ -34,7 +39,7 @@
 
 // AddMinion adds a minion that announces itself to the first live host.
 func (e *Emulator) AddMinion(a minion.Announcement, hosts []*Host, runTime func(engine.Start) time.Duration) *Minion {
-	m := &Minion{Announcement: a, RunTime: runTime, hosts: hosts, running: make(map[string]*runningTask)}
+	m := &Minion{Announcement: a, RunTime: runTime, hosts: hosts, running: make(map[string]*runningTask), emulator: e}
 	e.minions[a.Name] = m
 	var beat func()
 	beat = func() {
@@ -47,7 +52,7 @@
 
 // beat renews the lease at the first host that is up, or announces there.
 func (m *Minion) beat() {
-	if m.Dead || m.Leaving {
+	if m.Dead || m.Leaving || m.Silent {
 		return
 	}
 	for _, h := range m.hosts {
@@ -66,6 +71,7 @@
 // Leave announces the leave to the first host that is up.
 func (m *Minion) Leave() {
 	m.Leaving = true
+	m.quiet()
 	for _, h := range m.hosts {
 		if h.up && !h.frozen {
 			h.Do(func(time.Time) { _ = h.Engine.Leave(m.Name, m.Generation) })
@@ -74,9 +80,26 @@
 	}
 }
 
+// Silence stops the heartbeats; tasks are still run.
+func (m *Minion) Silence() {
+	m.Silent = true
+	m.quiet()
+}
+
+func (m *Minion) quiet() {
+	if m.quietAt.IsZero() {
+		m.quietAt = m.emulator.now
+	}
+}
+
+// QuietSince returns when the minion left, died or fell silent; zero while it
+// serves.
+func (m *Minion) QuietSince() time.Time { return m.quietAt }
+
 // Kill ends the process: tasks in progress are lost, their answers never come.
 func (m *Minion) Kill() {
 	m.Dead = true
+	m.quiet()
 	m.life++
 	m.running = make(map[string]*runningTask)
 }
@@ -85,19 +108,21 @@
 func (m *Minion) Restart() {
 	m.Dead = false
 	m.Leaving = false
+	m.Silent = false
+	m.quietAt = time.Time{}
 	m.Generation++
 }
 
 // InUse returns the number of tasks in progress.
 func (m *Minion) InUse() int { return len(m.running) }
 
-func identityOf(h *Host, id job.TaskID) string {
-	return string(h.Engine.Incarnation()) + "/" + id.Job.String() + "/" + strconv.Itoa(id.Index)
+// identityOf returns the identity of a start by the process that sends it.
+func identityOf(inc membership.Incarnation, id job.TaskID) string {
+	return string(inc) + "/" + id.Job.String() + "/" + strconv.Itoa(id.Index)
 }
 
 // begin takes a slot for the task; nil means that it was not started.
-func (m *Minion) begin(h *Host, s engine.Start) *runningTask {
-	identity := identityOf(h, s.Task)
+func (m *Minion) begin(identity string) *runningTask {
 	if m.Leaving || len(m.running) >= m.Slots || m.running[identity] != nil {
 		return nil
 	}
@@ -107,21 +132,29 @@
 }
 
 // run ends a begun task after its run time.
-func (m *Minion) run(e *Emulator, h *Host, s engine.Start, sent time.Time, finish func(job.Outcome, bool)) {
-	identity := identityOf(h, s.Task)
+func (m *Minion) run(e *Emulator, identity string, s engine.Start, sent time.Time, finish func(job.Outcome, bool)) {
 	t := m.running[identity]
 	run := m.runTime(s)
 	life := m.life
 	e.After(run, func() {
 		if m.life != life {
+			m.ended(s, false)
 			finish(job.Outcome{Code: result.StartUnknown, Detail: "connection lost"}, false)
 			return
 		}
 		delete(m.running, identity)
-		finish(m.outcome(e, t, s, run, sent), false)
+		o := m.outcome(e, t, s, run, sent)
+		m.ended(s, o.Code != result.StartUnknown)
+		finish(o, false)
 	})
 }
 
+func (m *Minion) ended(s engine.Start, known bool) {
+	if m.emulator.OnEnd != nil {
+		m.emulator.OnEnd(m, s, known)
+	}
+}
+
 func (m *Minion) runTime(s engine.Start) time.Duration {
 	if m.Failing || m.RunTime == nil {
 		return 0
@@ -148,7 +181,7 @@
 
 // cancel asks the minion to stop a task; the task ends at its run time.
 func (e *Emulator) cancel(h *Host, c engine.Cancel) {
-	identity := identityOf(h, c.Task)
+	identity := identityOf(h.Engine.Incarnation(), c.Task)
 	e.After(e.delay(), func() {
 		for _, m := range e.minions {
 			if m.Address == c.Address && m.running[identity] != nil {
