job: the code of a given-up job is true of what its tasks did

Cause: two faults, both seen by a randomised run that holds each class of answer against the fake minions. (1) A job given up for its retry budget with a task in progress was answered 'task failed, ran' although that task was then disproved and nothing ran. (2) After a failed task, another task of the same job with an unknown outcome was hidden: 'task failed, ran' instead of 'may have run'. Ruled out: deciding when the job is given up, since tasks in progress still change what is true. Now the reason to stop is kept and the code is decided when no task is in progress. Two tests, seen to fail before; go test ./internal/job passes.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -207,6 +207,21 @@
 	}
 }
 
+// finalCode is the code of a job without tasks in progress that is true of
+// what its tasks did, whatever the reason to stop was at first.
+func (j *Job) finalCode() result.Code {
+	switch j.stopCode {
+	case result.OK:
+		return result.OK
+	case result.CancelledNotRun:
+		return j.byProgress(result.CancelledNotRun, result.CancelledRan, result.CancelledMaybe)
+	case result.TaskFailed:
+		return j.byProgress(result.TaskFailed, result.TaskFailed, result.StartUnknown)
+	default:
+		return j.byProgress(j.stopCode, result.TaskFailed, result.StartUnknown)
+	}
+}
+
 func (j *Job) breakdown(now time.Time, last int) Breakdown {
 	b := Breakdown{Total: now.Sub(j.Accepted), Task: last, Retries: j.retries}
 	t := &j.tasks[last]
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -226,33 +226,22 @@
 	return t.settle(now, j, id.Index)
 }
 
-// settle ends j when nothing more can change its answer.
+// settle ends j when nothing more can change its answer. An unknown outcome
+// ends it at once; every other reason waits for the tasks in progress.
 func (t *Table) settle(now time.Time, j *Job, last int) *Answer {
 	switch {
 	case j.ended:
 		return nil
-	case j.anyOutcomeUnknown():
-		return t.end(now, j, result.StartUnknown, j.detail, last)
+	case j.stopCode.Class() == result.MayHaveRun:
+		return t.end(now, j, j.stopCode, j.detail, last)
 	case j.running > 0 || j.queued > 0:
 		return nil
-	case j.stopCode == result.OK:
-		return t.end(now, j, result.OK, "", last)
-	case j.stopCode == result.CancelledNotRun:
-		code := j.byProgress(result.CancelledNotRun, result.CancelledRan, result.CancelledMaybe)
-		return t.end(now, j, code, j.detail, last)
 	default:
-		return t.end(now, j, j.stopCode, j.detail, last)
+		return t.end(now, j, j.finalCode(), j.detail, last)
 	}
 }
 
-func (j *Job) anyOutcomeUnknown() bool {
-	return j.stopCode.Class() == result.MayHaveRun && j.stopCode != result.OK
-}
-
 func (t *Table) end(now time.Time, j *Job, code result.Code, detail string, last int) *Answer {
-	if code == result.StartUnknown && j.stopCode != result.OK {
-		code = j.stopCode
-	}
 	a := j.end(now, code, detail, last)
 	invariant.Check(code != result.OK || j.done == len(j.tasks), "job %s complete with %d of %d tasks", j.ID, j.done, len(j.tasks))
 	invariant.Check(code.Class() != result.NotRun || !(j.anyRan() || j.anyUnknown()), "job %s answered %s after a start", j.ID, code)
@@ -265,14 +254,14 @@
 	return a
 }
 
-// Refuse ends a job that has no start in progress, with a true "not run" code
-// when nothing ran, and result.TaskFailed otherwise.
+// Refuse withdraws queued tasks for a reason of class "not run". The answer
+// follows when no task is in progress: the code itself when nothing ran.
 func (t *Table) Refuse(now time.Time, id ID, code result.Code, detail string) *Answer {
 	j := t.jobs[id]
 	if j == nil || j.ended {
 		return nil
 	}
-	j.stop(j.byProgress(code, result.TaskFailed, result.TaskFailed), detail)
+	j.stop(code, detail)
 	return t.settle(now, j, 0)
 }
 
--- a/internal/job/table_test.go
+++ b/internal/job/table_test.go
@@ -135,3 +135,38 @@
 	table.Tick(t0.Add(2 * time.Minute))
 	must.Eq(t, 0, table.Records())
 }
+
+// A job that is given up with tasks in progress gets the code that is true of
+// what becomes of them.
+func TestRefusalIsDecidedByWhatRan(t *testing.T) {
+	cases := []struct {
+		name   string
+		ending func(*Table, TaskID) *Answer
+		want   result.Code
+	}{
+		{"disproved", func(x *Table, id TaskID) *Answer { return x.Disprove(t0, id) }, result.TaskNotStarted},
+		{"ran", func(x *Table, id TaskID) *Answer { return x.Finish(t0, id, Outcome{Code: result.OK}) }, result.TaskFailed},
+		{"unknown", func(x *Table, id TaskID) *Answer { return x.Finish(t0, id, Outcome{Code: result.StartUnknown}) }, result.StartUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTestTable()
+			id := TaskID{Job: accept(t, table, "k", 2).ID}
+			must.True(t, table.Start(t0, id, "m"))
+			must.Nil(t, table.Refuse(t0, id.Job, result.TaskNotStarted, "budget"))
+			must.Eq(t, c.want, c.ending(table, id).Code)
+		})
+	}
+}
+
+// A failed task does not hide that the outcome of another is unknown.
+func TestUnknownOutcomeAfterFailure(t *testing.T) {
+	table := newTestTable()
+	j := accept(t, table, "k", 2)
+	for i := range 2 {
+		must.True(t, table.Start(t0, TaskID{Job: j.ID, Index: i}, "m"))
+	}
+	must.Nil(t, table.Finish(t0, TaskID{Job: j.ID}, Outcome{Code: result.TaskFailed}))
+	a := table.Finish(t0, TaskID{Job: j.ID, Index: 1}, Outcome{Code: result.StartUnknown})
+	must.Eq(t, result.StartUnknown, a.Code)
+}
