engine: a lease loses the time that its renewal waited

A host relayed leases it had itself got by a relay, so a lease gained the delay of each hop, and a renewal that waited for a frozen host was counted from its handling. Ruled out: the loss of leave messages (the lease bounds it) and the hosts' clock errors (a lease is a difference on one clock). Now only the lease granted by direct announcements is relayed; a peer's message shows its age by the sender's clock against the least transit of the last windows; a host that was suspended (a gap between inputs) grants leases shorter by the gap to what arrives right after. Not covered: a minion's own HTTP heartbeat that the network delays while the host runs.

--- a/internal/emulator/minion.go
+++ b/internal/emulator/minion.go
@@ -50,21 +50,25 @@
 	return m
 }
 
-// beat renews the lease at the first host that is up, or announces there.
+// beat renews the lease at the first host that is up, or announces there. A
+// frozen host takes the request when it resumes; the minion goes on to the next.
 func (m *Minion) beat() {
 	if m.Dead || m.Leaving || m.Silent {
 		return
 	}
 	for _, h := range m.hosts {
-		if !h.up || h.frozen {
+		if !h.up {
 			continue
 		}
+		a := m.Announcement
 		h.Do(func(now time.Time) {
-			if h.Engine.Renew(now, m.Name, m.Generation) != nil {
-				_ = h.Engine.Announce(now, m.Announcement) // refused only when misconfigured
+			if h.Engine.Renew(now, a.Name, a.Generation) != nil {
+				_ = h.Engine.Announce(now, a) // refused only when misconfigured
 			}
 		})
-		return
+		if !h.frozen {
+			return
+		}
 	}
 }
 
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -34,10 +34,10 @@
 func (e *Engine) localLeases(now time.Time) []peer.MinionLease {
 	var leases []peer.MinionLease
 	for _, m := range e.minions.All() {
-		if !m.Local || !m.LeaseUntil.After(now) {
+		if !m.LocalUntil.After(now) {
 			continue
 		}
-		leases = append(leases, peer.MinionLease{Name: m.Name, Generation: m.Generation, Remaining: m.LeaseUntil.Sub(now)})
+		leases = append(leases, peer.MinionLease{Name: m.Name, Generation: m.Generation, Remaining: m.LocalUntil.Sub(now)})
 	}
 	return leases
 }
@@ -53,6 +53,7 @@
 
 // Receive handles a message of a peer.
 func (e *Engine) Receive(now time.Time, from string, inc membership.Incarnation, b peer.Body) {
+	e.stall.observe(now)
 	if c, changed := e.members.Heard(now, from, inc); changed {
 		e.log(event.PeerUp, slog.String("host", from), slog.Bool("restarted", c.Restart))
 		e.relayAll(now, c.Peer)
@@ -61,7 +62,7 @@
 	case *peer.Heartbeat:
 		e.receiveHeartbeat(now, from, m)
 	case *peer.MinionUpdate:
-		e.learn(now, m.Minion, m.Remaining, false)
+		e.learn(now, m.Minion, m.Remaining-e.age(now, from, m.SentAt), false)
 	case *peer.MinionLeave:
 		e.leave(m.Name, m.Generation)
 	case *peer.MinionQuery:
@@ -82,9 +83,10 @@
 	if p := e.members.Get(from); p != nil {
 		p.ConfigSeen = h.Config
 	}
+	age := e.age(now, from, h.SentAt)
 	var unknown []string
 	for _, l := range h.Leases {
-		if !e.minions.Renew(now, l.Name, l.Generation, l.Remaining, false) {
+		if !e.minions.Renew(now, l.Name, l.Generation, l.Remaining-age, false) {
 			unknown = append(unknown, l.Name)
 		}
 	}
@@ -114,7 +116,7 @@
 }
 
 func (e *Engine) relay(now time.Time, to string, m *minion.Minion) {
-	e.send(to, &peer.MinionUpdate{Minion: m.Announcement, Remaining: m.LeaseUntil.Sub(now)})
+	e.send(to, &peer.MinionUpdate{Minion: m.Announcement, Remaining: m.LocalUntil.Sub(now), SentAt: now.Sub(e.cfg.StartedAt)})
 	if m.Leaving {
 		e.send(to, &peer.MinionLeave{Name: m.Name, Generation: m.Generation})
 	}
@@ -125,7 +127,8 @@
 	if a.FailureDomain != e.cfg.Host.FailureDomain {
 		return result.Errorf(result.InvalidField, "failure_domain %q: this host serves %q", a.FailureDomain, e.cfg.Host.FailureDomain)
 	}
-	if !e.learn(now, a, e.minions.Lease(), true) {
+	e.stall.observe(now)
+	if !e.learn(now, a, e.grant(now), true) {
 		return result.Errorf(result.InvalidField, "generation %d is older than the announced one", a.Generation)
 	}
 	m := e.minions.Get(a.Name)
@@ -147,7 +150,8 @@
 
 // Renew handles a minion's heartbeat. An unknown minion must announce again.
 func (e *Engine) Renew(now time.Time, name string, generation uint64) *result.Error {
-	if !e.minions.Renew(now, name, generation, e.minions.Lease(), true) {
+	e.stall.observe(now)
+	if !e.minions.Renew(now, name, generation, e.grant(now), true) {
 		return result.Errorf(result.MinionUnknown, "minion %q generation %d", name, generation)
 	}
 	return nil
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -96,6 +96,7 @@
 	searches      map[job.ID]*search
 	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
 	round         uint64
+	stall         stall
 	ready         Ready
 }
 
@@ -302,6 +303,7 @@
 
 // Tick advances time: deadlines, leases, heartbeats.
 func (e *Engine) Tick(now time.Time) {
+	e.stall.observe(now)
 	for _, a := range e.jobs.Tick(now) {
 		e.answer(a)
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -32,6 +32,7 @@
 	up       bool
 	lastSent time.Duration // the peer's clock reading in its last heartbeat
 	beatAt   time.Time     // when that heartbeat arrived
+	transit  transit
 }
 
 // Up reports whether the peer was heard from within the timeout.
@@ -69,6 +70,9 @@
 		return Change{}, false
 	}
 	restart := p.Incarnation != "" && p.Incarnation != inc
+	if restart {
+		p.transit = transit{}
+	}
 	changed := !p.up || restart
 	p.Incarnation = inc
 	p.LastHeard = now
@@ -140,3 +144,40 @@
 	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
 	return out
 }
+
+// Age returns how much longer than usual a message of the peer was under way,
+// or waited in either process, given the sender's and this host's clock.
+func (v *View) Age(name string, sentAt, elapsed time.Duration) time.Duration {
+	p := v.peers[name]
+	if p == nil {
+		return 0
+	}
+	return p.transit.excess(sentAt, elapsed)
+}
+
+// transitWindow is the time over which the shortest transit is kept: long
+// against a stall, short against the drift of the clocks.
+const transitWindow = 30 * time.Second
+
+// transit holds the least difference between this host's clock at the arrival
+// of a message and the sender's at its sending, over the last two windows.
+type transit struct {
+	least    time.Duration
+	previous time.Duration
+	since    time.Duration // this host's clock
+	known    bool
+}
+
+// excess records one message and returns its delay over the least.
+func (t *transit) excess(sentAt, elapsed time.Duration) time.Duration {
+	sample := elapsed - sentAt
+	switch {
+	case !t.known:
+		*t = transit{least: sample, previous: sample, since: elapsed, known: true}
+	case elapsed-t.since > transitWindow:
+		*t = transit{least: sample, previous: t.least, since: elapsed, known: true}
+	default:
+		t.least = min(t.least, sample)
+	}
+	return sample - min(t.least, t.previous)
+}
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -41,3 +41,20 @@
 	must.True(t, changed)
 	must.True(t, c.Restart)
 }
+
+// A message that waited longer than usual shows its age; drift of the clocks
+// does not add up.
+func TestAgeOfLateMessage(t *testing.T) {
+	v := NewView(time.Second, []Host{{Name: "p"}})
+	must.Eq(t, 0, v.Age("p", 10*time.Second, 3*time.Second))
+	must.Eq(t, 0, v.Age("p", 11*time.Second, 4*time.Second))
+	must.Eq(t, 2*time.Second, v.Age("p", 12*time.Second, 7*time.Second))
+	drift := time.Duration(0)
+	for at := 8 * time.Second; at < time.Hour; at += time.Second {
+		drift += 100 * time.Microsecond
+		must.Less(t, 10*time.Millisecond, v.Age("p", at+7*time.Second, at+drift))
+	}
+	v.Heard(time.Time{}, "p", "1")
+	v.Heard(time.Time{}, "p", "2")
+	must.Eq(t, 0, v.Age("p", 0, time.Hour))
+}
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -38,6 +38,10 @@
 	Leaving    bool // announced its leave; no new work
 	Draining   bool // drained by an operator; no new work
 	Local      bool // announced to this host, which relays its lease
+	// LocalUntil ends the lease that announcements to this host granted. Only
+	// this one is relayed: a relayed lease that is relayed again would gain the
+	// delay of each hop.
+	LocalUntil time.Time
 
 	inUse     int // tasks of this host in progress
 	freeAfter time.Time
@@ -101,7 +105,7 @@
 	m.Announcement = a
 	m.Local = local
 	m.Draining = r.drains[a.Name]
-	m.extend(now.Add(remaining))
+	m.extend(now.Add(remaining), local)
 	return true
 }
 
@@ -112,14 +116,15 @@
 	if m == nil || m.Generation != generation {
 		return false
 	}
-	if local {
-		m.Local = true
-	}
-	m.extend(now.Add(remaining))
+	m.extend(now.Add(remaining), local)
 	return true
 }
 
-func (m *Minion) extend(until time.Time) {
+func (m *Minion) extend(until time.Time, local bool) {
+	if local {
+		m.Local = true
+		m.LocalUntil = until
+	}
 	if until.After(m.LeaseUntil) {
 		m.LeaseUntil = until
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -58,6 +58,7 @@
 type MinionUpdate struct {
 	Minion    minion.Announcement `msgpack:"m"`
 	Remaining time.Duration       `msgpack:"r"`
+	SentAt    time.Duration       `msgpack:"t"` // sender's monotonic clock
 }
 
 // MinionLeave relays a leave.
