--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint unit race bench
+.PHONY: build demo test lint unit race bench soak
 
 build:
 	@mkdir -p bin
@@ -26,3 +26,9 @@
 # Starts per second and processor time per task, with the floor beside it.
 bench: build
 	scripts/bench.sh
+
+# Randomised runs with seeds from the clock, for the time in LW_SOAK. Each seed
+# is printed before its run; LW_SEED=N go test ./internal/emulator -run TestOneSeed
+# repeats one.
+soak:
+	LW_SOAK=$${LW_SOAK:-10m} go test ./internal/emulator -run TestSoak -count=1 -v -timeout 0
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -188,7 +188,27 @@
 	if s.Attempt != 1 {
 		return nil, e.locate(now, s)
 	}
-	return nil, e.accept(now, s, false)
+	return nil, e.acceptFirst(now, s)
+}
+
+// acceptFirst admits a first attempt. A fetch of its key that looks for the
+// owner in vain gets the job's answer; a cancellation prevents the job.
+func (e *Engine) acceptFirst(now time.Time, s *job.Submission) *result.Error {
+	fetch := e.searches[s.ID]
+	if fetch == nil || fetch.submission != nil {
+		return e.accept(now, s, false)
+	}
+	if fetch.cancel {
+		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
+		e.giveUp(fetch, err)
+		return err
+	}
+	if err := e.accept(now, s, false); err != nil {
+		return err
+	}
+	e.endFetch(s.ID)
+	e.ready.Pending = append(e.ready.Pending, s.ID)
+	return nil
 }
 
 // accept admits a submission whose key no host has accepted before.
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -53,17 +53,32 @@
 func (e *Engine) locate(now time.Time, sub *job.Submission) *result.Error {
 	if s := e.searches[sub.ID]; s != nil && s.submission != nil {
 		if s.submission.Digest != sub.Digest {
-			return result.Errorf(result.KeyConflict, "key %q was submitted with another body", sub.ID.Key)
+			return result.Errorf(result.OwnerUnknown, "the owner of key %q is looked for with another body", sub.ID.Key)
 		}
 		return nil
 	}
+	if err := e.jobs.Expired(now, sub); err != nil {
+		return err
+	}
 	if e.jobs.Forgot(sub.SubmittedAt) {
 		return result.Errorf(result.OwnerUnknown, "an earlier process of this host may have accepted the key")
 	}
-	if !e.jobs.Fence(sub.ID, sub.SubmittedAt) {
-		return result.Errorf(result.OwnerUnknown, "no room to fence the key")
+	if err := e.jobs.Fence(sub.ID, sub.SubmittedAt, sub.Attempt); err != nil {
+		return err
 	}
-	return e.search(now, &search{id: sub.ID, submission: sub})
+	return e.search(now, &search{id: sub.ID, submission: sub, cancel: e.endFetch(sub.ID)})
+}
+
+// endFetch ends a search on behalf of a fetch: a submission of the key has
+// arrived, and those who wait for the fetch get its answer. It reports whether
+// the job was to be cancelled.
+func (e *Engine) endFetch(id job.ID) (cancel bool) {
+	s := e.searches[id]
+	if s == nil || s.submission != nil {
+		return false
+	}
+	delete(e.searches, id)
+	return s.cancel
 }
 
 func (e *Engine) search(now time.Time, s *search) *result.Error {
@@ -79,6 +94,9 @@
 		}
 	}
 	s.until = now.Add(e.cfg.LocateTimeout)
+	if s.submission != nil && s.submission.Deadline.Before(s.until) {
+		s.until = s.submission.Deadline
+	}
 	e.searches[s.id] = s
 	e.ask(now, s)
 	e.decide(now, s)
@@ -97,6 +115,7 @@
 	if s.submission != nil {
 		q.Fence = true
 		q.SubmittedAt = s.submission.SubmittedAt
+		q.Attempt = s.submission.Attempt
 	}
 	for _, p := range e.members.All() {
 		if notSeen, ok := s.asked[p.Name]; ok && !notSeen {
@@ -134,7 +153,7 @@
 		}
 		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
 	}
-	if e.jobs.Forgot(q.SubmittedAt) || !e.jobs.Fence(id, q.SubmittedAt) {
+	if e.jobs.Forgot(q.SubmittedAt) || e.jobs.Fence(id, q.SubmittedAt, q.Attempt) != nil {
 		return peer.Uncertain, false
 	}
 	return peer.NotSeen, false
@@ -187,17 +206,25 @@
 		return
 	}
 	if s.cancel {
-		e.giveUp(s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
+		e.refuseLocated(s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
 		return
 	}
-	delete(e.searches, s.id)
 	if err := e.accept(now, s.submission, true); err != nil {
-		e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail})
+		e.refuseLocated(s, err)
 		return
 	}
+	delete(e.searches, s.id)
 	e.ready.Pending = append(e.ready.Pending, s.id)
 }
 
+// refuseLocated answers a repetition that every host has fenced as not run.
+func (e *Engine) refuseLocated(s *search, err *result.Error) {
+	if s.submission.Attempt == 0 {
+		e.jobs.Spend(s.id)
+	}
+	e.giveUp(s, err)
+}
+
 // giveUp ends a search without an answer from an owner.
 func (e *Engine) giveUp(s *search, err *result.Error) {
 	delete(e.searches, s.id)
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
@@ -36,14 +37,14 @@
 	active      int
 	answerBytes int
 	deadlines   deadlineHeap
-	fences      map[ID]time.Time // keys refused here, until then
-	ended       []*Job           // oldest first
-	released    int              // leading entries of ended whose answers were dropped
+	fences      map[ID]fence // keys refused here
+	ended       []*Job       // oldest first
+	released    int          // leading entries of ended whose answers were dropped
 }
 
 // NewTable returns an empty table of a process that started at startedAt.
 func NewTable(l Limits, startedAt time.Time) *Table {
-	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job), fences: make(map[ID]time.Time)}
+	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job), fences: make(map[ID]fence)}
 }
 
 // Get returns the job with the given identity, or nil.
@@ -103,12 +104,12 @@
 			return err
 		}
 	}
-	age := now.Sub(s.SubmittedAt)
+	if err := t.Expired(now, s); err != nil {
+		return err
+	}
 	switch {
-	case age < -t.limits.ClockError:
+	case now.Sub(s.SubmittedAt) < -t.limits.ClockError:
 		return result.Errorf(result.InvalidField, "submitted_at_ms is in the future by more than the tolerated clock error")
-	case age > t.limits.KeyLifetime:
-		return result.Errorf(result.Expired, "submitted %v ago, key lifetime %v", age, t.limits.KeyLifetime)
 	case t.active >= t.limits.MaxActive:
 		return result.Errorf(result.QueueFull, "%d jobs in progress", t.active)
 	case t.full():
@@ -117,6 +118,20 @@
 	return nil
 }
 
+// Expired refuses submissions that are older than the key lifetime. The record
+// of an earlier attempt may be gone by then, so only a first one did not run.
+func (t *Table) Expired(now time.Time, s *Submission) *result.Error {
+	age := now.Sub(s.SubmittedAt)
+	switch {
+	case age <= t.limits.KeyLifetime:
+		return nil
+	case s.Attempt == 1:
+		return result.Errorf(result.Expired, "submitted %v ago, key lifetime %v", age, t.limits.KeyLifetime)
+	default:
+		return result.Errorf(result.OwnerUnknown, "submitted %v ago, key lifetime %v: the record of an earlier attempt may be gone", age, t.limits.KeyLifetime)
+	}
+}
+
 // ownable refuses submissions whose key may have been accepted elsewhere.
 func (t *Table) ownable(s *Submission) *result.Error {
 	_, fenced := t.fences[s.ID]
@@ -139,14 +154,37 @@
 
 func (t *Table) full() bool { return t.Records() >= t.limits.MaxRecords }
 
-// Fence refuses the key from now on, unless a job has it. It reports false
-// when there is no room to remember the fence.
-func (t *Table) Fence(id ID, submittedAt time.Time) bool {
-	if _, ok := t.fences[id]; !ok && t.full() {
-		return false
+// fence refuses the attempts of a key up to a number, until a time.
+type fence struct {
+	until   time.Time
+	attempt int
+}
+
+// spent is the attempt of a fence that refuses every submission of the key.
+const spent = math.MaxInt
+
+// Fence refuses the key's first attempt, and every one below the given number,
+// from now on. It fails when a later attempt was fenced before, which may have
+// been answered as not run, or when there is no room.
+func (t *Table) Fence(id ID, submittedAt time.Time, attempt int) *result.Error {
+	f, known := t.fences[id]
+	switch {
+	case attempt < f.attempt:
+		return result.Errorf(result.OwnerUnknown, "a later attempt than %d was submitted", attempt)
+	case !known && t.full():
+		return result.Errorf(result.OwnerUnknown, "no room to fence the key")
+	}
+	t.fences[id] = fence{until: t.retention(submittedAt), attempt: attempt}
+	return nil
+}
+
+// Spend refuses every further submission of a fenced key: attempts without
+// numbers can't be told from those that were sent before the last answer.
+func (t *Table) Spend(id ID) {
+	if f, ok := t.fences[id]; ok {
+		f.attempt = spent
+		t.fences[id] = f
 	}
-	t.fences[id] = t.retention(submittedAt)
-	return true
 }
 
 // retention is the time until which a key is remembered: a host whose clock
@@ -317,8 +355,8 @@
 	}
 	t.ended = t.ended[drop:]
 	t.released = max(0, t.released-drop)
-	for id, until := range t.fences {
-		if until.Before(now) {
+	for id, f := range t.fences {
+		if f.until.Before(now) {
 			delete(t.fences, id)
 		}
 	}
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -19,6 +19,7 @@
 	Team        string    `msgpack:"t"`
 	Key         string    `msgpack:"k"`
 	SubmittedAt time.Time `msgpack:"s"`
+	Attempt     int       `msgpack:"a"` // of the submission; 0 when not known
 	Fence       bool      `msgpack:"f"` // refuse the key from now on, if it is not known
 	Round       uint64    `msgpack:"r"` // returned in the reply
 }
@@ -31,7 +32,7 @@
 	NotSeen   LocateState = iota + 1 // never accepted here; fenced, if asked for
 	Owned                            // accepted here, in progress or ended
 	Locating                         // this host is looking for the owner and goes first
-	Uncertain                        // restarted since, or no room for a fence
+	Uncertain                        // restarted since, a later attempt fenced, or no room for a fence
 )
 
 // LocateReply answers a Locate.
