engine: a late copy of an earlier answer is not taken for this one's

Cause: an owner's answer carried no round, so that a doubled 'key conflict, not run' to a submission with another body could end a later search for the same key, whose job had run. Ruled out: matching by the digest, which a fetch does not know. Attach and JobAnswer now carry the round of the search. TestAnswerOfEarlierSearchIsDropped failed before the check was added.

--- a/internal/emulator/atmostonce_test.go
+++ b/internal/emulator/atmostonce_test.go
@@ -1,11 +1,13 @@
 package emulator
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/shoenig/test/must"
 )
@@ -68,3 +70,38 @@
 	}
 	t.Logf("%d runs", runs)
 }
+
+// A failure domain that is cut off from all others serves first attempts on
+// its own minions, and attaches repetitions of its own keys; a repetition that
+// may have run elsewhere is told so by its deadline.
+func TestCutOffDomainServes(t *testing.T) {
+	c := newChaos(t, 1)
+	c.Net = Network{MinDelay: 100 * time.Microsecond, MaxDelay: 3 * time.Millisecond}
+	b := c.Host("b1")
+	c.RunUntil(start.Add(2 * time.Second))
+	c.cutDomain(time.Hour)
+	c.RunUntil(start.Add(10 * time.Second)) // every lease and peer timeout has passed
+	for i := range 50 {
+		k := &caller{chaos: c, id: job.ID{Team: "t", Key: fmt.Sprint(i)}, tasks: 1, submittedAt: c.Now()}
+		c.After(time.Duration(i)*time.Second, func() {
+			k.submittedAt = c.Now()
+			k.sendTo(b, 1)
+			k.sendTo(b, 2)
+		})
+		unknown := &caller{chaos: c, id: job.ID{Team: "t", Key: fmt.Sprint("x", i)}, tasks: 1, submittedAt: c.Now()}
+		c.After(time.Duration(i)*time.Second, func() {
+			unknown.submittedAt = c.Now()
+			unknown.sendTo(b, 2)
+		})
+	}
+	c.RunUntil(c.Now().Add(2 * time.Minute))
+	c.finish()
+	must.Eq(t, map[result.Code]int{result.OK: 100, result.OwnerUnknown: 50}, c.codes)
+}
+
+// sendTo delivers an attempt at once.
+func (k *caller) sendTo(h *Host, attempt int) {
+	s := &submitted{id: k.id, attempt: attempt, digest: 1, deadline: maxDeadline}
+	k.ledger.send(s)
+	k.deliver(h, s)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -94,7 +94,7 @@
 	stopping      bool
 	nextBeat      time.Time
 	searches      map[job.ID]*search
-	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
+	followers     map[job.ID]map[string]uint64 // hosts that attached to a job of this host, and their rounds
 	round         uint64
 	stall         stall
 	ready         Ready
@@ -110,7 +110,7 @@
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
 		searches:  make(map[job.ID]*search),
-		followers: make(map[job.ID]map[string]bool),
+		followers: make(map[job.ID]map[string]uint64),
 	}
 }
 
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -125,7 +125,7 @@
 }
 
 func (s *search) attach() *peer.Attach {
-	a := &peer.Attach{Team: s.id.Team, Key: s.id.Key, Cancel: s.cancel}
+	a := &peer.Attach{Team: s.id.Team, Key: s.id.Key, Cancel: s.cancel, Round: s.round}
 	if s.submission != nil {
 		a.Digest = s.submission.Digest
 	}
@@ -236,21 +236,21 @@
 	id := job.ID{Team: a.Team, Key: a.Key}
 	j := e.jobs.Get(id)
 	if j == nil {
-		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.OwnerUnknown, Detail: "the owner forgot the key"}))
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.OwnerUnknown, Detail: "the owner forgot the key"}, a.Round))
 		return
 	}
 	if a.Digest != 0 && a.Digest != j.Digest {
-		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.KeyConflict, Detail: "the key was submitted with another body"}))
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.KeyConflict, Detail: "the key was submitted with another body"}, a.Round))
 		return
 	}
 	if j.Ended() {
-		e.send(from, jobAnswer(j.Answer()))
+		e.send(from, jobAnswer(j.Answer(), a.Round))
 		return
 	}
 	if e.followers[id] == nil {
-		e.followers[id] = make(map[string]bool)
+		e.followers[id] = make(map[string]uint64)
 	}
-	e.followers[id][from] = true
+	e.followers[id][from] = a.Round
 	if a.Cancel {
 		e.cancel(now, id)
 	}
@@ -262,9 +262,8 @@
 	if len(followers) == 0 {
 		return
 	}
-	m := jobAnswer(a)
-	for host := range followers {
-		e.send(host, m)
+	for host, round := range followers {
+		e.send(host, jobAnswer(a, round))
 	}
 	delete(e.followers, a.ID)
 }
@@ -272,16 +271,16 @@
 // receiveJobAnswer ends a search by the owner's answer.
 func (e *Engine) receiveJobAnswer(from string, m *peer.JobAnswer) {
 	s := e.searches[job.ID{Team: m.Team, Key: m.Key}]
-	if s == nil || s.owner != from {
+	if s == nil || s.owner != from || s.round != m.Round {
 		return
 	}
 	delete(e.searches, s.id)
 	e.answer(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: job.Breakdown(m.Breakdown)})
 }
 
-func jobAnswer(a *job.Answer) *peer.JobAnswer {
+func jobAnswer(a *job.Answer, round uint64) *peer.JobAnswer {
 	return &peer.JobAnswer{
-		Team: a.ID.Team, Key: a.ID.Key, Code: a.Code, Detail: a.Detail,
+		Team: a.ID.Team, Key: a.ID.Key, Round: round, Code: a.Code, Detail: a.Detail,
 		Results: a.Results, Breakdown: peer.Breakdown(a.Breakdown),
 	}
 }
--- /dev/null
+++ b/internal/engine/locate_test.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/shoenig/test/must"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newEngine(peers ...string) *Engine {
+	cfg := Config{
+		Host: membership.Host{Name: "self", FailureDomain: "d", Region: "r"}, StartedAt: t0.Add(-time.Hour),
+		MinionLease: time.Second, HeartbeatEvery: time.Second, PeerTimeout: time.Second,
+		LocateTimeout: time.Second, LocateResend: time.Second, FollowTimeout: time.Second, MaxSearches: 10,
+		Jobs: job.Limits{MaxActive: 10, MaxRecords: 10, KeyLifetime: time.Minute, ClockError: time.Second},
+	}
+	for _, name := range peers {
+		cfg.Peers = append(cfg.Peers, membership.Host{Name: name, FailureDomain: "d", Region: "r"})
+	}
+	return New(cfg)
+}
+
+func repetition(key string, attempt int, digest uint64) *job.Submission {
+	return &job.Submission{
+		ID: job.ID{Team: "t", Key: key}, Attempt: attempt, Service: "s", SubmittedAt: t0,
+		Deadline: t0.Add(time.Second), Digest: digest, Tasks: make([]job.Task, 1),
+	}
+}
+
+// owned lets the peer answer the latest question as the owner, and returns the
+// round under which the engine then asks it for the answer.
+func owned(t *testing.T, e *Engine) uint64 {
+	t.Helper()
+	var q *peer.Locate
+	for _, m := range e.Ready().Messages {
+		if l, ok := m.Body.(*peer.Locate); ok {
+			q = l
+		}
+	}
+	must.NotNil(t, q)
+	e.Receive(t0, "p", "1", &peer.LocateReply{Team: q.Team, Key: q.Key, Round: q.Round, State: peer.Owned})
+	for _, m := range e.Ready().Messages {
+		if a, ok := m.Body.(*peer.Attach); ok {
+			return a.Round
+		}
+	}
+	t.Fatal("the owner was not asked for the answer")
+	return 0
+}
+
+// A late copy of the owner's answer to a submission with another body is not
+// taken for the answer to this one.
+func TestAnswerOfEarlierSearchIsDropped(t *testing.T) {
+	e := newEngine("p")
+	_, err := e.Submit(t0, repetition("k", 2, 2))
+	must.Nil(t, err)
+	conflict := &peer.JobAnswer{Team: "t", Key: "k", Round: owned(t, e), Code: result.KeyConflict}
+	e.Receive(t0, "p", "1", conflict)
+	must.Eq(t, result.KeyConflict, e.Ready().Answers[0].Code)
+
+	_, err = e.Submit(t0, repetition("k", 3, 1))
+	must.Nil(t, err)
+	round := owned(t, e)
+	e.Receive(t0, "p", "1", conflict)
+	must.SliceEmpty(t, e.Ready().Answers)
+	e.Receive(t0, "p", "1", &peer.JobAnswer{Team: "t", Key: "k", Round: round, Code: result.TaskFailed})
+	must.Eq(t, result.TaskFailed, e.Ready().Answers[0].Code)
+}
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -50,12 +50,14 @@
 	Key    string `msgpack:"k"`
 	Digest uint64 `msgpack:"d"` // of the body; 0 when not known
 	Cancel bool   `msgpack:"c"` // cancel the job first
+	Round  uint64 `msgpack:"r"` // returned in the answer
 }
 
 // JobAnswer carries the final answer to a host that attached.
 type JobAnswer struct {
 	Team      string      `msgpack:"t"`
 	Key       string      `msgpack:"k"`
+	Round     uint64      `msgpack:"n"` // of the Attach
 	Code      result.Code `msgpack:"c"`
 	Detail    string      `msgpack:"d"`
 	Results   [][]byte    `msgpack:"r"`
