link: what was queued for a peer that was down is dropped

Cause: a ring kept up to 1024 messages while its peer could not be reached, and sent them all on reconnection. A restarted host thus got heartbeats that were minutes old, and since nothing older tells it their age, it counted the leases in them, also of minions that had left, from their arrival. PROTOCOL.md says already that such messages are dropped. Ruled out: ages in the messages, which need a common clock or an earlier message.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -103,6 +103,7 @@
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			delay.Reset()
+			drain(out)
 			m.sendLoop(ctx, conn, out)
 			conn.Close()
 		}
@@ -113,6 +114,18 @@
 	}
 }
 
+// drain drops what was queued while the peer could not be reached: by now it
+// would mislead, such as a lease that counts from its arrival.
+func drain(out *ring.Ring[peer.Body]) {
+	for range outboundSize {
+		select {
+		case <-out.C():
+		default:
+			return
+		}
+	}
+}
+
 func (m *Mesh) sendLoop(ctx context.Context, conn net.Conn, out *ring.Ring[peer.Body]) {
 	if err := write(conn, &m.hello); err != nil {
 		return
