scripts: named broken variants that the tests must fail on

Seen on the way: the run had no task that a minion fails, so 'unknown outcome hidden by a failure' survived; minions that fail everything were added to the faults.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint unit race bench soak
+.PHONY: build demo test lint unit race bench soak mutants
 
 build:
 	@mkdir -p bin
@@ -32,3 +32,7 @@
 # repeats one.
 soak:
 	LW_SOAK=$${LW_SOAK:-10m} go test ./internal/emulator -run TestSoak -count=1 -v -timeout 0
+
+# Broken variants of the code that the tests must fail on; takes about a minute.
+mutants:
+	scripts/mutants.sh
--- a/internal/emulator/chaos_test.go
+++ b/internal/emulator/chaos_test.go
@@ -179,7 +179,7 @@
 func (c *chaos) fault() {
 	faults := []func(time.Duration){
 		c.killHost, c.killHost, c.restartHost, c.restartHost, c.freezeHost, c.cutLink, c.cutDomain,
-		c.killMinion, c.leaveMinion, c.silenceMinion, c.burst, c.cancelWave, c.stopHost,
+		c.killMinion, c.leaveMinion, c.silenceMinion, c.failMinion, c.burst, c.cancelWave, c.stopHost,
 	}
 	f := faults[c.Rand().IntN(len(faults))]
 	lasts := c.below(6 * time.Second)
@@ -246,6 +246,13 @@
 func (c *chaos) leaveMinion(lasts time.Duration)   { c.quiet((*Minion).Leave, lasts) }
 func (c *chaos) silenceMinion(lasts time.Duration) { c.quiet((*Minion).Silence, lasts) }
 
+// failMinion lets a minion fail each task that it starts.
+func (c *chaos) failMinion(lasts time.Duration) {
+	m := c.anyMinion()
+	m.Failing = true
+	c.After(lasts, m.Restart)
+}
+
 func (c *chaos) burst(time.Duration) {
 	for range 30 {
 		c.submitJob()
--- a/internal/emulator/minion.go
+++ b/internal/emulator/minion.go
@@ -113,6 +113,7 @@
 	m.Dead = false
 	m.Leaving = false
 	m.Silent = false
+	m.Failing = false
 	m.quietAt = time.Time{}
 	m.Generation++
 }
