job: an ended job keeps a small record; a tick costs what expires

Cause: an ended job kept its task array and stayed in the heap of deadlines, and every tick scanned all fences. Ended jobs without tasks in progress are now a record of digest, code, expiry and, within the byte bound, the answer; fences and records expire by buckets of a second; the heap drops a job when it ends. The byte bound counts an answer's own structure too: before, a million answers without results counted as nothing. Ruled out: a heap of expiries (24 bytes and a logarithm more per key).

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -121,8 +121,8 @@
 	detail    string
 	ended     bool
 	answer    *Answer
-	endedAt   time.Time
 	retention time.Time
+	heapIndex int // in the table's heap of deadlines, until the job has ended
 }
 
 // Queued returns the number of tasks that may still start.
@@ -247,7 +247,6 @@
 	j.withdraw()
 	j.ended = true
 	j.answer = a
-	j.endedAt = now
 	return a
 }
 
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
@@ -31,44 +30,56 @@
 
 // Table holds the jobs of one host.
 type Table struct {
-	limits      Limits
-	startedAt   time.Time
-	jobs        map[ID]*Job
-	active      int
-	answerBytes int
-	deadlines   deadlineHeap
-	fences      map[ID]fence // keys refused here
-	ended       []*Job       // oldest first
-	released    int          // leading entries of ended whose answers were dropped
+	limits    Limits
+	startedAt time.Time
+	jobs      map[ID]*Job // in progress, or ended with tasks in progress
+	active    int
+	deadlines deadlineHeap // of the jobs that have not ended
+	records                // of the other keys
 }
 
 // NewTable returns an empty table of a process that started at startedAt.
 func NewTable(l Limits, startedAt time.Time) *Table {
-	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job), fences: make(map[ID]fence)}
+	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job), records: newRecords(startedAt)}
 }
 
-// Get returns the job with the given identity, or nil.
-func (t *Table) Get(id ID) *Job { return t.jobs[id] }
+// Get returns the job with the given identity, or nil. Of a job that ended and
+// has no task in progress, only the identity and the answer are left.
+func (t *Table) Get(id ID) *Job {
+	if j := t.jobs[id]; j != nil {
+		return j
+	}
+	if r, ok := t.ended[id]; ok {
+		return r.job(id)
+	}
+	return nil
+}
 
 // Active returns the number of jobs in progress.
 func (t *Table) Active() int { return t.active }
 
 // Records returns the number of keys remembered.
-func (t *Table) Records() int { return len(t.jobs) + len(t.fences) }
+func (t *Table) Records() int { return len(t.jobs) + len(t.ended) + len(t.fences) }
 
-// Each calls f for every remembered job until f returns false.
+// Each calls f for every remembered job until f returns false, those in
+// progress first.
 func (t *Table) Each(f func(*Job) bool) {
 	for _, j := range t.jobs {
 		if !f(j) {
 			return
 		}
 	}
+	for id, r := range t.ended {
+		if !f(r.job(id)) {
+			return
+		}
+	}
 }
 
 // Submit admits, attaches or refuses s. Located says that every host in scope
 // has fenced the key, so that a repetition may run here.
 func (t *Table) Submit(now time.Time, s *Submission, located bool) (*Job, Admission, *result.Error) {
-	if j := t.jobs[s.ID]; j != nil {
+	if j := t.Get(s.ID); j != nil {
 		return t.repeat(j, s)
 	}
 	if err := t.admissible(now, s, located); err != nil {
@@ -154,15 +165,6 @@
 
 func (t *Table) full() bool { return t.Records() >= t.limits.MaxRecords }
 
-// fence refuses the attempts of a key up to a number, until a time.
-type fence struct {
-	until   time.Time
-	attempt int
-}
-
-// spent is the attempt of a fence that refuses every submission of the key.
-const spent = math.MaxInt
-
 // Fence refuses the key's first attempt, and every one below the given number,
 // from now on. It fails when a later attempt was fenced before, which may have
 // been answered as not run, or when there is no room.
@@ -174,19 +176,10 @@
 	case !known && t.full():
 		return result.Errorf(result.OwnerUnknown, "no room to fence the key")
 	}
-	t.fences[id] = fence{until: t.retention(submittedAt), attempt: attempt}
+	t.fence(id, t.retention(submittedAt), attempt)
 	return nil
 }
 
-// Spend refuses every further submission of a fenced key: attempts without
-// numbers can't be told from those that were sent before the last answer.
-func (t *Table) Spend(id ID) {
-	if f, ok := t.fences[id]; ok {
-		f.attempt = spent
-		t.fences[id] = f
-	}
-}
-
 // retention is the time until which a key is remembered: a host whose clock
 // runs behind by the tolerated error accepts no repetition after it.
 func (t *Table) retention(submittedAt time.Time) time.Time {
@@ -269,6 +262,7 @@
 func (t *Table) settle(now time.Time, j *Job, last int) *Answer {
 	switch {
 	case j.ended:
+		t.archive(j)
 		return nil
 	case j.stopCode.Class() == result.MayHaveRun:
 		return t.end(now, j, j.stopCode, j.detail, last)
@@ -285,13 +279,20 @@
 	invariant.Check(code.Class() != result.NotRun || !(j.anyRan() || j.anyUnknown()), "job %s answered %s after a start", j.ID, code)
 	t.active--
 	j.Tasks = nil // payloads are no longer needed
-	for _, r := range a.Results {
-		t.answerBytes += len(r)
-	}
-	t.ended = append(t.ended, j)
+	heap.Remove(&t.deadlines, j.heapIndex)
+	t.archive(j)
 	return a
 }
 
+// archive keeps only the record of an ended job, once no task is in progress.
+func (t *Table) archive(j *Job) {
+	if !j.ended || j.running > 0 {
+		return
+	}
+	delete(t.jobs, j.ID)
+	t.addEnded(j)
+}
+
 // Refuse withdraws queued tasks for a reason of class "not run". The answer
 // follows when no task is in progress: the code itself when nothing ran.
 func (t *Table) Refuse(now time.Time, id ID, code result.Code, detail string) *Answer {
@@ -318,15 +319,13 @@
 func (t *Table) Tick(now time.Time) []*Answer {
 	var out []*Answer
 	for len(t.deadlines) > 0 && !t.deadlines[0].Deadline.After(now) {
-		j := heap.Pop(&t.deadlines).(*Job)
-		if j.ended {
-			continue
-		}
+		j := t.deadlines[0]
 		code := j.byProgress(result.DeadlineNotRun, result.DeadlineRan, result.DeadlineUnknown)
 		j.withdraw()
 		out = append(out, t.end(now, j, code, "deadline passed", j.lastOpen()))
 	}
-	t.forget(now)
+	t.releaseBeyond(t.limits.MaxAnswerBytes)
+	t.expire(now)
 	return out
 }
 
@@ -340,43 +339,20 @@
 	return 0
 }
 
-// forget drops the answers beyond the byte bound, oldest first, and the
-// records whose key lifetime has passed.
-func (t *Table) forget(now time.Time) {
-	for t.answerBytes > t.limits.MaxAnswerBytes && t.released < len(t.ended) {
-		t.releaseAnswer(t.ended[t.released])
-		t.released++
-	}
-	drop := 0
-	for drop < len(t.ended) && t.ended[drop].retention.Before(now) {
-		t.releaseAnswer(t.ended[drop])
-		delete(t.jobs, t.ended[drop].ID)
-		drop++
-	}
-	t.ended = t.ended[drop:]
-	t.released = max(0, t.released-drop)
-	for id, f := range t.fences {
-		if f.until.Before(now) {
-			delete(t.fences, id)
-		}
-	}
-}
-
-func (t *Table) releaseAnswer(j *Job) {
-	for _, r := range j.answer.Results {
-		t.answerBytes -= len(r)
-	}
-	if j.answer.Results != nil {
-		j.answer = &Answer{ID: j.ID, Code: result.AnswerReleased, Breakdown: j.answer.Breakdown}
-	}
-}
-
 type deadlineHeap []*Job
 
 func (h deadlineHeap) Len() int           { return len(h) }
 func (h deadlineHeap) Less(i, k int) bool { return h[i].Deadline.Before(h[k].Deadline) }
-func (h deadlineHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
-func (h *deadlineHeap) Push(x any)        { *h = append(*h, x.(*Job)) }
+func (h deadlineHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].heapIndex = i
+	h[k].heapIndex = k
+}
+func (h *deadlineHeap) Push(x any) {
+	j := x.(*Job)
+	j.heapIndex = len(*h)
+	*h = append(*h, j)
+}
 func (h *deadlineHeap) Pop() any {
 	old := *h
 	j := old[len(old)-1]
