--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,7 +120,7 @@
 		return err
 	}
 	cfg := d.engineConfig(inc)
-	cfg.Judge = func(j *job.Job, a *job.Answer) { d.core.model.Answer(j, a) }
+	cfg.Judge = func(a *job.Answer) { d.core.model.Answer(a) }
 	d.core = &core{
 		engine:   engine.New(cfg),
 		requests: ring.New[input](d.settings.Limits.RingSize),
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -40,16 +40,20 @@
 	Counters Counters
 	// OnAnswer receives every final answer of a host.
 	OnAnswer func(h *Host, a *job.Answer)
+	// OnSend is told of every task request that leaves a host.
+	OnSend func(h *Host, s engine.Start)
 	// OnStart is told of every task that a minion really starts, and of the
 	// attempt number under which its host accepted the job.
 	OnStart func(h *Host, m *Minion, s engine.Start, attempt int)
 	// OnInput is told of every input of a host before it is handled, and
-	// OnSend and OnOutcome of the beginning and end of every start.
+	// OnOutcome of the outcome of every start.
 	OnInput   func(h *Host, now time.Time)
-	OnSend    func(h *Host, s engine.Start)
 	OnOutcome func(h *Host, s engine.Start, o job.Outcome, disproved bool)
 	// PeerDelay is added to every message between hosts.
 	PeerDelay time.Duration
+	// OnEnd is told of every started task that no longer runs; known says that
+	// its outcome was sent to the host.
+	OnEnd func(m *Minion, s engine.Start, known bool)
 
 	now     time.Time
 	rng     *rand.Rand
@@ -170,6 +174,7 @@
 			})
 		})
 	}
+	identity := identityOf(h.Engine.Incarnation(), s.Task)
 	attempt := h.Engine.Jobs().Get(s.Task.Job).Attempt
 	e.After(e.delay()+link, func() {
 		m := e.minions[s.Minion]
@@ -177,14 +182,14 @@
 			finish(job.Outcome{Code: result.Busy}, true)
 			return
 		}
-		if m.begin(h, s) == nil {
+		if m.begin(identity) == nil {
 			finish(job.Outcome{Code: result.Busy}, true)
 			return
 		}
 		if e.OnStart != nil {
 			e.OnStart(h, m, s, attempt)
 		}
-		m.run(e, h, s, finish)
+		m.run(e, identity, s, finish)
 	})
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,9 +42,8 @@
 	FollowTimeout time.Duration // bound on a fetch from the owner
 	MaxSearches   int           // keys looked for at a time
 
-	// Judge, if not nil, sets the verdict of a final answer before it is sent;
-	// j is nil when another host owns the job.
-	Judge func(j *job.Job, a *job.Answer)
+	// Judge, if not nil, sets the verdict of a final answer before it is sent.
+	Judge func(a *job.Answer)
 
 	Slots SlotPolicy
 }
@@ -104,8 +103,9 @@
 	shutdown      shutdown
 	nextBeat      time.Time
 	searches      map[job.ID]*search
-	followers     map[job.ID]map[string]time.Time // hosts that attached to a job of this host, and when
+	followers     map[job.ID]map[string]follower // hosts that attached to a job of this host
 	round         uint64
+	stall         stall
 	sharing
 	lending
 	sizes map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
@@ -122,7 +122,7 @@
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
 		searches:  make(map[job.ID]*search),
-		followers: make(map[job.ID]map[string]time.Time),
+		followers: make(map[job.ID]map[string]follower),
 		shutdown:  shutdown{echoes: make(map[string]time.Duration)},
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
@@ -166,7 +166,7 @@
 		return
 	}
 	if e.cfg.Judge != nil {
-		e.cfg.Judge(e.jobs.Get(a.ID), a)
+		e.cfg.Judge(a)
 	}
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
@@ -203,7 +203,27 @@
 	if s.Attempt != 1 {
 		return nil, e.locate(now, s)
 	}
-	return nil, e.accept(now, s, false)
+	return nil, e.acceptFirst(now, s)
+}
+
+// acceptFirst admits a first attempt. A fetch of its key that looks for the
+// owner in vain gets the job's answer; a cancellation prevents the job.
+func (e *Engine) acceptFirst(now time.Time, s *job.Submission) *result.Error {
+	fetch := e.searches[s.ID]
+	if fetch == nil || fetch.submission != nil {
+		return e.accept(now, s, false)
+	}
+	if fetch.cancel {
+		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
+		e.giveUp(fetch, err)
+		return err
+	}
+	if err := e.accept(now, s, false); err != nil {
+		return err
+	}
+	e.endFetch(s.ID)
+	e.ready.Pending = append(e.ready.Pending, s.ID)
+	return nil
 }
 
 // accept admits a submission whose key no host has accepted before.
@@ -331,6 +351,7 @@
 
 // Tick advances time: deadlines, leases, heartbeats.
 func (e *Engine) Tick(now time.Time) {
+	e.stall.observe(now)
 	for _, a := range e.jobs.Tick(now) {
 		e.answer(a)
 	}
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -56,20 +56,35 @@
 func (e *Engine) locate(now time.Time, sub *job.Submission) *result.Error {
 	if s := e.searches[sub.ID]; s != nil && s.submission != nil {
 		if s.submission.Digest != sub.Digest {
-			return result.Errorf(result.KeyConflict, "key %q was submitted with another body", sub.ID.Key)
+			return result.Errorf(result.OwnerUnknown, "the owner of key %q is looked for with another body", sub.ID.Key)
 		}
 		return nil
 	}
+	if err := e.jobs.Expired(now, sub); err != nil {
+		return err
+	}
 	if e.jobs.Forgot(sub.SubmittedAt) {
 		return result.Errorf(result.OwnerUnknown, "an earlier process of this host may have accepted the key")
 	}
 	if e.members.DepartedSince(e.cfg.Host.Region, sub.SubmittedAt.Add(-e.cfg.Jobs.ClockError)) {
 		return result.Errorf(result.OwnerUnknown, "a host that was removed since may have accepted the key")
 	}
-	if !e.jobs.Fence(sub.ID, sub.SubmittedAt) {
-		return result.Errorf(result.OwnerUnknown, "no room to fence the key")
+	if err := e.jobs.Fence(sub.ID, sub.SubmittedAt, sub.Attempt); err != nil {
+		return err
+	}
+	return e.search(now, &search{id: sub.ID, submission: sub, cancel: e.endFetch(sub.ID)})
+}
+
+// endFetch ends a search on behalf of a fetch: a submission of the key has
+// arrived, and those who wait for the fetch get its answer. It reports whether
+// the job was to be cancelled.
+func (e *Engine) endFetch(id job.ID) (cancel bool) {
+	s := e.searches[id]
+	if s == nil || s.submission != nil {
+		return false
 	}
-	return e.search(now, &search{id: sub.ID, submission: sub})
+	delete(e.searches, id)
+	return s.cancel
 }
 
 func (e *Engine) search(now time.Time, s *search) *result.Error {
@@ -86,6 +101,9 @@
 		}
 	}
 	s.until = now.Add(e.cfg.LocateTimeout)
+	if s.submission != nil && s.submission.Deadline.Before(s.until) {
+		s.until = s.submission.Deadline
+	}
 	e.searches[s.id] = s
 	e.ask(now, s)
 	e.decide(now, s)
@@ -104,6 +122,7 @@
 	if s.submission != nil {
 		q.Fence = true
 		q.SubmittedAt = s.submission.SubmittedAt
+		q.Attempt = s.submission.Attempt
 	}
 	for _, p := range e.members.All() {
 		if notSeen, ok := s.asked[p.Name]; ok && !notSeen {
@@ -113,7 +132,7 @@
 }
 
 func (s *search) attach() *peer.Attach {
-	a := &peer.Attach{Team: s.id.Team, Key: s.id.Key, Cancel: s.cancel}
+	a := &peer.Attach{Team: s.id.Team, Key: s.id.Key, Cancel: s.cancel, Round: s.round}
 	if s.submission != nil {
 		a.Digest = s.submission.Digest
 	}
@@ -141,7 +160,7 @@
 		}
 		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
 	}
-	if e.jobs.Forgot(q.SubmittedAt) || !e.jobs.Fence(id, q.SubmittedAt) {
+	if e.jobs.Forgot(q.SubmittedAt) || e.jobs.Fence(id, q.SubmittedAt, q.Attempt) != nil {
 		return peer.Uncertain, false
 	}
 	return peer.NotSeen, false
@@ -199,18 +218,26 @@
 		return
 	}
 	if s.cancel {
-		e.giveUp(s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
+		e.refuseLocated(s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
 		return
 	}
-	delete(e.searches, s.id)
 	s.submission.Control = now.Sub(s.since)
 	if err := e.accept(now, s.submission, true); err != nil {
-		e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail})
+		e.refuseLocated(s, err)
 		return
 	}
+	delete(e.searches, s.id)
 	e.ready.Pending = append(e.ready.Pending, s.id)
 }
 
+// refuseLocated answers a repetition that every host has fenced as not run.
+func (e *Engine) refuseLocated(s *search, err *result.Error) {
+	if s.submission.Attempt == 0 {
+		e.jobs.Spend(s.id)
+	}
+	e.giveUp(s, err)
+}
+
 // giveUp ends a search without an answer from an owner.
 func (e *Engine) giveUp(s *search, err *result.Error) {
 	delete(e.searches, s.id)
@@ -229,38 +256,47 @@
 	id := job.ID{Team: a.Team, Key: a.Key}
 	j := e.jobs.Get(id)
 	if j == nil {
-		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.OwnerUnknown, Detail: "the owner forgot the key"}))
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.OwnerUnknown, Detail: "the owner forgot the key"}, a.Round))
 		return
 	}
 	if a.Digest != 0 && a.Digest != j.Digest {
-		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.KeyConflict, Detail: "the key was submitted with another body"}))
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: result.KeyConflict, Detail: "the key was submitted with another body"}, a.Round))
 		return
 	}
 	if j.Ended() {
-		e.send(from, jobAnswer(j.Answer()))
+		e.send(from, jobAnswer(j.Answer(), a.Round))
 		return
 	}
 	if e.followers[id] == nil {
-		e.followers[id] = make(map[string]time.Time)
+		e.followers[id] = make(map[string]follower)
 	}
-	if _, ok := e.followers[id][from]; !ok {
-		e.followers[id][from] = now
+	f, known := e.followers[id][from]
+	if !known {
+		f.since = now
 	}
+	f.round = a.Round
+	e.followers[id][from] = f
 	if a.Cancel {
 		e.cancel(now, id)
 	}
 }
 
+// follower is a host that attached to a job of this host.
+type follower struct {
+	since time.Time
+	round uint64 // of its question, returned with the answer
+}
+
 // notifyFollowers sends a final answer to the hosts that attached to the job.
 func (e *Engine) notifyFollowers(a *job.Answer) {
 	followers := e.followers[a.ID]
 	if len(followers) == 0 {
 		return
 	}
-	end := e.jobs.Get(a.ID).Accepted.Add(a.Breakdown.Total)
-	for host, attached := range followers {
-		m := jobAnswer(a)
-		m.Breakdown.PeerHeld = max(0, end.Sub(attached))
+	end := a.Accepted.Add(a.Breakdown.Total)
+	for host, f := range followers {
+		m := jobAnswer(a, f.round)
+		m.Breakdown.PeerHeld = max(0, end.Sub(f.since))
 		e.send(host, m)
 	}
 	delete(e.followers, a.ID)
@@ -269,7 +305,7 @@
 // receiveJobAnswer ends a search by the owner's answer.
 func (e *Engine) receiveJobAnswer(now time.Time, from string, m *peer.JobAnswer) {
 	s := e.searches[job.ID{Team: m.Team, Key: m.Key}]
-	if s == nil || s.owner != from {
+	if s == nil || s.owner != from || s.round != m.Round {
 		return
 	}
 	delete(e.searches, s.id)
@@ -280,9 +316,9 @@
 	e.answer(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: b})
 }
 
-func jobAnswer(a *job.Answer) *peer.JobAnswer {
+func jobAnswer(a *job.Answer, round uint64) *peer.JobAnswer {
 	return &peer.JobAnswer{
-		Team: a.ID.Team, Key: a.ID.Key, Code: a.Code, Detail: a.Detail,
+		Team: a.ID.Team, Key: a.ID.Key, Round: round, Code: a.Code, Detail: a.Detail,
 		Results: a.Results, Breakdown: peer.Breakdown(a.Breakdown),
 	}
 }
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -206,7 +206,7 @@
 	}
 	id := job.ID{Team: m.Team, Key: m.Key}
 	if r, ok := e.refusals[id]; ok {
-		e.send(from, jobAnswer(&job.Answer{ID: id, Code: r.code, Detail: r.detail}))
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: r.code, Detail: r.detail}, 0))
 		return
 	}
 	if e.jobs.Get(id) == nil && !e.acceptForward(now, from, id, m) {
@@ -246,7 +246,7 @@
 	}
 	until := now.Add(e.cfg.Jobs.KeyLifetime + 2*e.cfg.Jobs.ClockError)
 	e.refusals[s.ID] = refusal{code: err.Code, detail: err.Detail, until: until}
-	e.send(from, jobAnswer(&job.Answer{ID: s.ID, Code: err.Code, Detail: err.Detail}))
+	e.send(from, jobAnswer(&job.Answer{ID: s.ID, Code: err.Code, Detail: err.Detail}, 0))
 }
 
 // settleForward ends a forwarded job by the answer of the host that dispatched
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -90,6 +90,9 @@
 	Detail    string
 	Results   [][]byte // one per task, only when Code is result.OK
 	Breakdown Breakdown
+
+	Service  string    // empty when another host owns the job
+	Accepted time.Time // zero when another host owns the job
 }
 
 // Breakdown tells where the time of the answer's last task went. All
@@ -149,9 +152,9 @@
 	detail    string
 	ended     bool
 	answer    *Answer
-	endedAt   time.Time
 	retention time.Time
 	bytes     int // payloads and results that count as active
+	heapIndex int // in the table's heap of deadlines, until the job has ended
 }
 
 // Queued returns the number of tasks that may still start.
@@ -236,6 +239,21 @@
 	}
 }
 
+// finalCode is the code of a job without tasks in progress that is true of
+// what its tasks did, whatever the reason to stop was at first.
+func (j *Job) finalCode() result.Code {
+	switch j.stopCode {
+	case result.OK:
+		return result.OK
+	case result.CancelledNotRun:
+		return j.byProgress(result.CancelledNotRun, result.CancelledRan, result.CancelledMaybe)
+	case result.TaskFailed, result.AnswerReleased:
+		return j.byProgress(j.stopCode, j.stopCode, result.StartUnknown)
+	default:
+		return j.byProgress(j.stopCode, result.TaskFailed, result.StartUnknown)
+	}
+}
+
 func (j *Job) breakdown(now time.Time, last int) Breakdown {
 	t := &j.tasks[last]
 	b := Breakdown{
@@ -262,7 +280,7 @@
 }
 
 func (j *Job) end(now time.Time, code result.Code, detail string, last int) *Answer {
-	a := &Answer{ID: j.ID, Code: code, Detail: detail, Breakdown: j.breakdown(now, last)}
+	a := &Answer{ID: j.ID, Code: code, Detail: detail, Breakdown: j.breakdown(now, last), Service: j.Service, Accepted: j.Accepted}
 	if code == result.OK {
 		a.Results = make([][]byte, len(j.tasks))
 		for i := range j.tasks {
@@ -272,7 +290,6 @@
 	j.withdraw()
 	j.ended = true
 	j.answer = a
-	j.endedAt = now
 	return a
 }
 
--- a/internal/job/memory.go
+++ b/internal/job/memory.go
@@ -37,20 +37,15 @@
 	j.stop(result.AnswerReleased, "no room for the results of jobs in progress")
 }
 
-// dropTasks frees what an ended job no longer needs; tasks in progress are
-// kept until their outcomes are known.
-func (j *Job) dropTasks() {
-	if j.running == 0 {
-		j.tasks = nil
-		return
-	}
+// dropResults frees the results of an ended job that its answer does not hold.
+func (j *Job) dropResults() {
 	for i := range j.tasks {
 		j.tasks[i].outcome.Result = nil
 	}
 }
 
-// task returns the state of a task of a job in progress, or of one that ended
-// with the task in progress; nil otherwise.
+// task returns a task in progress and its job, which may have ended; nil
+// when there is no such task.
 func (t *Table) task(id TaskID) (*Job, *task) {
 	j := t.jobs[id.Job]
 	if j == nil || id.Index >= len(j.tasks) || j.tasks[id.Index].state != Started {
--- a/internal/job/memory_test.go
+++ b/internal/job/memory_test.go
@@ -54,18 +54,18 @@
 	must.Zero(t, b.activeBytes)
 }
 
-// An ended job keeps neither tasks nor results; an outcome that comes after
+// An ended job keeps no results beside its answer's; an outcome that comes after
 // the end is taken and dropped.
-func TestEndedJobsKeepNoTasks(t *testing.T) {
+func TestEndedJobsKeepNoResults(t *testing.T) {
 	b, now := boundedTable(0)
 	must.Nil(t, submitBytes(t, b, now, "a", 1, 2))
 	b.Start(now, TaskID{Job: ID{Team: "t", Key: "a"}}, "m")
 	must.Nil(t, finishTask(b, now, "a", 1, 50))
 	must.Len(t, 1, b.Tick(now.Add(time.Second)))
-	j := b.Get(ID{Team: "t", Key: "a"})
-	must.Nil(t, j.tasks[1].outcome.Result)
-	must.Nil(t, b.Finish(now, TaskID{Job: j.ID}, Outcome{Code: result.OK, Result: make([]byte, 50)}))
-	must.Nil(t, j.tasks)
-	must.Nil(t, b.Finish(now, TaskID{Job: j.ID}, Outcome{Code: result.OK}))
+	id := ID{Team: "t", Key: "a"}
+	must.Nil(t, b.Get(id).tasks[1].outcome.Result)
+	must.Nil(t, b.Finish(now, TaskID{Job: id}, Outcome{Code: result.OK, Result: make([]byte, 50)}))
+	must.MapEmpty(t, b.jobs)
+	must.Nil(t, b.Finish(now, TaskID{Job: id}, Outcome{Code: result.OK}))
 	must.Zero(t, b.activeBytes)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -153,16 +153,21 @@
 	delay.InitialInterval = firstRedial
 	delay.MaxInterval = maxRedial
 	dialer := net.Dialer{Timeout: dialTimeout}
+	lost := false
 	for ctx.Err() == nil {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			begin := time.Now()
+			if lost {
+				dropLeases(out)
+			}
 			m.sendLoop(ctx, conn, out)
 			conn.Close()
 			if time.Since(begin) > maxRedial {
 				delay.Reset() // it was not rejected at once
 			}
 		}
+		lost = true
 		select {
 		case <-ctx.Done():
 		case <-time.After(delay.NextBackOff()):
@@ -170,6 +175,29 @@
 	}
 }
 
+// dropLeases drops the queued messages with leases: they count from their
+// arrival, and were queued before the peer could be reached again.
+func dropLeases(out *ring.Ring[peer.Body]) {
+	for range out.Len() {
+		select {
+		case b := <-out.C():
+			if !carriesLeases(b) {
+				out.TryPush(b)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func carriesLeases(b peer.Body) bool {
+	switch b.(type) {
+	case *peer.Heartbeat, *peer.MinionUpdate:
+		return true
+	}
+	return false
+}
+
 func (m *Mesh) sendLoop(ctx context.Context, conn net.Conn, out *ring.Ring[peer.Body]) {
 	if err := write(conn, &m.hello); err != nil {
 		return
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -20,6 +20,7 @@
 	Team        string    `msgpack:"t"`
 	Key         string    `msgpack:"k"`
 	SubmittedAt time.Time `msgpack:"s"`
+	Attempt     int       `msgpack:"a"` // of the submission; 0 when not known
 	Fence       bool      `msgpack:"f"` // refuse the key from now on, if it is not known
 	Round       uint64    `msgpack:"r"` // returned in the reply
 }
@@ -32,7 +33,7 @@
 	NotSeen   LocateState = iota + 1 // never accepted here; fenced, if asked for
 	Owned                            // accepted here, in progress or ended
 	Locating                         // this host is looking for the owner and goes first
-	Uncertain                        // restarted since, or no room for a fence
+	Uncertain                        // restarted since, a later attempt fenced, or no room for a fence
 )
 
 // LocateReply answers a Locate.
@@ -53,12 +54,14 @@
 	Key    string `msgpack:"k"`
 	Digest uint64 `msgpack:"d"` // of the body; 0 when not known
 	Cancel bool   `msgpack:"c"` // cancel the job first
+	Round  uint64 `msgpack:"r"` // returned in the answer
 }
 
 // JobAnswer carries the final answer to a host that attached.
 type JobAnswer struct {
 	Team      string      `msgpack:"t"`
 	Key       string      `msgpack:"k"`
+	Round     uint64      `msgpack:"n"` // of the Attach
 	Code      result.Code `msgpack:"c"`
 	Detail    string      `msgpack:"d"`
 	Results   [][]byte    `msgpack:"r"`
--- a/internal/verdict/judge.go
+++ b/internal/verdict/judge.go
@@ -182,14 +182,10 @@
 	return min(1, float64(part)/float64(total))
 }
 
-// Answer judges the final answer of a job. j is nil when another host owns the
-// job.
-func (m *Model) Answer(j *job.Job, a *job.Answer) {
-	c := Case{Team: a.ID.Team, Breakdown: &a.Breakdown}
-	if j != nil {
-		c.Service = j.Service
-		c.Accepted = j.Accepted
-		c.Now = j.Accepted.Add(a.Breakdown.Total)
-	}
-	m.Judge(c)
+// Answer judges a final answer.
+func (m *Model) Answer(a *job.Answer) {
+	m.Judge(Case{
+		Service: a.Service, Team: a.ID.Team, Now: a.Accepted.Add(a.Breakdown.Total), Accepted: a.Accepted,
+		Breakdown: &a.Breakdown,
+	})
 }
--- a/internal/verdict/trial/trial.go
+++ b/internal/verdict/trial/trial.go
@@ -110,20 +110,27 @@
 // trial is one seeded run.
 type trial struct {
 	*emulator.Emulator
-	matrix  *Matrix
-	models  map[string]*verdict.Model
-	tasks   map[job.TaskID]*truth
-	receive map[job.ID]time.Duration
-	entry   map[job.ID]*emulator.Host // where the caller submitted
-	fault   Fault
-	active  bool
-	target  *emulator.Minion
-	host    *emulator.Host
-	factor  float64 // on run times
-	jobs    int
-	healthy []time.Duration // answers before the first fault
-	slowest time.Duration   // 99% quantile of healthy
-	freezes map[string]interval
+	matrix    *Matrix
+	models    map[string]*verdict.Model
+	tasks     map[job.TaskID]*truth
+	submitted map[job.ID]*submitted
+	fault     Fault
+	active    bool
+	target    *emulator.Minion
+	host      *emulator.Host
+	factor    float64 // on run times
+	jobs      int
+	healthy   []time.Duration // answers before the first fault
+	slowest   time.Duration   // 99% quantile of healthy
+	freezes   map[string]interval
+}
+
+// submitted is what the caller knows of a job.
+type submitted struct {
+	entry   *emulator.Host
+	at      time.Time
+	attempt int
+	receive time.Duration
 }
 
 type interval struct{ from, to time.Time }
@@ -165,7 +172,7 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	t := &trial{
 		Emulator: emulator.New(seed, start), matrix: m, factor: 1, freezes: make(map[string]interval),
-		models: make(map[string]*verdict.Model), tasks: make(map[job.TaskID]*truth), receive: make(map[job.ID]time.Duration), entry: make(map[job.ID]*emulator.Host),
+		models: make(map[string]*verdict.Model), tasks: make(map[job.TaskID]*truth), submitted: make(map[job.ID]*submitted),
 	}
 	for i := range m.Counts {
 		if m.Counts[i] == nil {
@@ -197,7 +204,7 @@
 		model := verdict.NewModel(h.Name)
 		t.models[h.Name] = model
 		cfg := hostConfig(h, peers)
-		cfg.Judge = func(j *job.Job, a *job.Answer) { model.Answer(j, a) }
+		cfg.Judge = model.Answer
 		t.AddHost(cfg, tickEvery)
 	}
 	for i := range numMinions {
@@ -323,25 +330,24 @@
 	if t.active && t.fault == FaultCaller {
 		s.Receive = time.Duration(500+t.Rand().IntN(5000)) * time.Millisecond
 	}
-	t.receive[s.ID] = s.Receive
 	h := t.Hosts()[t.Rand().IntN(numHosts)]
-	t.entry[s.ID] = h
+	t.submitted[s.ID] = &submitted{entry: h, at: t.Now(), attempt: attempt, receive: s.Receive}
 	h.Submit(s, deadline, func(*job.Answer, *result.Error) {})
 }
 
 // answered judges the answer and holds the verdict against the injection.
 func (t *trial) answered(h *emulator.Host, a *job.Answer) {
-	j := h.Engine.Jobs().Get(a.ID)
-	if j == nil || a.Code != result.OK || t.entry[a.ID] != h {
+	j := t.submitted[a.ID]
+	if a.Code != result.OK || j.entry != h {
 		return // the dispatching host's record of another host's job
 	}
 	t.matrix.Answers++
-	whole := t.Now().Sub(j.SubmittedAt) + t.receive[a.ID]
+	whole := t.Now().Sub(j.at) + j.receive
 	if t.slowest == 0 {
 		t.healthy = append(t.healthy, whole)
 		return
 	}
-	f, where, injected := t.injected(h, a, j)
+	f, where, injected := t.injected(a, j)
 	if whole < t.slowest || float64(injected) < slowShare*float64(whole) {
 		return
 	}
@@ -354,29 +360,29 @@
 }
 
 // injected returns the largest delay that was injected into the answer.
-func (t *trial) injected(h *emulator.Host, a *job.Answer, j *job.Job) (f Fault, where string, delay time.Duration) {
-	name := a.Breakdown.Minion
+func (t *trial) injected(a *job.Answer, j *submitted) (f Fault, where string, delay time.Duration) {
+	h, name := j.entry, a.Breakdown.Minion
 	k := t.tasks[job.TaskID{Job: a.ID, Index: a.Breakdown.Task}]
 	sent := k.startAt.Add(-k.there)
-	taken := t.Host(k.host).Engine.Jobs().Get(a.ID).Accepted // by the host that dispatches
-	waiting := t.freezes[k.host].overlap(j.SubmittedAt, taken)
+	taken := t.Host(k.host).Engine.Jobs().Get(a.ID).Answer().Accepted // by the host that dispatches
+	waiting := t.freezes[k.host].overlap(j.at, taken)
 	queueing := t.freezes[k.host].overlap(taken, sent)
 	returning := t.freezes[h.Name].overlap(k.doneAt, t.Now())
-	between := max(0, taken.Sub(j.Accepted)-waiting) + max(0, t.Now().Sub(k.doneAt)-returning)
+	between := max(0, taken.Sub(a.Accepted)-waiting) + max(0, t.Now().Sub(k.doneAt)-returning)
 	link := delayed{FaultLink, k.host + " to " + name, k.link()}
 	if k.unmetered {
 		link.fault, link.where = FaultUnmetered, name
 	}
 	control := delayed{FaultControl, h.Name, 0}
-	if j.Attempt > 1 {
-		control.delay = j.Accepted.Sub(j.SubmittedAt)
+	if j.attempt > 1 {
+		control.delay = a.Accepted.Sub(j.at)
 	}
 	worst, second := link, delayed{}
 	for _, d := range []delayed{
 		control,
 		{FaultQueue, k.host, sent.Sub(taken) - queueing},
 		{k.runFault, name, k.extraRun},
-		{FaultCaller, team, t.receive[a.ID]},
+		{FaultCaller, team, j.receive},
 		{FaultHost, k.host, waiting + queueing + max(0, k.back-k.link()/2)},
 		{FaultPeer, h.Name + " to " + k.host, between},
 		{FaultHost, h.Name, returning},
