--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
 	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
+	"github.com/laburnumwalk/laburnumwalk/internal/verdict"
 )
 
 // maxBatch is how many inputs are handled before their consequences are sent.
@@ -49,6 +50,8 @@
 	done         chan struct{}
 	hostsChanged func(hosts []membership.Host)
 	inForce      *inForce
+	writes       writes
+	model        *verdict.Model
 }
 
 // input is one event for the decision duty.
@@ -66,7 +69,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.engine.Tick(time.Now())
+			c.tickNow(time.Now())
 		case in := <-c.outcomes.C():
 			c.batch(in, c.outcomes)
 		case in := <-c.requests.C():
@@ -78,13 +81,24 @@
 	}
 }
 
+func (c *core) tickNow(now time.Time) {
+	c.model.Beat(now)
+	c.engine.Tick(now)
+}
+
+func (c *core) apply(in input) {
+	now := time.Now()
+	c.model.Beat(now)
+	in.apply(c, now)
+}
+
 // batch applies first and what else the ring holds, up to maxBatch inputs.
 func (c *core) batch(first input, from *ring.Ring[input]) {
-	first.apply(c, time.Now())
+	c.apply(first)
 	for range maxBatch - 1 {
 		select {
 		case in := <-from.C():
-			in.apply(c, time.Now())
+			c.apply(in)
 		default:
 			return
 		}
@@ -129,10 +143,12 @@
 	for i := range starts {
 		s := &starts[i]
 		c.metrics.TaskStarts.Add(1)
+		c.model.Started(time.Now(), s.Service, s.Minion, s.Task)
 		if c.sender.Start(*s) {
 			continue
 		}
 		refused = true
+		c.model.Disproved(s.Service, s.Task)
 		c.engine.TaskDisproved(time.Now(), s.Task, s.Minion, result.Busy)
 	}
 	return refused
@@ -217,6 +233,7 @@
 // outcome is the end of a start.
 type outcome struct {
 	task      job.TaskID
+	service   string
 	minion    string
 	disproved bool
 	outcome   job.Outcome
@@ -225,12 +242,14 @@
 func (o *outcome) apply(c *core, now time.Time) {
 	if o.disproved {
 		c.metrics.TaskDisproved.Add(1)
+		c.model.Disproved(o.service, o.task)
 		c.engine.TaskDisproved(now, o.task, o.minion, o.outcome.Code)
 		return
 	}
 	if o.outcome.Code.Class() == result.MayHaveRun {
 		c.metrics.TaskUnknown.Add(1)
 	}
+	c.model.Observe(o.service, o.minion, o.task, o.outcome)
 	c.engine.TaskFinished(now, o.task, o.minion, o.outcome)
 }
 
@@ -244,6 +263,11 @@
 func (m *message) apply(c *core, now time.Time) {
 	c.metrics.PeerReceived.Add(1)
 	c.engine.Receive(now, m.from, m.inc, m.body)
+	if _, ok := m.body.(*peer.Heartbeat); ok {
+		if p := c.engine.Members().Get(m.from); p != nil {
+			c.model.ObservePeer(m.from, p.LastTrip)
+		}
+	}
 }
 
 // call runs a function in the decision duty, for the rare requests of minions
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
 	"github.com/laburnumwalk/laburnumwalk/internal/store"
 	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
+	"github.com/laburnumwalk/laburnumwalk/internal/verdict"
 	"github.com/pkg/errors"
 )
 
@@ -47,6 +48,7 @@
 	mesh      *link.Mesh
 	proposer  proposer
 	operators *operators
+	api       *api.API
 	control   *controller
 	servers   []*server.Hertz
 	listeners listeners
@@ -119,13 +121,16 @@
 		return err
 	}
 	cfg := d.engineConfig(inc)
+	cfg.Judge = func(a *job.Answer) { d.core.model.Answer(a) }
 	d.core = &core{
 		engine:   engine.New(cfg),
 		requests: ring.New[input](d.settings.Limits.RingSize),
 		outcomes: outcomes,
 		messages: ring.New[input](d.settings.Limits.RingSize),
 		waiters:  make(map[job.ID][]waiter),
+		writes:   newWrites(),
 		sender:   d.sender,
+		model:    verdict.NewModel(cfg.Host.Name),
 		metrics:  d.metrics,
 		log:      d.log,
 		tick:     settings.Millis(d.settings.Timing.TickMS),
@@ -138,7 +143,8 @@
 	if err := d.wireControl(cfg); err != nil {
 		return err
 	}
-	a := api.New(d, &d.settings, d.log)
+	d.api = api.New(d, &d.settings, d.log)
+	a := d.api
 	d.servers = []*server.Hertz{a.Callers(d.listeners.callers), a.Minions(d.listeners.minions), a.Operators(d.listeners.operators)}
 	return nil
 }
@@ -220,6 +226,7 @@
 			MaxActive:      s.Limits.MaxActiveJobs,
 			MaxRecords:     s.Limits.MaxRecords,
 			MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+			MaxActiveBytes: s.Limits.MaxActiveBytes,
 			KeyLifetime:    settings.Millis(s.Timing.KeyLifetimeMS),
 			ClockError:     settings.Millis(s.Timing.ClockErrorMS),
 		},
@@ -302,19 +309,27 @@
 	}
 }
 
+func (d *Daemon) reportSpans(err error) {
+	event.Log(context.Background(), d.log, event.SpanExportFailed, slog.String("error", err.Error()))
+}
+
 const traceFlushTimeout = 3 * time.Second
 
 func (d *Daemon) startTraces(ctx context.Context) (func(), error) {
 	t := d.settings.Traces
-	_, closeTraces, err := telemetry.NewTracerProvider(ctx, telemetry.TraceConfig{
+	provider, closeTraces, err := telemetry.NewTracerProvider(ctx, telemetry.TraceConfig{
 		Host:       d.settings.Host,
 		File:       t.File,
 		Endpoint:   t.OTLP,
 		SampleRate: t.SampleRate,
+		Failed:     d.reportSpans,
 	})
 	if err != nil {
 		return nil, err
 	}
+	spans := telemetry.NewSpans(provider)
+	d.api.Spans = spans
+	d.sender.spans = spans
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 		defer cancel()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,6 +42,9 @@
 	FollowTimeout time.Duration // bound on a fetch from the owner
 	MaxSearches   int           // keys looked for at a time
 
+	// Judge, if not nil, sets the verdict of a final answer before it is sent.
+	Judge func(a *job.Answer)
+
 	Slots SlotPolicy
 }
 
@@ -55,6 +58,7 @@
 	Minion   string
 	Address  string
 	Deadline time.Time
+	Trace    string // W3C trace context, when sampled
 }
 
 // Cancel is a request to a minion to stop a task.
@@ -99,8 +103,9 @@
 	shutdown      shutdown
 	nextBeat      time.Time
 	searches      map[job.ID]*search
-	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
+	followers     map[job.ID]map[string]follower // hosts that attached to a job of this host
 	round         uint64
+	stall         stall
 	sharing
 	lending
 	arrivals  dispatch.Arrivals
@@ -119,7 +124,7 @@
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
 		searches:  make(map[job.ID]*search),
-		followers: make(map[job.ID]map[string]bool),
+		followers: make(map[job.ID]map[string]follower),
 		shutdown:  shutdown{echoes: make(map[string]time.Duration)},
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
@@ -163,6 +168,9 @@
 	if a == nil {
 		return
 	}
+	if e.cfg.Judge != nil {
+		e.cfg.Judge(a)
+	}
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
 	delete(e.forwards, a.ID)
@@ -202,7 +210,27 @@
 	if s.Attempt != 1 {
 		return nil, e.locate(now, s)
 	}
-	return nil, e.accept(now, s, false)
+	return nil, e.acceptFirst(now, s)
+}
+
+// acceptFirst admits a first attempt. A fetch of its key that looks for the
+// owner in vain gets the job's answer; a cancellation prevents the job.
+func (e *Engine) acceptFirst(now time.Time, s *job.Submission) *result.Error {
+	fetch := e.searches[s.ID]
+	if fetch == nil || fetch.submission != nil {
+		return e.accept(now, s, false)
+	}
+	if fetch.cancel {
+		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
+		e.giveUp(fetch, err)
+		return err
+	}
+	if err := e.accept(now, s, false); err != nil {
+		return err
+	}
+	e.endFetch(s.ID)
+	e.ready.Pending = append(e.ready.Pending, s.ID)
+	return nil
 }
 
 // accept admits a submission whose key no host has accepted before.
@@ -260,6 +288,7 @@
 		Minion:   a.Minion.Name,
 		Address:  a.Minion.Address,
 		Deadline: j.Deadline,
+		Trace:    j.Trace,
 	}
 }
 
@@ -307,6 +336,7 @@
 
 // Tick advances time: deadlines, leases, heartbeats.
 func (e *Engine) Tick(now time.Time) {
+	e.stall.observe(now)
 	for _, a := range e.jobs.Tick(now) {
 		e.answer(a)
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -91,3 +91,38 @@
 	must.False(t, m.Send("b", &peer.Heartbeat{}))
 	must.Eq(t, uint64(1), m.Dropped())
 }
+
+// Leases that were queued while a peer was down are not sent to it later: they
+// would count from their arrival.
+func TestLeasesForAPeerThatWasDownAreDropped(t *testing.T) {
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := far.Addr().String()
+	a := newNode(t, "a", membership.Host{Name: "far", Address: address})
+	conn := acceptHello(t, far)
+	must.NoError(t, far.Close())
+	must.NoError(t, conn.Close())
+	for range outboundSize / 2 { // more than a closed connection takes
+		must.True(t, a.Send("far", &peer.Heartbeat{}))
+	}
+
+	far, err = net.Listen("tcp", address)
+	must.NoError(t, err)
+	defer far.Close()
+	conn = acceptHello(t, far)
+	defer conn.Close()
+	must.True(t, a.Send("far", &peer.MinionLeave{Name: "new"}))
+	got, err := read(conn)
+	must.NoError(t, err)
+	must.Eq(t, peer.Body(&peer.MinionLeave{Name: "new"}), got)
+}
+
+func acceptHello(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	conn, err := l.Accept()
+	must.NoError(t, err)
+	hello, err := read(conn)
+	must.NoError(t, err)
+	must.Eq(t, peer.KindHello, hello.Kind())
+	return conn
+}
