examples: the declared configuration lies beside the demo's settings, not among them

Cause: a test checks every file of examples/demo as settings, and refused the configuration. The test was right: the folder holds settings. The example has a test of its own now.

--- a/internal/config/document_test.go
+++ b/internal/config/document_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -51,3 +52,11 @@
 	must.NoError(t, err)
 	must.Eq(t, d, again)
 }
+
+func TestExampleIsValid(t *testing.T) {
+	const example = "../../examples/configuration.json"
+	text, err := os.ReadFile(example)
+	must.NoError(t, err)
+	_, err = Parse(example, text)
+	must.NoError(t, err)
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,7 +84,7 @@
 until_true 10 minions_ready 303 2; step "sul-b-1 knows its own two" $? 0
 until_true 10 peer_up 103 sul-a-2; step "hosts of one failure domain know each other" $? 0
 
-plan 103 plan examples/demo/configuration.json; step "a plan for the declared configuration" $? 0
+plan 103 plan examples/configuration.json; step "a plan for the declared configuration" $? 0
 in_force 103 0; step "nothing has changed before confirm" $? 0
 ctl 103 confirm "$plan"; step "confirm" $? 0
 ctl 103 config -wait 5s status; step "the configuration is in force on every host" $? 0
