engine: the end of a search leaves a job of the same key alone

Cause: a host that dispatches for others can get a job by a forward while it looks for the same key's owner on behalf of a fetch. The end of that search was then taken for the job's answer: a waiting submission was told 'job unknown', the job's queued tasks were withdrawn from the queue and its started ones cancelled. Ruled out: ending the search when the forward arrives, which would leave the other ways into the table open. Now those who waited for the search get the job's answer. The run requires an answer by the latest deadline of the key's submissions, since a repetition joins the job under its first deadline.

--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -70,7 +70,7 @@
 	case *peer.MinionQuery:
 		e.answerQuery(now, from, m.Names)
 	case *peer.Locate:
-		e.receiveLocate(from, m)
+		e.receiveLocate(now, from, m)
 	case *peer.LocateReply:
 		e.receiveLocateReply(now, from, inc, m)
 	case *peer.Attach:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -212,7 +212,7 @@
 	}
 	if fetch.cancel {
 		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
-		e.giveUp(fetch, err)
+		e.giveUp(now, fetch, err)
 		return err
 	}
 	if err := e.accept(now, s, false); err != nil {
