--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -1,13 +1,11 @@
 package process
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -180,44 +178,14 @@
 	}
 }
 
-// post sends a JSON request to the operators' listener.
-func (h *host) post(path string, in, out any) error {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	resp, err := http.Post("http://"+h.settings.Listen.Operators+path, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(out)
-}
-
-// plan makes a plan for a document on the host and returns its identity.
-func (h *host) plan(t *testing.T, document string) string {
-	t.Helper()
-	var p api.PlanResponse
-	must.NoError(t, h.post("/v1/plans", api.PlanRequest{Intent: plan.Change, Document: document}, &p))
-	must.Eq(t, result.OK, p.Code, must.Sprint(p.Detail))
-	return p.ID
-}
-
-func (h *host) confirm(t *testing.T, id, command string) api.ConfirmResponse {
-	t.Helper()
-	var r api.ConfirmResponse
-	must.NoError(t, h.post("/v1/plans/"+id+"/confirm", api.ConfirmRequest{Command: command, Operator: "tester"}, &r))
-	return r
-}
-
 // accept gets a change accepted. While there is no majority the command is
 // resent: after a start or a cut the hosts first have to find each other.
 func (h *host) accept(t *testing.T, command, document string) uint64 {
 	t.Helper()
-	id := h.plan(t, document)
+	id := h.plan(t, api.PlanRequest{Intent: plan.Change, Document: document}).ID
 	var r api.ConfirmResponse
 	for range 30 {
-		if r = h.confirm(t, id, command); r.Code != result.NoMajority {
+		if r = h.confirm(t, id, command, "tester"); r.Code != result.NoMajority {
 			must.Eq(t, result.OK, r.Code, must.Sprint(r.Detail))
 			return r.Version
 		}
@@ -226,13 +194,10 @@
 	return 0
 }
 
-func (c *controlSystem) awaitVersion(t *testing.T, version uint64, hosts ...*host) {
+func awaitVersions(t *testing.T, version uint64, hosts ...*host) {
 	t.Helper()
 	for _, h := range hosts {
-		eventually(t, fmt.Sprintf("%s has version %d", h.settings.Host, version), func() bool {
-			s, err := h.status()
-			return err == nil && s.ConfigVersion == version
-		})
+		h.awaitVersion(t, version)
 	}
 }
 
@@ -243,9 +208,9 @@
 func TestAcceptedChangeSurvivesKillOfAll(t *testing.T) {
 	c := startControlSystem(t)
 	version := c.hosts[3].accept(t, "first", teams("team"))
-	c.awaitVersion(t, version, c.hosts...)
+	awaitVersions(t, version, c.hosts...)
 	version = c.hosts[0].accept(t, "second", teams("patio"))
-	c.awaitVersion(t, version, c.hosts...)
+	awaitVersions(t, version, c.hosts...)
 	for _, h := range c.hosts {
 		h.kill()
 	}
@@ -259,7 +224,7 @@
 	for _, h := range c.hosts {
 		h.restart(t)
 	}
-	c.awaitVersion(t, version, c.hosts...)
+	awaitVersions(t, version, c.hosts...)
 	must.Eq(t, version+1, c.hosts[1].accept(t, "third", teams("team")))
 }
 
@@ -271,12 +236,12 @@
 		lost.kill()
 		must.NoError(t, os.RemoveAll(lost.settings.DataFolder))
 		lost.restart(t)
-		c.awaitVersion(t, version, lost)
+		awaitVersions(t, version, lost)
 		s, err := lost.status()
 		must.NoError(t, err)
 		must.False(t, s.Voting)
 		version = c.hosts[0].accept(t, fmt.Sprint("admit-", i), c.groupWith(t, lost.settings.Host, s.Disk))
-		c.awaitVersion(t, version, c.hosts...)
+		awaitVersions(t, version, c.hosts...)
 		eventually(t, "votes again", func() bool {
 			s, err := lost.status()
 			return err == nil && s.Voting
@@ -287,11 +252,8 @@
 // groupWith returns the document in force with another disk for a host.
 func (c *controlSystem) groupWith(t *testing.T, name, disk string) string {
 	t.Helper()
-	resp, err := http.Get("http://" + c.hosts[0].settings.Listen.Operators + "/v1/config")
+	r, err := operate[api.ConfigResponse](c.hosts[0], "GET", "/v1/config", nil)
 	must.NoError(t, err)
-	defer resp.Body.Close()
-	var r api.ConfigResponse
-	must.NoError(t, json.NewDecoder(resp.Body).Decode(&r))
 	var d map[string]any
 	must.NoError(t, json.Unmarshal([]byte(r.Document), &d))
 	for _, h := range d["control_hosts"].([]any) {
@@ -314,9 +276,10 @@
 			startMinion(t, "m1", "d2", cut)
 			cut.awaitMinions(t, 1)
 			version := c.hosts[0].accept(t, "first", teams("team"))
-			c.awaitVersion(t, version, c.hosts...)
+			awaitVersions(t, version, c.hosts...)
 			c.cut("h2", true, both)
-			r := cut.confirm(t, cut.plan(t, teams("cut")), "from-the-cut")
+			id := cut.plan(t, api.PlanRequest{Intent: plan.Change, Document: teams("cut")}).ID
+			r := cut.confirm(t, id, "from-the-cut", "tester")
 			must.Eq(t, result.NoMajority, r.Code, must.Sprint(r.Detail))
 			job, err := cut.submit(newRequest("k", "one"))
 			must.NoError(t, err)
@@ -324,9 +287,9 @@
 			for i := range 3 {
 				version = c.hosts[0].accept(t, fmt.Sprint("second-", i), teams(fmt.Sprint("patio-", i)))
 			}
-			c.awaitVersion(t, version, c.hosts[0], c.hosts[1], c.hosts[3])
+			awaitVersions(t, version, c.hosts[0], c.hosts[1], c.hosts[3])
 			c.cut("h2", false, both)
-			c.awaitVersion(t, version, c.hosts...)
+			awaitVersions(t, version, c.hosts...)
 			must.Eq(t, version+1, c.hosts[1].accept(t, "after", teams("team")))
 		})
 	}
