--- a/internal/emulator/minion.go
+++ b/internal/emulator/minion.go
@@ -20,7 +20,10 @@
 	Failing bool    // fails every task at once
 	Dead    bool    // refuses connections; tasks in progress are lost
 	Leaving bool    // refuses tasks
-	Silent  bool    // sends no heartbeats, but runs tasks
+	// LinkDelay is added to each way between hosts and the minion.
+	LinkDelay time.Duration
+	Unmetered bool // does not report its own time
+	Silent    bool // sends no heartbeats, but runs tasks
 
 	emulator *Emulator
 
@@ -137,7 +140,7 @@
 }
 
 // run ends a begun task after its run time.
-func (m *Minion) run(e *Emulator, identity string, s engine.Start, sent time.Time, finish func(job.Outcome, bool)) {
+func (m *Minion) run(e *Emulator, identity string, s engine.Start, finish func(job.Outcome, bool)) {
 	t := m.running[identity]
 	run := m.runTime(s)
 	life := m.life
@@ -148,7 +151,7 @@
 			return
 		}
 		delete(m.running, identity)
-		o := m.outcome(e, t, s, run, sent)
+		o := m.outcome(e, t, s, run)
 		m.ended(s, o.Code != result.StartUnknown)
 		finish(o, false)
 	})
@@ -171,8 +174,11 @@
 	return run
 }
 
-func (m *Minion) outcome(e *Emulator, t *runningTask, s engine.Start, run time.Duration, sent time.Time) job.Outcome {
-	o := job.Outcome{Code: result.OK, Run: run, Trip: e.now.Sub(sent) + e.Net.MinDelay}
+func (m *Minion) outcome(e *Emulator, t *runningTask, s engine.Start, run time.Duration) job.Outcome {
+	o := job.Outcome{Code: result.OK}
+	if !m.Unmetered {
+		o.Run, o.Own = run, run
+	}
 	switch {
 	case e.chance(e.Net.Broken):
 		o.Code = result.StartUnknown
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -15,6 +15,8 @@
 // domain also get the leases of the minions that announced here.
 func (e *Engine) heartbeat(now time.Time) {
 	leases := e.localLeases(now)
+	e.adjustLending(now)
+	ejected := e.ejectedMinions(now)
 	for _, p := range e.members.All() {
 		echo := e.members.EchoFor(now, p.Name)
 		h := &peer.Heartbeat{
@@ -22,10 +24,14 @@
 			EchoAt:  echo.SentAt,
 			Held:    echo.Held,
 			Config:  e.configVersion,
-			Stopped: e.stopping,
+			Stopped: e.Stopping() || e.Drained(),
 		}
 		if p.FailureDomain == e.cfg.Host.FailureDomain {
 			h.Leases = leases
+			h.Demand = int(e.demand)
+			h.Lent = e.lent[p.Name]
+			h.InUse = e.minions.InUse()
+			h.Ejected = ejected
 		}
 		e.send(p.Name, h)
 	}
@@ -77,7 +83,7 @@
 		e.receiveAttach(now, from, m)
 	case *peer.JobAnswer:
 		if !e.settleForward(now, from, m) {
-			e.receiveJobAnswer(from, m)
+			e.receiveJobAnswer(now, from, m)
 		}
 	case *peer.Forward:
 		e.receiveForward(now, from, m)
@@ -85,6 +91,7 @@
 }
 
 func (e *Engine) receiveHeartbeat(now time.Time, from string, h *peer.Heartbeat) {
+	e.shutdown.echoes[from] = h.EchoAt
 	e.members.Measured(now, from, h.SentAt, now.Sub(e.cfg.StartedAt), membership.Echo{SentAt: h.EchoAt, Held: h.Held})
 	if p := e.members.Get(from); p != nil {
 		p.ReportedConfig(now, h.Config)
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -24,6 +24,8 @@
 	ownerInc   membership.Incarnation
 	until      time.Time // when the search, or the wait for the owner, is given up
 	resendAt   time.Time
+	since      time.Time // when the search began
+	found      time.Time // when the owner was found
 }
 
 // Lookup returns the answer of a job, after cancelling it if asked to. While
@@ -92,6 +94,7 @@
 	}
 	e.round++
 	s.round = e.round
+	s.since = now
 	s.asked = make(map[string]bool)
 	for _, p := range e.members.All() {
 		if p.Region == e.cfg.Host.Region {
@@ -193,6 +196,7 @@
 func (e *Engine) follow(now time.Time, s *search, owner string, inc membership.Incarnation, ended bool) {
 	s.owner = owner
 	s.ownerInc = inc
+	s.found = now
 	s.until = now.Add(e.cfg.FollowTimeout)
 	if s.submission != nil {
 		s.until = s.submission.Deadline
@@ -218,6 +222,7 @@
 		e.refuseLocated(now, s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
 		return
 	}
+	s.submission.Control = now.Sub(s.since)
 	if err := e.accept(now, s.submission, true); err != nil {
 		e.refuseLocated(now, s, err)
 		return
@@ -239,7 +244,7 @@
 func (e *Engine) giveUp(now time.Time, s *search, err *result.Error) {
 	delete(e.searches, s.id)
 	if e.jobs.Get(s.id) == nil {
-		e.answerSearch(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail})
+		e.answerSearch(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail, Breakdown: s.breakdown(now)})
 		return
 	}
 	if s.cancel {
@@ -252,6 +257,14 @@
 	e.ready.Pending = append(e.ready.Pending, s.id)
 }
 
+// breakdown tells where the time of a search that is given up went.
+func (s *search) breakdown(now time.Time) job.Breakdown {
+	if s.owner == "" {
+		return job.Breakdown{Control: now.Sub(s.since)}
+	}
+	return job.Breakdown{Peer: s.owner, Control: s.found.Sub(s.since), PeerTrip: now.Sub(s.found)}
+}
+
 // answerSearch answers those who wait here for another host's job; a job of
 // this host with the same key goes on.
 func (e *Engine) answerSearch(a *job.Answer) {
@@ -276,34 +289,52 @@
 		return
 	}
 	if e.followers[id] == nil {
-		e.followers[id] = make(map[string]uint64)
+		e.followers[id] = make(map[string]follower)
 	}
-	e.followers[id][from] = a.Round
+	f, known := e.followers[id][from]
+	if !known {
+		f.since = now
+	}
+	f.round = a.Round
+	e.followers[id][from] = f
 	if a.Cancel {
 		e.cancel(now, id)
 	}
 }
 
+// follower is a host that attached to a job of this host.
+type follower struct {
+	since time.Time
+	round uint64 // of its question, returned with the answer
+}
+
 // notifyFollowers sends a final answer to the hosts that attached to the job.
 func (e *Engine) notifyFollowers(a *job.Answer) {
 	followers := e.followers[a.ID]
 	if len(followers) == 0 {
 		return
 	}
-	for host, round := range followers {
-		e.send(host, jobAnswer(a, round))
+	end := a.Accepted.Add(a.Breakdown.Total)
+	for host, f := range followers {
+		m := jobAnswer(a, f.round)
+		m.Breakdown.PeerHeld = max(0, end.Sub(f.since))
+		e.send(host, m)
 	}
 	delete(e.followers, a.ID)
 }
 
 // receiveJobAnswer ends a search by the owner's answer.
-func (e *Engine) receiveJobAnswer(from string, m *peer.JobAnswer) {
+func (e *Engine) receiveJobAnswer(now time.Time, from string, m *peer.JobAnswer) {
 	s := e.searches[job.ID{Team: m.Team, Key: m.Key}]
 	if s == nil || s.owner != from || s.round != m.Round {
 		return
 	}
 	delete(e.searches, s.id)
-	e.answerSearch(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: job.Breakdown(m.Breakdown)})
+	b := job.Breakdown(m.Breakdown)
+	b.Control = s.found.Sub(s.since)
+	b.Peer = from
+	b.PeerTrip = now.Sub(s.found)
+	e.answerSearch(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: b})
 }
 
 func jobAnswer(a *job.Answer, round uint64) *peer.JobAnswer {
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -67,6 +67,9 @@
 	held    time.Duration // age, at the peer, of the last heartbeat it got from here
 	echoed  bool
 	stopped bool
+	demand  int // tasks of the peer's own small jobs in progress
+	lent    int // slots that the peer lends to this host
+	inUse   int // tasks that the peer has in progress on the minions
 }
 
 // sharing is the state of the slot policy.
@@ -92,7 +95,7 @@
 
 func (e *Engine) peerCameUp(now time.Time, name string) {
 	e.paths[name] = &peerPath{upSince: now}
-	e.reshare()
+	e.reshare(now)
 }
 
 func (e *Engine) recordPath(now time.Time, from string, h *peer.Heartbeat) {
@@ -104,6 +107,13 @@
 	p.held = h.Held
 	p.echoed = h.EchoAt != 0
 	p.stopped = h.Stopped
+	p.demand = h.Demand
+	p.lent = h.Lent
+	p.inUse = h.InUse
+	if d := e.dispatcher(now); d != nil && d.Name == from {
+		e.minions.Bar(h.Ejected)
+	}
+	e.reshare(now)
 }
 
 // canDispatch reports whether both directions to the peer work and it takes
@@ -137,11 +147,41 @@
 
 // place queues an accepted job here or forwards it.
 func (e *Engine) place(now time.Time, j *job.Job) {
+	e.countSmall(j)
 	to := e.dispatcher(now)
-	if to == nil || j.Deadline.Sub(now) <= 2*forwardMargin {
+	if to == nil || j.Deadline.Sub(now) <= 2*forwardMargin || e.startsHere(now, j) {
 		e.queue.Add(j)
 		return
 	}
+	e.forward(now, j, to)
+}
+
+// forwardWaiting hands over the jobs that wait here although another host
+// dispatches: those that lent slots refused, or that are left from a change of
+// roles.
+func (e *Engine) forwardWaiting(now time.Time) {
+	if !e.queue.Waiting() {
+		return
+	}
+	to := e.dispatcher(now)
+	if to == nil {
+		return
+	}
+	for _, j := range e.queue.TakeUntouched() {
+		if j.Deadline.Sub(now) <= 2*forwardMargin || e.followed(j.ID) {
+			e.queue.Add(j)
+			continue
+		}
+		e.forward(now, j, to)
+	}
+}
+
+// followed reports whether another host waits for the job's answer. A job that
+// was forwarded to this host must not go back to its owner.
+func (e *Engine) followed(id job.ID) bool { return len(e.followers[id]) > 0 }
+
+// forward counts every task of the job as started and sends it.
+func (e *Engine) forward(now time.Time, j *job.Job, to *membership.Peer) {
 	for i := range j.Tasks {
 		if !e.jobs.Start(now, job.TaskID{Job: j.ID, Index: i}, to.Name) {
 			return
@@ -158,6 +198,7 @@
 	e.send(f.to, &peer.Forward{
 		To: f.inc, Team: j.ID.Team, Key: j.ID.Key, Attempt: j.Attempt, Service: j.Service,
 		SubmittedAt: j.SubmittedAt, Remaining: j.Deadline.Sub(now) - forwardMargin, Digest: j.Digest, Tasks: j.Tasks,
+		Trace: j.Trace,
 	})
 }
 
@@ -184,6 +225,7 @@
 	s := &job.Submission{
 		ID: id, Attempt: m.Attempt, Service: m.Service, SubmittedAt: m.SubmittedAt,
 		Deadline: now.Add(m.Remaining), Digest: m.Digest, Tasks: m.Tasks,
+		Trace: m.Trace,
 	}
 	err := e.admit(now, s)
 	if err == nil {
@@ -229,26 +271,31 @@
 	}
 	var a *job.Answer
 	if m.Code.Class() == result.NotRun {
-		a = e.takeBack(now, j, m)
+		a = e.takeBack(now, f, j, m)
 	} else {
 		a = e.finishForward(now, j, m)
 	}
 	if a == nil {
 		return
 	}
-	a.Breakdown.Minion = m.Breakdown.Minion
-	a.Breakdown.Task = m.Breakdown.Task
-	a.Breakdown.Queue = m.Breakdown.Queue
-	a.Breakdown.Trip = m.Breakdown.Trip
-	a.Breakdown.Run = m.Breakdown.Run
-	a.Breakdown.Retries = m.Breakdown.Retries
+	if m.Breakdown.Total > 0 {
+		own := a.Breakdown
+		a.Breakdown = job.Breakdown(m.Breakdown)
+		a.Breakdown.Total, a.Breakdown.Receive, a.Breakdown.Admit, a.Breakdown.Control = own.Total, own.Receive, own.Admit, own.Control
+		a.Breakdown.Peer, a.Breakdown.PeerTrip, a.Breakdown.PeerHeld = f.to, own.Total, m.Breakdown.Admit+m.Breakdown.Total
+	}
 	e.answer(a)
 }
 
 // finishForward records the outcome of a forwarded job's tasks.
 func (e *Engine) finishForward(now time.Time, j *job.Job, m *peer.JobAnswer) *job.Answer {
+	code := m.Code
+	if code == result.CancelledRan {
+		e.jobs.Cancel(now, j.ID)
+		code = result.TaskFailed // of a cancelled job: what started has ended
+	}
 	for i := range len(j.Tasks) {
-		o := job.Outcome{Code: m.Code, Detail: m.Detail}
+		o := job.Outcome{Code: code, Detail: m.Detail}
 		if m.Code == result.OK {
 			o.Result = m.Results[i]
 		}
@@ -261,14 +308,15 @@
 
 // takeBack records that nothing of a forwarded job has run or will run there.
 // What the other host could not judge is dispatched here.
-func (e *Engine) takeBack(now time.Time, j *job.Job, m *peer.JobAnswer) *job.Answer {
+func (e *Engine) takeBack(now time.Time, f *forward, j *job.Job, m *peer.JobAnswer) *job.Answer {
 	for i := range len(j.Tasks) {
 		if a := e.jobs.Disprove(now, job.TaskID{Job: j.ID, Index: i}); a != nil {
 			return a
 		}
 	}
 	switch m.Code {
-	case result.Stopping, result.UnknownService, result.Unplaceable, result.UnknownTeam:
+	case result.Stopping, result.Joining, result.UnknownService, result.Unplaceable, result.UnknownTeam:
+		e.passOver(now, f.to)
 		e.queue.Add(j)
 		e.dispatch(now)
 		return nil
@@ -276,6 +324,15 @@
 	return e.jobs.Refuse(now, j.ID, m.Code, m.Detail)
 }
 
+// passOver keeps a peer from dispatching for this host until its next
+// heartbeat.
+func (e *Engine) passOver(now time.Time, name string) {
+	if p := e.paths[name]; p != nil {
+		p.stopped = true
+	}
+	e.reshare(now)
+}
+
 // failForwards ends the jobs that a lost process of a peer dispatched.
 func (e *Engine) failForwards(now time.Time, p *membership.Peer) {
 	lost := e.selectForwards(func(f *forward) bool {
@@ -322,21 +379,3 @@
 		e.send(f.to, &peer.Attach{Team: id.Team, Key: id.Key, Cancel: true})
 	}
 }
-
-// reshare sets this host's share of every minion.
-func (e *Engine) reshare() {
-	if e.cfg.Slots != SlotsSplit {
-		return
-	}
-	index, hosts := 0, 1
-	for _, p := range e.members.All() {
-		if p.FailureDomain != e.cfg.Host.FailureDomain || !p.Up() {
-			continue
-		}
-		hosts++
-		if p.Name < e.cfg.Host.Name {
-			index++
-		}
-	}
-	e.minions.SetShare(index, hosts)
-}
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -13,6 +13,7 @@
 	MaxActive      int           // jobs in progress
 	MaxRecords     int           // keys remembered, in progress or ended
 	MaxAnswerBytes int           // bytes of ended answers kept for later fetches
+	MaxActiveBytes int           // payloads and results of jobs in progress; 0: no bound
 	KeyLifetime    time.Duration // from SubmittedAt; older submissions are refused
 	ClockError     time.Duration // tolerated difference between clocks
 }
@@ -30,12 +31,13 @@
 
 // Table holds the jobs of one host.
 type Table struct {
-	limits    Limits
-	startedAt time.Time
-	jobs      map[ID]*Job // in progress, or ended with tasks in progress
-	active    int
-	deadlines deadlineHeap // of the jobs that have not ended
-	records                // of the other keys
+	limits      Limits
+	startedAt   time.Time
+	jobs        map[ID]*Job // in progress, or ended with tasks in progress
+	active      int
+	activeBytes int
+	deadlines   deadlineHeap // of the jobs that have not ended
+	records                  // of the other keys
 }
 
 // NewTable returns an empty table of a process that started at startedAt.
@@ -93,6 +95,7 @@
 	t.jobs[s.ID] = j
 	delete(t.fences, s.ID)
 	t.active++
+	t.hold(j, s.bytes())
 	heap.Push(&t.deadlines, j)
 	return j, Accepted, nil
 }
@@ -123,6 +126,8 @@
 		return result.Errorf(result.InvalidField, "submitted_at_ms is in the future by more than the tolerated clock error")
 	case t.active >= t.limits.MaxActive:
 		return result.Errorf(result.QueueFull, "%d jobs in progress", t.active)
+	case !t.roomFor(s.bytes()):
+		return result.Errorf(result.QueueFull, "%d bytes of payloads and results in progress", t.activeBytes)
 	case t.full():
 		return result.Errorf(result.QueueFull, "%d keys remembered", t.Records())
 	}
@@ -209,17 +214,16 @@
 // Disprove records that a start never reached a minion, or that the minion
 // refused it before starting. The task may start again while the job goes on.
 func (t *Table) Disprove(now time.Time, id TaskID) *Answer {
-	j := t.jobs[id.Job]
-	if j == nil {
-		return nil
-	}
-	k := &j.tasks[id.Index]
-	if k.state != Started {
+	j, k := t.task(id)
+	if k == nil {
 		return nil
 	}
 	k.disprove++
 	j.retries++
 	j.running--
+	k.waited += k.started.Sub(k.queued)
+	k.refused += now.Sub(k.started)
+	k.refusedBy = k.minion
 	k.queued = now
 	if j.ended || j.stopCode != result.OK {
 		k.state = Withdrawn
@@ -233,12 +237,8 @@
 // Finish records the outcome of a start and returns the answer when the job
 // has ended by it.
 func (t *Table) Finish(now time.Time, id TaskID, o Outcome) *Answer {
-	j := t.jobs[id.Job]
-	if j == nil {
-		return nil
-	}
-	k := &j.tasks[id.Index]
-	if k.state != Started {
+	j, k := t.task(id)
+	if k == nil {
 		return nil
 	}
 	j.running--
@@ -247,6 +247,7 @@
 	case result.OK:
 		k.state = Done
 		j.done++
+		t.holdResult(j, k)
 	case result.TaskFailed:
 		k.state = Failed
 		j.stop(result.TaskFailed, o.Detail)
@@ -278,7 +279,9 @@
 	invariant.Check(code != result.OK || j.done == len(j.tasks), "job %s complete with %d of %d tasks", j.ID, j.done, len(j.tasks))
 	invariant.Check(code.Class() != result.NotRun || !(j.anyRan() || j.anyUnknown()), "job %s answered %s after a start", j.ID, code)
 	t.active--
+	t.hold(j, -j.bytes)
 	j.Tasks = nil // payloads are no longer needed
+	j.dropResults()
 	heap.Remove(&t.deadlines, j.heapIndex)
 	t.archive(j)
 	return a
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -27,6 +27,7 @@
 	Incarnation Incarnation
 	LastHeard   time.Time
 	RoundTrip   time.Duration // smoothed, zero before the first measurement
+	LastTrip    time.Duration // of the newest measurement
 	ConfigSeen  uint64        // configuration version the peer reported
 	ConfigAt    time.Time     // when it first reported that version
 
@@ -187,6 +188,7 @@
 	if trip < 0 {
 		return
 	}
+	p.LastTrip = trip
 	p.RoundTrip = smooth(p.RoundTrip, trip)
 }
 
