--- a/internal/engine/locate_test.go
+++ b/internal/engine/locate_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/shoenig/test/must"
@@ -72,3 +73,24 @@
 	e.Receive(t0, "p", "1", &peer.JobAnswer{Team: "t", Key: "k", Round: round, Code: result.TaskFailed})
 	must.Eq(t, result.TaskFailed, e.Ready().Answers[0].Code)
 }
+
+// The deadline of a forwarded job counts from its sending: a forward that
+// waited past it is refused as not run, and nothing starts.
+func TestForwardAfterItsDeadlineIsRefused(t *testing.T) {
+	e := newEngine("p")
+	e.Receive(t0, "p", "1", &peer.Heartbeat{SentAt: 10 * time.Second})
+	late := t0.Add(3 * time.Second)
+	a := minion.Announcement{Name: "m", FailureDomain: "d", Services: []string{"s"}, Slots: 1, Connections: 1, Address: "m:1"}
+	for now := t0; !now.After(late); now = now.Add(stallLimit / 2) {
+		must.Nil(t, e.Announce(now, a))
+	}
+	e.Ready()
+	e.Receive(late, "p", "1", &peer.Forward{
+		Team: "t", Key: "k", Attempt: 1, Service: "s", SubmittedAt: t0, Tasks: make([]job.Task, 1),
+		SentAt: 11 * time.Second, Remaining: time.Second,
+	})
+	r := e.Ready()
+	must.SliceEmpty(t, r.Starts)
+	must.SliceLen(t, 1, r.Messages)
+	must.Eq(t, result.DeadlineNotRun, r.Messages[0].Body.(*peer.JobAnswer).Code)
+}
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -197,7 +197,7 @@
 	f.interval *= 2
 	e.send(f.to, &peer.Forward{
 		To: f.inc, Team: j.ID.Team, Key: j.ID.Key, Attempt: j.Attempt, Service: j.Service,
-		SubmittedAt: j.SubmittedAt, Remaining: j.Deadline.Sub(now) - forwardMargin, Digest: j.Digest, Tasks: j.Tasks,
+		SubmittedAt: j.SubmittedAt, Remaining: j.Deadline.Sub(now) - forwardMargin, SentAt: now.Sub(e.cfg.StartedAt), Digest: j.Digest, Tasks: j.Tasks,
 		Trace: j.Trace,
 	})
 }
@@ -224,10 +224,13 @@
 func (e *Engine) acceptForward(now time.Time, from string, id job.ID, m *peer.Forward) bool {
 	s := &job.Submission{
 		ID: id, Attempt: m.Attempt, Service: m.Service, SubmittedAt: m.SubmittedAt,
-		Deadline: now.Add(m.Remaining), Digest: m.Digest, Tasks: m.Tasks,
+		Deadline: now.Add(m.Remaining - e.age(now, from, m.SentAt)), Digest: m.Digest, Tasks: m.Tasks,
 		Trace: m.Trace,
 	}
 	err := e.admit(now, s)
+	if !now.Before(s.Deadline) {
+		err = result.Errorf(result.DeadlineNotRun, "the forward came after the deadline")
+	}
 	if err == nil {
 		var j *job.Job
 		if j, _, err = e.jobs.Submit(now, s, true); err == nil {
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -25,6 +25,7 @@
 	Service     string                 `msgpack:"v"`
 	SubmittedAt time.Time              `msgpack:"s"`
 	Remaining   time.Duration          `msgpack:"r"` // until the deadline
+	SentAt      time.Duration          `msgpack:"n"` // sender's monotonic clock
 	Digest      uint64                 `msgpack:"d"`
 	Tasks       []job.Task             `msgpack:"j"`
 	Trace       string                 `msgpack:"tr,omitempty"` // W3C trace context, when sampled
