--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&loadCommand{}, "measurements")
 	subcommands.Register(&floorCommand{}, "measurements")
 	subcommands.Register(&slowCommand{}, "measurements")
+	subcommands.Register(&ownershipCommand{}, "measurements")
 	subcommands.Register(&capacityCommand{}, "measurements")
 	subcommands.Register(&experimentCommand{}, "measurements")
 	flag.Parse()
