--- a/test/process/explain_test.go
+++ b/test/process/explain_test.go
@@ -92,11 +92,14 @@
 	must.Between(t, injected.Microseconds(), r.Timing.ReceiveUS, 2*injected.Microseconds()-1)
 }
 
-// Requests that the HTTP library refuses by itself get a numbered answer.
-func TestRefusalsOfTheHTTPLibraryAreNumbered(t *testing.T) {
+// Every bound on a request has a numbered answer, also where the HTTP library
+// refuses by itself.
+func TestRefusalsAreNumbered(t *testing.T) {
 	s := hostSettings(t, "a-1", "a")
 	s.Limits.MaxBodyBytes = 2048
 	s.Limits.MaxHeaderBytes = 1024
+	s.Limits.MaxTasks = 2
+	s.Limits.MaxPayloadBytes = 8
 	h := startHost(t, s)
 	cases := []struct {
 		name, request string
@@ -106,6 +109,11 @@
 		{"body too large", "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 2049\r\n\r\n" + strings.Repeat("x", 2049), 413, result.TooLarge},
 		{"header too large", "GET /v1/jobs HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 2048) + "\r\n\r\n", 431, result.TooLarge},
 		{"not HTTP", "nonsense\r\n\r\n", 400, result.Malformed},
+		{"too many tasks", post(`{"key":"k","attempt":1,"team":"t","service":"s","deadline_ms":100,"submitted_at_ms":5,"tasks":[{"payload":""},{"payload":""},{"payload":""}]}`), 413, result.TooLarge},
+		{"long payload", post(`{"key":"k","attempt":1,"team":"t","service":"s","deadline_ms":100,"submitted_at_ms":5,"tasks":[{"payload":"123456789"}]}`), 413, result.TooLarge},
+		{"unknown key", post(`{"keys":"k"}`), 400, result.Malformed},
+		{"truncated", post(`{"key":`), 400, result.Malformed},
+		{"empty", post(""), 400, result.Malformed},
 		{"no such path", "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404, result.UnsupportedRequest},
 		{"no such method", "PUT /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404, result.UnsupportedRequest},
 	}
@@ -118,6 +126,10 @@
 	}
 }
 
+func post(body string) string {
+	return fmt.Sprintf("POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // raw sends bytes to the callers' listener and reads one answer.
 func (h *host) raw(t *testing.T, request string) (int, api.JobResponse) {
 	t.Helper()
