lwbench: control measures changes and idle load of 8 to 176 hosts in virtual time

Cause: the targets (5 s everywhere, 6 KB/s, 2.8% of a core) were not measured. Ways ruled out: processes on one machine (176 would share its disk and cores).

--- /dev/null
+++ b/cmd/lwbench/control.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+)
+
+// controlCommand measures how configuration changes are agreed on and spread.
+type controlCommand struct {
+	changes int
+	loss    float64
+	far     time.Duration
+	seed    uint64
+	idle    time.Duration
+}
+
+func (*controlCommand) Name() string     { return "control" }
+func (*controlCommand) Synopsis() string { return "measure configuration changes in virtual time" }
+func (*controlCommand) Usage() string {
+	return "control [flags]\n  Run the pure control machines of 8 to 176 hosts with 3, 5 and 7 control hosts.\n"
+}
+
+func (c *controlCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.changes, "changes", 100, "changes per run")
+	f.Float64Var(&c.loss, "loss", 0, "share of messages lost")
+	f.DurationVar(&c.far, "far", 25*time.Millisecond, "one-way delay between regions")
+	f.Uint64Var(&c.seed, "seed", 1, "seed")
+	f.DurationVar(&c.idle, "idle", 20*time.Second, "virtual time of the idle run")
+}
+
+// controlCase is one size of the system.
+type controlCase struct {
+	hosts   int
+	domains int
+	regions int
+}
+
+var controlCases = []controlCase{{8, 3, 1}, {44, 11, 3}, {88, 11, 3}, {176, 22, 6}}
+
+func (c *controlCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, "lwbench:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *controlCommand) run() error {
+	fmt.Printf("%d changes a run, loss %.3f, %v one way between regions, synced write %v\n", c.changes, c.loss, c.far, syncedWrite)
+	fmt.Println("hosts control push      accepted ms  everywhere ms    messages  bytes all  busiest host:        bytes/s at")
+	fmt.Println("                        p50    p99   p50     max      a change  a change   bytes     cpu us   760 a day")
+	for _, size := range controlCases {
+		for _, members := range []int{3, 5, 7} {
+			for _, push := range []pushMode{pushRelays1, pushRelays2, pushNaive} {
+				if err := c.change(size, members, push); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return c.idleRuns()
+}
+
+// changesPerDay is the rate of changes to design for.
+const changesPerDay = 760
+
+func (c *controlCommand) change(size controlCase, members int, push pushMode) error {
+	s := newControlSimulation(c, size, members, push)
+	s.ready()
+	s.reset()
+	for i := range c.changes {
+		if !s.change(i) {
+			return errors.Errorf("%d hosts, %d control hosts: change %d was not accepted", size.hosts, members, i)
+		}
+	}
+	busiest := s.busiest()
+	n := float64(c.changes)
+	perChange := float64(busiest.bytes) / n
+	fmt.Printf("%5d %7d %-9s %5.1f %6.1f %6.1f %7.1f %9.0f %10.0f %10.0f %8.0f %9.0f\n",
+		size.hosts, members, push, milliseconds(percentile(s.accepted, 50)), milliseconds(percentile(s.accepted, 99)),
+		milliseconds(percentile(s.everywhere, 50)), milliseconds(percentile(s.everywhere, 100)),
+		float64(s.messages)/n, float64(s.bytes)/n, perChange, microseconds(busiest.used)/n,
+		perChange*changesPerDay/(24*time.Hour).Seconds())
+	return nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&minionCommand{}, "stand-ins")
 	subcommands.Register(&loadCommand{}, "measurements")
 	subcommands.Register(&floorCommand{}, "measurements")
+	subcommands.Register(&controlCommand{}, "measurements")
 	subcommands.Register(&capacityCommand{}, "measurements")
 	subcommands.Register(&experimentCommand{}, "measurements")
 	flag.Parse()
