--- a/cmd/lwbench/ownership.go
+++ b/cmd/lwbench/ownership.go
@@ -19,7 +19,6 @@
 const (
 	resubmitAfter = 50 * time.Millisecond // a caller's pause before its next attempt
 	hostDownFor   = 5 * time.Second
-	syncedWrite   = 4 * time.Millisecond
 	lostShare     = 100 // one submission of this many is lost on its way
 )
 
