link, job: a job or answer that does not fit a message between hosts

Cause, found in reading: a forwarded job or an answer of more than 64 MiB made the connection to the peer fail after the message had left the ring; it was then sent again with every resend, and each time the other messages in progress were lost with the connection. Settings allowed bodies of 256 MiB and 1,000 results of 1 MiB each. Ruled out: larger frames (a receiver's memory), parts (a further protocol). Before: TestOversizedMessageDoesNotBreakTheConnection gets EOF. After: the message is dropped and counted, the next one arrives. limits.max_job_bytes bounds payloads and results of one job (32 MiB, at most 60), limits. max_body_bytes is at most 60 MiB; a job beyond it ends with 305, "answer too large", class ran (TestJobBytesAreBounded). Conclusion: what a host accepts always fits a frame.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -226,6 +226,7 @@
 			MaxActive:      s.Limits.MaxActiveJobs,
 			MaxRecords:     s.Limits.MaxRecords,
 			MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+			MaxJobBytes:    s.Limits.MaxJobBytes,
 			MaxActiveBytes: s.Limits.MaxActiveBytes,
 			KeyLifetime:    settings.Millis(s.Timing.KeyLifetimeMS),
 			ClockError:     settings.Millis(s.Timing.ClockErrorMS),
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -247,7 +247,7 @@
 		return result.OK
 	case result.CancelledNotRun:
 		return j.byProgress(result.CancelledNotRun, result.CancelledRan, result.CancelledMaybe)
-	case result.TaskFailed, result.AnswerReleased:
+	case result.TaskFailed, result.AnswerReleased, result.AnswerTooLarge:
 		return j.byProgress(j.stopCode, j.stopCode, result.StartUnknown)
 	default:
 		return j.byProgress(j.stopCode, result.TaskFailed, result.StartUnknown)
--- a/internal/job/memory.go
+++ b/internal/job/memory.go
@@ -29,12 +29,16 @@
 		return
 	}
 	n := len(k.outcome.Result)
-	if t.roomFor(n) {
+	switch {
+	case t.limits.MaxJobBytes > 0 && j.bytes+n > t.limits.MaxJobBytes:
+		j.stop(result.AnswerTooLarge, "payloads and results of the job exceed the limit")
+	case !t.roomFor(n):
+		j.stop(result.AnswerReleased, "no room for the results of jobs in progress")
+	default:
 		t.hold(j, n)
 		return
 	}
 	k.outcome.Result = nil
-	j.stop(result.AnswerReleased, "no room for the results of jobs in progress")
 }
 
 // dropResults frees the results of an ended job that its answer does not hold.
--- a/internal/job/memory_test.go
+++ b/internal/job/memory_test.go
@@ -69,3 +69,16 @@
 	must.Nil(t, b.Finish(now, TaskID{Job: id}, Outcome{Code: result.OK}))
 	must.Zero(t, b.activeBytes)
 }
+
+// A job whose payloads and results exceed the bound ends with a code that says
+// that its work ran, and gives no part of the answer.
+func TestJobBytesAreBounded(t *testing.T) {
+	l := limits
+	l.MaxJobBytes = 5
+	b := NewTable(l, t0.Add(-time.Hour))
+	accept(t, b, "k", 3)
+	must.Nil(t, finishTask(b, t0, "k", 0, 3))
+	a := finishTask(b, t0, "k", 1, 3)
+	must.Eq(t, result.AnswerTooLarge, a.Code)
+	must.Nil(t, a.Results)
+}
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -14,6 +14,7 @@
 	MaxRecords     int           // keys remembered, in progress or ended
 	MaxAnswerBytes int           // bytes of ended answers kept for later fetches
 	MaxActiveBytes int           // payloads and results of jobs in progress; 0: no bound
+	MaxJobBytes    int           // payloads and results of one job; 0: no bound
 	KeyLifetime    time.Duration // from SubmittedAt; older submissions are refused
 	ClockError     time.Duration // tolerated difference between clocks
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -45,7 +45,7 @@
 	ctx     context.Context // nil until Run
 	peers   map[string]*outbound
 	inbound map[net.Conn]struct{}
-	dropped uint64 // by the rings of removed peers
+	dropped uint64 // by the rings of removed peers, or for their size
 	wg      sync.WaitGroup
 }
 
@@ -137,7 +137,8 @@
 	return o != nil && o.ring.TryPush(b)
 }
 
-// Dropped returns the number of messages refused by full rings.
+// Dropped returns the number of messages that were refused by full rings or
+// are too large for a frame.
 func (m *Mesh) Dropped() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -210,7 +211,12 @@
 		case <-closed:
 			return
 		case b := <-out.C():
-			if err := write(conn, b); err != nil {
+			err := write(conn, b)
+			if errors.Is(err, peer.ErrTooLarge) {
+				m.countDropped() // nothing was written; the connection is whole
+				continue
+			}
+			if err != nil {
 				return
 			}
 		}
@@ -229,6 +235,12 @@
 	return closed
 }
 
+func (m *Mesh) countDropped() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dropped++
+}
+
 func write(conn net.Conn, b peer.Body) error {
 	payload, err := peer.Encode(b)
 	if err != nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -142,3 +142,20 @@
 	must.Eq(t, peer.KindHello, hello.Kind())
 	return conn
 }
+
+// A message that is too large for a frame is dropped and counted; those behind
+// it arrive over the same connection.
+func TestOversizedMessageDoesNotBreakTheConnection(t *testing.T) {
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer far.Close()
+	a := newNode(t, "a", membership.Host{Name: "far", Address: far.Addr().String()})
+	conn := acceptHello(t, far)
+	defer conn.Close()
+	must.True(t, a.Send("far", &peer.JobAnswer{Results: [][]byte{make([]byte, peer.MaxFrame)}}))
+	must.True(t, a.Send("far", &peer.MinionLeave{Name: "next"}))
+	got, err := read(conn)
+	must.NoError(t, err)
+	must.Eq(t, peer.Body(&peer.MinionLeave{Name: "next"}), got)
+	must.Eq(t, uint64(1), a.Dropped())
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -10,12 +10,15 @@
 // MaxFrame is the largest frame payload in bytes.
 const MaxFrame = 64 << 20
 
+// ErrTooLarge is the cause of a refusal to write a payload beyond MaxFrame.
+var ErrTooLarge = errors.New("peer: frame too large")
+
 const lengthBytes = 4
 
 // WriteFrame writes a length-prefixed payload to w in one call.
 func WriteFrame(w io.Writer, payload []byte) error {
 	if len(payload) > MaxFrame {
-		return errors.Errorf("peer: frame of %d bytes exceeds %d", len(payload), MaxFrame)
+		return errors.Wrapf(ErrTooLarge, "%d bytes exceed %d", len(payload), MaxFrame)
 	}
 	frame := make([]byte, lengthBytes+len(payload))
 	binary.BigEndian.PutUint32(frame, uint32(len(payload)))
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -70,6 +70,7 @@
 	DeadlineRan    Code = 302
 	CancelledRan   Code = 303
 	AnswerReleased Code = 304
+	AnswerTooLarge Code = 305
 
 	StartUnknown    Code = 401
 	DeadlineUnknown Code = 402
@@ -123,6 +124,7 @@
 	{DeadlineRan, "deadline, ran", Ran, 504, "The deadline passed with some tasks done and none in progress."},
 	{CancelledRan, "cancelled, ran", Ran, 200, "The job was cancelled after tasks had run; none is in progress."},
 	{AnswerReleased, "answer released", Ran, 410, "The job ended and its answer is no longer kept."},
+	{AnswerTooLarge, "answer too large", Ran, 502, "The results of the job exceed limits.max_job_bytes; the rest of the job was not started."},
 	{StartUnknown, "start unknown", MayHaveRun, 502, "The connection to a minion failed after a task may have started."},
 	{DeadlineUnknown, "deadline, may have run", MayHaveRun, 504, "The deadline passed with tasks in progress."},
 	{OwnerUnknown, "owner unknown", MayHaveRun, 409, "An earlier attempt may have run on a host that cannot be asked; nothing was started now."},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,12 +51,13 @@
 
 // Limits bounds requests and memory.
 type Limits struct {
-	MaxBodyBytes    int `json:"max_body_bytes" validate:"min=1024,max=268435456"`
+	MaxBodyBytes    int `json:"max_body_bytes" validate:"min=1024,max=62914560"`
 	MaxTasks        int `json:"max_tasks" validate:"min=1,max=100000"`
 	MaxPayloadBytes int `json:"max_payload_bytes" validate:"min=1,max=67108864"`
 	MaxResultBytes  int `json:"max_result_bytes" validate:"min=1,max=67108864"`
 	MaxHeaderBytes  int `json:"max_header_bytes" validate:"min=1024,max=1048576"`
 	MaxConnections  int `json:"max_connections" validate:"min=1,max=1000000"`
+	MaxJobBytes     int `json:"max_job_bytes" validate:"min=1024,max=62914560"`
 	MaxActiveBytes  int `json:"max_active_bytes" validate:"min=1024"`
 	MaxActiveJobs   int `json:"max_active_jobs" validate:"min=1,max=1000000"`
 	MaxRecords      int `json:"max_records" validate:"min=1,max=10000000"`
@@ -112,6 +113,7 @@
 			MaxActiveBytes:  256 << 20,
 			MaxActiveJobs:   20000,
 			MaxRecords:      1000000,
+			MaxJobBytes:     32 << 20,
 			MaxAnswerBytes:  64 << 20,
 			MaxInFlight:     4096,
 			MaxSearches:     4096,
