control: one relay per failure domain, compressed documents

Ways ruled out: deltas between versions (a process that slept must catch up with one document); fewer copies to the control hosts (they are the quorum). Conclusion: one relay; what it misses the heartbeats' digest repairs.

--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -160,6 +161,19 @@
 	must.Eq(t, result.PlanRefused, m.Ready().Decisions[0].Outcome.Code)
 }
 
+func TestDocumentOfARecord(t *testing.T) {
+	r := record(1, "c", abc)
+	text := strings.Repeat("document ", 1000)
+	r.Document = pack([]byte(text))
+	must.Less(t, 200, len(r.Document))
+	got, err := Document(r)
+	must.NoError(t, err)
+	must.Eq(t, text, string(got))
+	r.Document = r.Document[:len(r.Document)/2]
+	_, err = Document(r)
+	must.Error(t, err)
+}
+
 // The recent commands are bounded, the newest kept.
 func TestRecentCommandsAreBounded(t *testing.T) {
 	r := record(1, "c", abc)
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -377,7 +377,7 @@
 	c := peer.CommandRecord{Command: p.Command, Operator: p.Operator, Version: a.version, Digest: p.digest}
 	return &peer.ConfigRecord{
 		Version:  a.version,
-		Document: p.Document,
+		Document: pack(p.Document),
 		Group:    group,
 		Recent:   appendRecent(m.state.Chosen, c),
 	}
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -192,8 +192,12 @@
 // decodeRecord returns the document of a version, with the control hosts that
 // choose the next one.
 func decodeRecord(r *peer.ConfigRecord) (*config.Document, error) {
+	document, err := control.Document(r)
+	if err != nil {
+		return nil, err
+	}
 	var d config.Document
-	if err := json.Unmarshal(r.Document, &d); err != nil {
+	if err := json.Unmarshal(document, &d); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	d.ControlHosts = make([]config.ControlHost, len(r.Group))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -206,7 +206,7 @@
 
 // controlRelays is the number of hosts per failure domain that a chosen
 // version is pushed to.
-const controlRelays = 2
+const controlRelays = 1
 
 func (d *Daemon) engineConfig(inc membership.Incarnation) engine.Config {
 	s := &d.settings
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -49,7 +49,7 @@
 // after its creation.
 type ConfigRecord struct {
 	Version  uint64          `msgpack:"v"`
-	Document []byte          `msgpack:"d"`
+	Document []byte          `msgpack:"d"` // compressed; see control.Document
 	Group    []ControlMember `msgpack:"g"` // who chooses the next version
 	Recent   []CommandRecord `msgpack:"r"` // oldest first; the last one is this version's
 }
