--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -12,11 +12,13 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/minion"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
+	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
 )
 
 // Core is what the handlers need of a daemon.
@@ -31,6 +33,11 @@
 	Announce(ctx context.Context, a minion.Announcement) (lease time.Duration, err *result.Error)
 	Renew(ctx context.Context, name string, generation uint64) (lease time.Duration, err *result.Error)
 	Leave(ctx context.Context, name string, generation uint64) *result.Error
+	// Explain returns the answer of a job that ended here, with the time of
+	// writing it to its caller.
+	Explain(ctx context.Context, id job.ID) (*job.Answer, *result.Error)
+	// Written tells how long encoding and writing a job's answer took.
+	Written(id job.ID, encode, write time.Duration)
 	Status(ctx context.Context) (StatusResponse, *result.Error)
 	Jobs(ctx context.Context, limit int) ([]JobInfo, *result.Error)
 	Ready() bool
@@ -43,7 +50,12 @@
 	limits         Limits
 	maxBodyBytes   int
 	maxHeaderBytes int
+	maxConnections int
 	log            *slog.Logger
+
+	// Spans makes the spans of callers' requests. It is set before serving; nil
+	// makes none.
+	Spans *telemetry.Spans
 }
 
 // New returns an API with the limits of the settings.
@@ -57,6 +69,7 @@
 		},
 		maxBodyBytes:   s.Limits.MaxBodyBytes,
 		maxHeaderBytes: s.Limits.MaxHeaderBytes,
+		maxConnections: s.Limits.MaxConnections,
 		log:            log,
 	}
 }
@@ -68,22 +81,29 @@
 )
 
 func (a *API) server(l net.Listener, maxBody int) *server.Hertz {
+	bounded := &boundedListener{Listener: l, bound: int64(a.maxConnections), refused: a.refuseConnection}
 	h := server.New(
-		server.WithListener(l),
+		server.WithTransport(standard.NewTransporter),
+		server.WithListener(bounded),
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(a.maxHeaderBytes),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithReadTimeout(readTimeout),
 		server.WithExitWaitTime(time.Second),
 		server.WithDisablePrintRoute(true),
+		server.WithTracer(&stopwatch{a}),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
-	h.Use(a.recover)
+	h.Use(a.receive, a.recover)
 	h.NoRoute(a.noRoute)
 	h.NoMethod(a.noRoute)
 	return h
 }
 
+func (a *API) refuseConnection(remote net.Addr) {
+	event.Log(context.Background(), a.log, event.ConnectionRefused, slog.String("remote", remote.String()))
+}
+
 // Callers returns the server of the callers' listener.
 func (a *API) Callers(l net.Listener) *server.Hertz {
 	h := a.server(l, a.maxBodyBytes)
@@ -111,6 +131,7 @@
 	h.GET("/v1/jobs", a.jobs)
 	h.GET("/v1/jobs/:team/:key", a.fetch)
 	h.DELETE("/v1/jobs/:team/:key", a.cancel)
+	h.GET("/v1/explain/:team/:key", a.explain)
 	a.control(h)
 	h.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 	a.health(h)
@@ -161,14 +182,23 @@
 	a.reply(c, e.Code.HTTPStatus(), errorResponse(e))
 }
 
-func (a *API) respond(c *app.RequestContext, answer *job.Answer, err *result.Error) {
+func (a *API) respond(ctx context.Context, c *app.RequestContext, answer *job.Answer, err *result.Error) {
 	switch {
 	case err != nil:
 		a.fail(c, err)
 	case answer == nil:
 		a.fail(c, &result.Error{Code: result.JobPending})
 	default:
-		a.reply(c, answer.Code.HTTPStatus(), jobResponse(answer))
+		a.respondJob(ctx, c, answer)
+	}
+}
+
+func (a *API) respondJob(ctx context.Context, c *app.RequestContext, answer *job.Answer) {
+	begin := time.Now()
+	a.reply(c, answer.Code.HTTPStatus(), jobResponse(answer))
+	if at := arrivalOf(ctx); at != nil {
+		at.answer = answer
+		at.encode = time.Since(begin)
 	}
 }
 
@@ -180,8 +210,14 @@
 		a.fail(c, err)
 		return
 	}
+	if at := arrivalOf(ctx); at != nil {
+		s.Receive = at.received.Sub(at.firstByte)
+		s.ReceivedAt = at.received
+		at.span = a.Spans.StartRequest(string(c.GetHeader(telemetry.HeaderTraceparent)), at.firstByte)
+		s.Trace = at.span.Traceparent()
+	}
 	answer, err := a.core.Submit(ctx, s, waitWanted(c))
-	a.respond(c, answer, err)
+	a.respond(ctx, c, answer, err)
 }
 
 func pathID(c *app.RequestContext) job.ID {
@@ -190,12 +226,23 @@
 
 func (a *API) fetch(ctx context.Context, c *app.RequestContext) {
 	answer, err := a.core.Fetch(ctx, pathID(c), waitWanted(c))
-	a.respond(c, answer, err)
+	a.respond(ctx, c, answer, err)
 }
 
 func (a *API) cancel(ctx context.Context, c *app.RequestContext) {
 	answer, err := a.core.Cancel(ctx, pathID(c), waitWanted(c))
-	a.respond(c, answer, err)
+	a.respond(ctx, c, answer, err)
+}
+
+func (a *API) explain(ctx context.Context, c *app.RequestContext) {
+	answer, err := a.core.Explain(ctx, pathID(c))
+	if err != nil {
+		a.fail(c, err)
+		return
+	}
+	r := jobResponse(answer)
+	r.Results = nil
+	a.reply(c, 200, r)
 }
 
 func (a *API) lease(c *app.RequestContext, lease time.Duration, err *result.Error) {
--- a/internal/emulator/membership_test.go
+++ b/internal/emulator/membership_test.go
@@ -26,6 +26,14 @@
 	return d
 }
 
+// ownDispatch is the configuration of a host that forwards no jobs, so that no
+// other host learns of a key by dispatching its job.
+func ownDispatch(self membership.Host, all []membership.Host) engine.Config {
+	c := hostConfig(self, all)
+	c.Slots = engine.SlotsAnywhere
+	return c
+}
+
 // growing is a run in which a3 joins a1 and a2.
 type growing struct {
 	*Emulator
@@ -43,9 +51,9 @@
 	}
 	a3 := membership.Host{Name: "a3", FailureDomain: "a", Region: "r", Address: "a3:1"}
 	for _, h := range hosts {
-		g.AddHost(hostConfig(h, hosts), tickEvery)
+		g.AddHost(ownDispatch(h, hosts), tickEvery)
 	}
-	joining := hostConfig(a3, hosts)
+	joining := ownDispatch(a3, hosts)
 	joining.Joining = true
 	g.AddHost(joining, tickEvery)
 	a := minion.Announcement{Name: "m", Worker: "w", Rack: "r", FailureDomain: "a", Services: []string{"s"}, Slots: 8, Connections: 8, Address: "m:1"}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,6 +42,9 @@
 	FollowTimeout time.Duration // bound on a fetch from the owner
 	MaxSearches   int           // keys looked for at a time
 
+	// Judge, if not nil, sets the verdict of a final answer before it is sent.
+	Judge func(a *job.Answer)
+
 	Slots SlotPolicy
 }
 
@@ -55,6 +58,7 @@
 	Minion   string
 	Address  string
 	Deadline time.Time
+	Trace    string // W3C trace context, when sampled
 }
 
 // Cancel is a request to a minion to stop a task.
@@ -99,12 +103,15 @@
 	shutdown      shutdown
 	nextBeat      time.Time
 	searches      map[job.ID]*search
-	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
+	followers     map[job.ID]map[string]follower // hosts that attached to a job of this host
 	round         uint64
+	stall         stall
 	sharing
 	lending
-	sizes map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
-	ready Ready
+	arrivals  dispatch.Arrivals
+	cancelled map[job.ID]bool         // jobs in progress whose started tasks were asked to stop
+	sizes     map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
+	ready     Ready
 }
 
 // New returns an Engine with no jobs and no minions.
@@ -117,11 +124,12 @@
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
 		searches:  make(map[job.ID]*search),
-		followers: make(map[job.ID]map[string]bool),
+		followers: make(map[job.ID]map[string]follower),
 		shutdown:  shutdown{echoes: make(map[string]time.Duration)},
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
 		lending:   newLending(),
+		cancelled: make(map[job.ID]bool),
 	}
 }
 
@@ -160,9 +168,13 @@
 	if a == nil {
 		return
 	}
+	if e.cfg.Judge != nil {
+		e.cfg.Judge(a)
+	}
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
 	delete(e.forwards, a.ID)
+	delete(e.cancelled, a.ID)
 	e.forgetSmall(a.ID)
 	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
@@ -176,6 +188,9 @@
 	if j == nil {
 		return
 	}
+	if !j.Ended() {
+		e.cancelled[id] = true
+	}
 	j.Started(func(index int, name string) {
 		m := e.minions.Get(name)
 		if m == nil {
@@ -195,7 +210,27 @@
 	if s.Attempt != 1 {
 		return nil, e.locate(now, s)
 	}
-	return nil, e.accept(now, s, false)
+	return nil, e.acceptFirst(now, s)
+}
+
+// acceptFirst admits a first attempt. A fetch of its key that looks for the
+// owner in vain gets the job's answer; a cancellation prevents the job.
+func (e *Engine) acceptFirst(now time.Time, s *job.Submission) *result.Error {
+	fetch := e.searches[s.ID]
+	if fetch == nil || fetch.submission != nil {
+		return e.accept(now, s, false)
+	}
+	if fetch.cancel {
+		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
+		e.giveUp(now, fetch, err)
+		return err
+	}
+	if err := e.accept(now, s, false); err != nil {
+		return err
+	}
+	e.endFetch(s.ID)
+	e.ready.Pending = append(e.ready.Pending, s.ID)
+	return nil
 }
 
 // accept admits a submission whose key no host has accepted before.
@@ -215,29 +250,6 @@
 	return nil
 }
 
-// admit refuses what can be refused without a job record.
-func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
-	if err := e.admitHost(); err != nil {
-		return err
-	}
-	if !e.admitted() {
-		return result.Errorf(result.Joining, "host %s waits until its region knows it", e.cfg.Host.Name)
-	}
-	if err := e.admitTeam(s); err != nil {
-		return err
-	}
-	for i := range s.Tasks {
-		offered, fits := e.minions.Placeable(now, s.Service, s.Tasks[i].Size)
-		if !offered {
-			return result.Errorf(result.UnknownService, "service %q in failure domain %s", s.Service, e.cfg.Host.FailureDomain)
-		}
-		if !fits {
-			return result.Errorf(result.Unplaceable, "task %d", i)
-		}
-	}
-	return nil
-}
-
 // cancel withdraws a known job's queued tasks and stops its started ones.
 func (e *Engine) cancel(now time.Time, id job.ID) {
 	a := e.jobs.Cancel(now, id)
@@ -276,6 +288,7 @@
 		Minion:   a.Minion.Name,
 		Address:  a.Minion.Address,
 		Deadline: j.Deadline,
+		Trace:    j.Trace,
 	}
 }
 
@@ -288,6 +301,7 @@
 		e.log(event.TaskStartUnknown, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
 			slog.String("minion", name), slog.String("detail", o.Detail))
 	}
+	e.observe(now, id, name, o)
 	a := e.jobs.Finish(now, id, o)
 	e.minions.Release(name, e.takeSize(id))
 	e.queue.Finished(id)
@@ -322,6 +336,7 @@
 
 // Tick advances time: deadlines, leases, heartbeats.
 func (e *Engine) Tick(now time.Time) {
+	e.stall.observe(now)
 	for _, a := range e.jobs.Tick(now) {
 		e.answer(a)
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,8 +49,9 @@
 	DiskOpened       ID = 5007
 	ConfigUnreadable ID = 5008
 
-	RequestPanicked ID = 6001
-	ServerFailed    ID = 6002
+	RequestPanicked   ID = 6001
+	ServerFailed      ID = 6002
+	ConnectionRefused ID = 6003
 )
 
 // Info describes one event.
@@ -95,6 +96,7 @@
 	{ConfigUnreadable, slog.LevelError, "configuration version unreadable", "Bring the host to the release of the others; the version before stays in force."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
+	{ConnectionRefused, slog.LevelWarn, "connection refused at the listener's bound", "Find who holds so many connections, or raise max_connections."},
 }
 
 var byID = indexTable()
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -13,6 +13,7 @@
 	MaxActive      int           // jobs in progress
 	MaxRecords     int           // keys remembered, in progress or ended
 	MaxAnswerBytes int           // bytes of ended answers kept for later fetches
+	MaxActiveBytes int           // payloads and results of jobs in progress; 0: no bound
 	KeyLifetime    time.Duration // from SubmittedAt; older submissions are refused
 	ClockError     time.Duration // tolerated difference between clocks
 }
@@ -32,36 +33,49 @@
 type Table struct {
 	limits      Limits
 	startedAt   time.Time
-	jobs        map[ID]*Job
+	jobs        map[ID]*Job // in progress, or ended with tasks in progress
 	active      int
-	answerBytes int
-	deadlines   deadlineHeap
-	fences      map[ID]time.Time // keys refused here, until then
-	ended       []*Job           // oldest first
-	released    int              // leading entries of ended whose answers were dropped
+	activeBytes int
+	deadlines   deadlineHeap // of the jobs that have not ended
+	records                  // of the other keys
 }
 
 // NewTable returns an empty table of a process that started at startedAt.
 func NewTable(l Limits, startedAt time.Time) *Table {
-	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job), fences: make(map[ID]time.Time)}
+	return &Table{limits: l, startedAt: startedAt, jobs: make(map[ID]*Job), records: newRecords(startedAt)}
 }
 
-// Get returns the job with the given identity, or nil.
-func (t *Table) Get(id ID) *Job { return t.jobs[id] }
+// Get returns the job with the given identity, or nil. Of a job that ended and
+// has no task in progress, only the identity and the answer are left.
+func (t *Table) Get(id ID) *Job {
+	if j := t.jobs[id]; j != nil {
+		return j
+	}
+	if r, ok := t.ended[id]; ok {
+		return r.job(id)
+	}
+	return nil
+}
 
 // Active returns the number of jobs in progress.
 func (t *Table) Active() int { return t.active }
 
 // Records returns the number of keys remembered.
-func (t *Table) Records() int { return len(t.jobs) + len(t.fences) }
+func (t *Table) Records() int { return len(t.jobs) + len(t.ended) + len(t.fences) }
 
-// Each calls f for every remembered job until f returns false.
+// Each calls f for every remembered job until f returns false, those in
+// progress first.
 func (t *Table) Each(f func(*Job) bool) {
 	for _, j := range t.jobs {
 		if !f(j) {
 			return
 		}
 	}
+	for id, r := range t.ended {
+		if !f(r.job(id)) {
+			return
+		}
+	}
 }
 
 // EachActive calls f for every job in progress. Its cost doesn't grow with the
@@ -77,7 +91,7 @@
 // Submit admits, attaches or refuses s. Located says that every host in scope
 // has fenced the key, so that a repetition may run here.
 func (t *Table) Submit(now time.Time, s *Submission, located bool) (*Job, Admission, *result.Error) {
-	if j := t.jobs[s.ID]; j != nil {
+	if j := t.Get(s.ID); j != nil {
 		return t.repeat(j, s)
 	}
 	if err := t.admissible(now, s, located); err != nil {
@@ -91,6 +105,7 @@
 	t.jobs[s.ID] = j
 	delete(t.fences, s.ID)
 	t.active++
+	t.hold(j, s.bytes())
 	heap.Push(&t.deadlines, j)
 	return j, Accepted, nil
 }
@@ -113,20 +128,36 @@
 			return err
 		}
 	}
-	age := now.Sub(s.SubmittedAt)
+	if err := t.Expired(now, s); err != nil {
+		return err
+	}
 	switch {
-	case age < -t.limits.ClockError:
+	case now.Sub(s.SubmittedAt) < -t.limits.ClockError:
 		return result.Errorf(result.InvalidField, "submitted_at_ms is in the future by more than the tolerated clock error")
-	case age > t.limits.KeyLifetime:
-		return result.Errorf(result.Expired, "submitted %v ago, key lifetime %v", age, t.limits.KeyLifetime)
 	case t.active >= t.limits.MaxActive:
 		return result.Errorf(result.QueueFull, "%d jobs in progress", t.active)
+	case !t.roomFor(s.bytes()):
+		return result.Errorf(result.QueueFull, "%d bytes of payloads and results in progress", t.activeBytes)
 	case t.full():
 		return result.Errorf(result.QueueFull, "%d keys remembered", t.Records())
 	}
 	return nil
 }
 
+// Expired refuses submissions that are older than the key lifetime. The record
+// of an earlier attempt may be gone by then, so only a first one did not run.
+func (t *Table) Expired(now time.Time, s *Submission) *result.Error {
+	age := now.Sub(s.SubmittedAt)
+	switch {
+	case age <= t.limits.KeyLifetime:
+		return nil
+	case s.Attempt == 1:
+		return result.Errorf(result.Expired, "submitted %v ago, key lifetime %v", age, t.limits.KeyLifetime)
+	default:
+		return result.Errorf(result.OwnerUnknown, "submitted %v ago, key lifetime %v: the record of an earlier attempt may be gone", age, t.limits.KeyLifetime)
+	}
+}
+
 // ownable refuses submissions whose key may have been accepted elsewhere.
 func (t *Table) ownable(s *Submission) *result.Error {
 	_, fenced := t.fences[s.ID]
@@ -149,14 +180,19 @@
 
 func (t *Table) full() bool { return t.Records() >= t.limits.MaxRecords }
 
-// Fence refuses the key from now on, unless a job has it. It reports false
-// when there is no room to remember the fence.
-func (t *Table) Fence(id ID, submittedAt time.Time) bool {
-	if _, ok := t.fences[id]; !ok && t.full() {
-		return false
+// Fence refuses the key's first attempt, and every one below the given number,
+// from now on. It fails when a later attempt was fenced before, which may have
+// been answered as not run, or when there is no room.
+func (t *Table) Fence(id ID, submittedAt time.Time, attempt int) *result.Error {
+	f, known := t.fences[id]
+	switch {
+	case attempt < f.attempt:
+		return result.Errorf(result.OwnerUnknown, "a later attempt than %d was submitted", attempt)
+	case !known && t.full():
+		return result.Errorf(result.OwnerUnknown, "no room to fence the key")
 	}
-	t.fences[id] = t.retention(submittedAt)
-	return true
+	t.fence(id, t.retention(submittedAt), attempt)
+	return nil
 }
 
 // retention is the time until which a key is remembered: a host whose clock
@@ -188,17 +224,16 @@
 // Disprove records that a start never reached a minion, or that the minion
 // refused it before starting. The task may start again while the job goes on.
 func (t *Table) Disprove(now time.Time, id TaskID) *Answer {
-	j := t.jobs[id.Job]
-	if j == nil {
-		return nil
-	}
-	k := &j.tasks[id.Index]
-	if k.state != Started {
+	j, k := t.task(id)
+	if k == nil {
 		return nil
 	}
 	k.disprove++
 	j.retries++
 	j.running--
+	k.waited += k.started.Sub(k.queued)
+	k.refused += now.Sub(k.started)
+	k.refusedBy = k.minion
 	k.queued = now
 	if j.ended || j.stopCode != result.OK {
 		k.state = Withdrawn
@@ -212,12 +247,8 @@
 // Finish records the outcome of a start and returns the answer when the job
 // has ended by it.
 func (t *Table) Finish(now time.Time, id TaskID, o Outcome) *Answer {
-	j := t.jobs[id.Job]
-	if j == nil {
-		return nil
-	}
-	k := &j.tasks[id.Index]
-	if k.state != Started {
+	j, k := t.task(id)
+	if k == nil {
 		return nil
 	}
 	j.running--
@@ -226,6 +257,7 @@
 	case result.OK:
 		k.state = Done
 		j.done++
+		t.holdResult(j, k)
 	case result.TaskFailed:
 		k.state = Failed
 		j.stop(result.TaskFailed, o.Detail)
@@ -236,53 +268,52 @@
 	return t.settle(now, j, id.Index)
 }
 
-// settle ends j when nothing more can change its answer.
+// settle ends j when nothing more can change its answer. An unknown outcome
+// ends it at once; every other reason waits for the tasks in progress.
 func (t *Table) settle(now time.Time, j *Job, last int) *Answer {
 	switch {
 	case j.ended:
+		t.archive(j)
 		return nil
-	case j.anyOutcomeUnknown():
-		return t.end(now, j, result.StartUnknown, j.detail, last)
+	case j.stopCode.Class() == result.MayHaveRun:
+		return t.end(now, j, j.stopCode, j.detail, last)
 	case j.running > 0 || j.queued > 0:
 		return nil
-	case j.stopCode == result.OK:
-		return t.end(now, j, result.OK, "", last)
-	case j.stopCode == result.CancelledNotRun:
-		code := j.byProgress(result.CancelledNotRun, result.CancelledRan, result.CancelledMaybe)
-		return t.end(now, j, code, j.detail, last)
 	default:
-		return t.end(now, j, j.stopCode, j.detail, last)
+		return t.end(now, j, j.finalCode(), j.detail, last)
 	}
 }
 
-func (j *Job) anyOutcomeUnknown() bool {
-	return j.stopCode.Class() == result.MayHaveRun && j.stopCode != result.OK
-}
-
 func (t *Table) end(now time.Time, j *Job, code result.Code, detail string, last int) *Answer {
-	if code == result.StartUnknown && j.stopCode != result.OK {
-		code = j.stopCode
-	}
 	a := j.end(now, code, detail, last)
 	invariant.Check(code != result.OK || j.done == len(j.tasks), "job %s complete with %d of %d tasks", j.ID, j.done, len(j.tasks))
 	invariant.Check(code.Class() != result.NotRun || !(j.anyRan() || j.anyUnknown()), "job %s answered %s after a start", j.ID, code)
 	t.active--
+	t.hold(j, -j.bytes)
 	j.Tasks = nil // payloads are no longer needed
-	for _, r := range a.Results {
-		t.answerBytes += len(r)
-	}
-	t.ended = append(t.ended, j)
+	j.dropResults()
+	heap.Remove(&t.deadlines, j.heapIndex)
+	t.archive(j)
 	return a
 }
 
-// Refuse ends a job that has no start in progress, with a true "not run" code
-// when nothing ran, and result.TaskFailed otherwise.
+// archive keeps only the record of an ended job, once no task is in progress.
+func (t *Table) archive(j *Job) {
+	if !j.ended || j.running > 0 {
+		return
+	}
+	delete(t.jobs, j.ID)
+	t.addEnded(j)
+}
+
+// Refuse withdraws queued tasks for a reason of class "not run". The answer
+// follows when no task is in progress: the code itself when nothing ran.
 func (t *Table) Refuse(now time.Time, id ID, code result.Code, detail string) *Answer {
 	j := t.jobs[id]
 	if j == nil || j.ended {
 		return nil
 	}
-	j.stop(j.byProgress(code, result.TaskFailed, result.TaskFailed), detail)
+	j.stop(code, detail)
 	return t.settle(now, j, 0)
 }
 
@@ -301,15 +332,13 @@
 func (t *Table) Tick(now time.Time) []*Answer {
 	var out []*Answer
 	for len(t.deadlines) > 0 && !t.deadlines[0].Deadline.After(now) {
-		j := heap.Pop(&t.deadlines).(*Job)
-		if j.ended {
-			continue
-		}
+		j := t.deadlines[0]
 		code := j.byProgress(result.DeadlineNotRun, result.DeadlineRan, result.DeadlineUnknown)
 		j.withdraw()
 		out = append(out, t.end(now, j, code, "deadline passed", j.lastOpen()))
 	}
-	t.forget(now)
+	t.releaseBeyond(t.limits.MaxAnswerBytes)
+	t.expire(now)
 	return out
 }
 
@@ -323,43 +352,20 @@
 	return 0
 }
 
-// forget drops the answers beyond the byte bound, oldest first, and the
-// records whose key lifetime has passed.
-func (t *Table) forget(now time.Time) {
-	for t.answerBytes > t.limits.MaxAnswerBytes && t.released < len(t.ended) {
-		t.releaseAnswer(t.ended[t.released])
-		t.released++
-	}
-	drop := 0
-	for drop < len(t.ended) && t.ended[drop].retention.Before(now) {
-		t.releaseAnswer(t.ended[drop])
-		delete(t.jobs, t.ended[drop].ID)
-		drop++
-	}
-	t.ended = t.ended[drop:]
-	t.released = max(0, t.released-drop)
-	for id, until := range t.fences {
-		if until.Before(now) {
-			delete(t.fences, id)
-		}
-	}
-}
-
-func (t *Table) releaseAnswer(j *Job) {
-	for _, r := range j.answer.Results {
-		t.answerBytes -= len(r)
-	}
-	if j.answer.Results != nil {
-		j.answer = &Answer{ID: j.ID, Code: result.AnswerReleased, Breakdown: j.answer.Breakdown}
-	}
-}
-
 type deadlineHeap []*Job
 
 func (h deadlineHeap) Len() int           { return len(h) }
 func (h deadlineHeap) Less(i, k int) bool { return h[i].Deadline.Before(h[k].Deadline) }
-func (h deadlineHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
-func (h *deadlineHeap) Push(x any)        { *h = append(*h, x.(*Job)) }
+func (h deadlineHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].heapIndex = i
+	h[k].heapIndex = k
+}
+func (h *deadlineHeap) Push(x any) {
+	j := x.(*Job)
+	j.heapIndex = len(*h)
+	*h = append(*h, j)
+}
 func (h *deadlineHeap) Pop() any {
 	old := *h
 	j := old[len(old)-1]
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -39,12 +39,17 @@
 	Leaving    bool // announced its leave; no new work
 	Draining   bool // drained by an operator; no new work
 	Local      bool // announced to this host, which relays its lease
-
-	share int      // slots that this host may use
-	inUse int      // tasks of this host in progress
-	used  job.Size // sum of their declared sizes
-	rack  *rack
-	limit limit
+	// LocalUntil ends the lease that announcements to this host granted. Only
+	// this one is relayed: a relayed lease that is relayed again would gain the
+	// delay of each hop.
+	LocalUntil time.Time
+
+	share  int      // slots that this host may use
+	inUse  int      // tasks of this host in progress
+	used   job.Size // sum of their declared sizes
+	rack   *rack
+	limit  limit
+	health health
 }
 
 // rack counts the tasks of this host in progress on its minions.
@@ -91,10 +96,10 @@
 	racks   map[string]*rack
 	offers  map[string][]*Minion // by service, ordered by name
 	ordered []*Minion            // by name
+	runs    map[string]*serviceRun
 
-	share      Share
-	shareTotal int // sum of the minions' shares
-	inUse      int // tasks of this host in progress
+	share Share
+	inUse int // tasks of this host in progress
 }
 
 // NewRegistry returns an empty registry that grants leases of the given length.
@@ -105,6 +110,7 @@
 		drains:  make(map[string]bool),
 		racks:   make(map[string]*rack),
 		offers:  make(map[string][]*Minion),
+		runs:    make(map[string]*serviceRun),
 		share:   Share{All: true},
 	}
 }
@@ -133,11 +139,12 @@
 	if a.Generation > m.Generation {
 		m.Leaving = false
 		m.limit = limit{}
+		m.health = health{}
 	}
 	m.Announcement = a
 	m.Local = local
 	m.Draining = r.drains[a.Name]
-	m.extend(now.Add(remaining))
+	m.extend(now.Add(remaining), local)
 	r.index()
 	return true
 }
@@ -168,14 +175,15 @@
 	if m == nil || m.Generation != generation {
 		return false
 	}
-	if local {
-		m.Local = true
-	}
-	m.extend(now.Add(remaining))
+	m.extend(now.Add(remaining), local)
 	return true
 }
 
-func (m *Minion) extend(until time.Time) {
+func (m *Minion) extend(until time.Time, local bool) {
+	if local {
+		m.Local = true
+		m.LocalUntil = until
+	}
 	if until.After(m.LeaseUntil) {
 		m.LeaseUntil = until
 	}
@@ -274,7 +282,7 @@
 		if m.inUse >= m.share || best != nil && !m.better(best, size.Accelerators == 0) {
 			continue
 		}
-		if !m.limit.allows(now, m.inUse, sure) || !m.Ready(now) || !m.hasRoom(size) {
+		if !m.limit.allows(now, m.inUse, sure) || !m.health.allows(now, m.inUse) || !m.Ready(now) || !m.hasRoom(size) {
 			continue
 		}
 		best = m
