--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -6,6 +6,8 @@
 	"expvar"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -51,6 +53,7 @@
 	maxBodyBytes   int
 	maxHeaderBytes int
 	maxConnections int
+	profiling      bool
 	log            *slog.Logger
 
 	// Spans makes the spans of callers' requests. It is set before serving; nil
@@ -70,6 +73,7 @@
 		maxBodyBytes:   s.Limits.MaxBodyBytes,
 		maxHeaderBytes: s.Limits.MaxHeaderBytes,
 		maxConnections: s.Limits.MaxConnections,
+		profiling:      s.Profiling,
 		log:            log,
 	}
 }
@@ -133,6 +137,9 @@
 	h.DELETE("/v1/jobs/:team/:key", a.cancel)
 	h.GET("/v1/explain/:team/:key", a.explain)
 	a.control(h)
+	if a.profiling {
+		a.profiles(h)
+	}
 	h.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
 	a.health(h)
 	return h
@@ -141,6 +148,13 @@
 // PathHealth is the liveness check of every listener.
 const PathHealth = "/healthz"
 
+func (a *API) profiles(h *server.Hertz) {
+	h.GET("/debug/pprof/profile", adaptor.HertzHandler(http.HandlerFunc(pprof.Profile)))
+	for _, name := range []string{"heap", "allocs", "goroutine", "block", "mutex"} {
+		h.GET("/debug/pprof/"+name, adaptor.HertzHandler(pprof.Handler(name)))
+	}
+}
+
 func (a *API) health(h *server.Hertz) {
 	h.GET(PathHealth, func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
 	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	Dispatch      Dispatch `json:"dispatch"`
 	Log           Log      `json:"log"`
 	Traces        Traces   `json:"traces"`
+	Profiling     bool     `json:"profiling"`
 }
 
 // Listen holds the four addresses of a daemon.
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,6 +5,7 @@
 set -u
 cd "$(dirname "$0")/.."
 seconds=${1:-5}
+profile=${2:-0}
 run=$(mktemp -d)
 pids=()
 stop_all() {
@@ -19,7 +20,7 @@
   "host": "bench-1", "failure_domain": "bench", "region": "bench",
   "listen": {"callers": "127.0.0.1:18901", "minions": "127.0.0.1:18902",
              "operators": "127.0.0.1:18903", "peers": "127.0.0.1:18904"},
-  "timing": {"clock_error_ms": 1}, "log": {"level": "warn"},
+  "timing": {"clock_error_ms": 1}, "log": {"level": "warn"}, "profiling": true,
 }
 JSON
 bin/laburnumd -settings "$run/host.json" &
@@ -42,5 +43,15 @@
 bin/lwbench floor -address 127.0.0.1:18910 -duration "${seconds}s" -pids "minion=$floor"
 for tasks in 100 1; do
   echo "jobs of $tasks:"
+  if [ "$profile" != 0 ]; then
+    (sleep 1; curl -s -o "bin/cpu-$tasks.pprof" "http://127.0.0.1:18903/debug/pprof/profile?seconds=$profile") &
+  fi
   bin/lwbench load -hosts 127.0.0.1:18901 -tasks "$tasks" -duration "${seconds}s" -pids "$named"
 done
+if [ "$profile" != 0 ]; then
+  sleep 1
+  for tasks in 100 1; do
+    echo "processor time of laburnumd, jobs of $tasks:"
+    go tool pprof -top -nodecount=25 bin/laburnumd "bin/cpu-$tasks.pprof" 2>/dev/null
+  done
+fi
