engine: runs repeat by seed; a conflicting forward ends a search first

Cause 1: make soak printed seeds that did not repeat the failure, since searches, followers and silent peers were handled in the order of a map. They now have a fixed order; TestSeedRepeatsTheRun failed before. Cause 2, found by make soak in its 41st run: a submission that waited for the owner of its key got the complete answer of a job of the same key with another body, which had been forwarded to its host. The search now ends as 'may have run' before such a job is taken; TestForwardWithAnotherBodyEndsTheSearch failed before. Ruled out: refusing the forward, since its sender owns the key.

--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(&floorCommand{}, "measurements")
 	subcommands.Register(&slowCommand{}, "measurements")
 	subcommands.Register(&ownershipCommand{}, "measurements")
+	subcommands.Register(&replayCommand{}, "measurements")
 	subcommands.Register(&capacityCommand{}, "measurements")
 	subcommands.Register(&experimentCommand{}, "measurements")
 	flag.Parse()
--- a/internal/emulator/atmostonce_test.go
+++ b/internal/emulator/atmostonce_test.go
@@ -71,6 +71,17 @@
 	t.Logf("%d runs", runs)
 }
 
+// A seed repeats a run exactly, so that a failure can be looked into.
+func TestSeedRepeatsTheRun(t *testing.T) {
+	for seed := range uint64(5) {
+		a, b := newChaos(t, seed), newChaos(t, seed)
+		a.run()
+		b.run()
+		must.Eq(t, a.codes, b.codes)
+		must.Eq(t, a.Counters, b.Counters)
+	}
+}
+
 // A failure domain that is cut off from all others serves first attempts on
 // its own minions, and attaches repetitions of its own keys; a repetition that
 // may have run elsewhere is told so by its deadline.
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -59,6 +59,7 @@
 
 // Receive handles a message of a peer.
 func (e *Engine) Receive(now time.Time, from string, inc membership.Incarnation, b peer.Body) {
+	e.record(now, Input{Receive: &Received{From: from, Incarnation: inc, Body: b}})
 	e.stall.observe(now)
 	if c, changed := e.members.Heard(now, from, inc); changed {
 		e.log(event.PeerUp, slog.String("host", from), slog.Bool("restarted", c.Restart))
@@ -138,6 +139,7 @@
 
 // Announce handles a minion's announcement and relays it to the failure domain.
 func (e *Engine) Announce(now time.Time, a minion.Announcement) *result.Error {
+	e.record(now, Input{Announce: &a})
 	if a.FailureDomain != e.cfg.Host.FailureDomain {
 		return result.Errorf(result.InvalidField, "failure_domain %q: this host serves %q", a.FailureDomain, e.cfg.Host.FailureDomain)
 	}
@@ -164,6 +166,7 @@
 
 // Renew handles a minion's heartbeat. An unknown minion must announce again.
 func (e *Engine) Renew(now time.Time, name string, generation uint64) *result.Error {
+	e.record(now, Input{Renew: &Process{Name: name, Generation: generation}})
 	e.stall.observe(now)
 	if !e.minions.Renew(now, name, generation, e.grant(now), true) {
 		return result.Errorf(result.MinionUnknown, "minion %q generation %d", name, generation)
@@ -173,6 +176,7 @@
 
 // Leave handles a minion's leave and relays it to the failure domain.
 func (e *Engine) Leave(name string, generation uint64) *result.Error {
+	e.record(e.stall.last, Input{Leave: &Process{Name: name, Generation: generation}})
 	if e.minions.Get(name) == nil {
 		return result.Errorf(result.MinionUnknown, "minion %q", name)
 	}
--- a/internal/engine/configure.go
+++ b/internal/engine/configure.go
@@ -16,6 +16,7 @@
 // Apply puts a configuration version in force. Versions only grow; an older
 // or equal one changes nothing.
 func (e *Engine) Apply(now time.Time, version uint64, d *config.Document) {
+	e.record(now, Input{Apply: &Applied{Version: version, Document: d}})
 	if version <= e.configVersion {
 		return
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -43,7 +43,10 @@
 	MaxSearches   int           // keys looked for at a time
 
 	// Judge, if not nil, sets the verdict of a final answer before it is sent.
-	Judge func(a *job.Answer)
+	Judge func(a *job.Answer) `json:"-"`
+
+	// Observer, when set, is told of every input and output, for recording.
+	Observer Observer `json:"-"`
 
 	Slots SlotPolicy
 }
@@ -137,6 +140,9 @@
 func (e *Engine) Ready() Ready {
 	r := e.ready
 	e.ready = Ready{}
+	if e.cfg.Observer != nil {
+		e.cfg.Observer.Output(&r)
+	}
 	return r
 }
 
@@ -203,6 +209,15 @@
 // Submit admits, attaches or refuses a submission. A final answer is returned
 // at once; otherwise it follows in Ready.Answers.
 func (e *Engine) Submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
+	e.record(now, Input{Submit: s})
+	a, err := e.submit(now, s)
+	if err != nil && e.cfg.Observer != nil {
+		e.cfg.Observer.Refused(s.ID, err.Code)
+	}
+	return a, err
+}
+
+func (e *Engine) submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
 	if j := e.jobs.Get(s.ID); j != nil {
 		_, _, err := e.jobs.Submit(now, s, false)
 		return j.Answer(), err
@@ -294,6 +309,7 @@
 
 // TaskFinished records the outcome of a start that reached its minion.
 func (e *Engine) TaskFinished(now time.Time, id job.TaskID, name string, o job.Outcome) {
+	e.record(now, Input{Finished: &Finished{Task: id, Minion: name, Outcome: o}})
 	switch o.Code {
 	case result.AnswerMismatch:
 		e.log(event.AnswerMismatch, slog.String("job", id.Job.String()), slog.Int("task", id.Index), slog.String("minion", name))
@@ -314,6 +330,7 @@
 
 // TaskDisproved records a start that certainly did not happen.
 func (e *Engine) TaskDisproved(now time.Time, id job.TaskID, name string, reason result.Code) {
+	e.record(now, Input{Disproved: &Disproved{Task: id, Minion: name, Reason: reason}})
 	a := e.jobs.Disprove(now, id)
 	e.minions.Refuse(now, name, e.takeSize(id), e.cfg.BusyPause)
 	e.queue.Finished(id)
@@ -336,6 +353,7 @@
 
 // Tick advances time: deadlines, leases, heartbeats.
 func (e *Engine) Tick(now time.Time) {
+	e.record(now, Input{Tick: true})
 	e.stall.observe(now)
 	for _, a := range e.jobs.Tick(now) {
 		e.answer(a)
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -1,7 +1,10 @@
 package engine
 
 import (
+	"cmp"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
@@ -33,6 +36,7 @@
 // Ready.Answers; Ready.Pending names the keys whose owner was found and whose
 // job is in progress.
 func (e *Engine) Lookup(now time.Time, id job.ID, cancel bool) (*job.Answer, *result.Error) {
+	e.record(now, Input{Lookup: &Lookup{Job: id, Cancel: cancel}})
 	if j := e.jobs.Get(id); j != nil {
 		if cancel {
 			e.cancel(now, id)
@@ -265,6 +269,15 @@
 	return job.Breakdown{Peer: s.owner, Control: s.found.Sub(s.since), PeerTrip: now.Sub(s.found)}
 }
 
+// endConflictingSearch ends the search for a key with another body before a job
+// of the key comes here: those who wait must not get its answer.
+func (e *Engine) endConflictingSearch(now time.Time, id job.ID, digest uint64) {
+	s := e.searches[id]
+	if s != nil && s.submission != nil && s.submission.Digest != digest {
+		e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "the key is in use with another body"))
+	}
+}
+
 // answerSearch answers those who wait here for another host's job; a job of
 // this host with the same key goes on.
 func (e *Engine) answerSearch(a *job.Answer) {
@@ -315,7 +328,8 @@
 		return
 	}
 	end := a.Accepted.Add(a.Breakdown.Total)
-	for host, f := range followers {
+	for _, host := range slices.Sorted(maps.Keys(followers)) {
+		f := followers[host]
 		m := jobAnswer(a, f.round)
 		m.Breakdown.PeerHeld = max(0, end.Sub(f.since))
 		e.send(host, m)
@@ -346,7 +360,7 @@
 
 // tickSearches repeats questions and gives up on hosts that do not answer.
 func (e *Engine) tickSearches(now time.Time) {
-	for _, s := range e.searches {
+	for _, s := range e.dueSearches(now) {
 		switch {
 		case e.ownerLost(s):
 			e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "host %s, which owns the key, is unreachable", s.owner))
@@ -358,6 +372,19 @@
 	}
 }
 
+// dueSearches returns the searches to act upon in a fixed order, so that a run
+// can be repeated.
+func (e *Engine) dueSearches(now time.Time) []*search {
+	var due []*search
+	for _, s := range e.searches {
+		if e.ownerLost(s) || !now.Before(s.until) || !now.Before(s.resendAt) {
+			due = append(due, s)
+		}
+	}
+	slices.SortFunc(due, func(a, b *search) int { return cmp.Compare(a.round, b.round) })
+	return due
+}
+
 func (e *Engine) ownerLost(s *search) bool {
 	if s.owner == "" {
 		return false
--- a/internal/engine/locate_test.go
+++ b/internal/engine/locate_test.go
@@ -94,3 +94,21 @@
 	must.SliceLen(t, 1, r.Messages)
 	must.Eq(t, result.DeadlineNotRun, r.Messages[0].Body.(*peer.JobAnswer).Code)
 }
+
+// Those who wait for the owner of a key don't get the answer of a job of the
+// same key with another body that is forwarded here.
+func TestForwardWithAnotherBodyEndsTheSearch(t *testing.T) {
+	e := newEngine("p")
+	must.Nil(t, e.Announce(t0, minion.Announcement{Name: "m", FailureDomain: "d", Services: []string{"s"}, Slots: 1, Connections: 1, Address: "m:1"}))
+	_, err := e.Submit(t0, repetition("k", 2, 1))
+	must.Nil(t, err)
+	e.Receive(t0, "p", "1", &peer.Forward{
+		Team: "t", Key: "k", Attempt: 1, Service: "s", SubmittedAt: t0, Digest: 2, Tasks: make([]job.Task, 1), Remaining: time.Second,
+	})
+	r := e.Ready()
+	must.SliceLen(t, 1, r.Answers)
+	must.Eq(t, result.OwnerUnknown, r.Answers[0].Code)
+	must.SliceLen(t, 1, r.Starts)
+	_, err = e.Submit(t0, repetition("k", 3, 1))
+	must.Eq(t, result.KeyConflict, err.Code)
+}
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -24,6 +24,7 @@
 // Stop refuses new submissions from now on; jobs in progress go on. The peers
 // are told by the next Tick.
 func (e *Engine) Stop() {
+	e.record(e.stall.last, Input{Stop: true})
 	e.shutdown.stopping = true
 	e.nextBeat = time.Time{}
 }
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -212,6 +212,7 @@
 		e.send(from, jobAnswer(&job.Answer{ID: id, Code: r.code, Detail: r.detail}, 0))
 		return
 	}
+	e.endConflictingSearch(now, id, m.Digest)
 	if e.jobs.Get(id) == nil && !e.acceptForward(now, from, id, m) {
 		return
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -210,10 +210,10 @@
 	return Echo{SentAt: p.lastSent, Held: now.Sub(p.beatAt)}
 }
 
-// Tick marks silent peers as down and returns the transitions.
+// Tick marks silent peers as down and returns the transitions, ordered by name.
 func (v *View) Tick(now time.Time) []Change {
 	var out []Change
-	for _, p := range v.peers {
+	for _, p := range v.All() {
 		if p.up && now.Sub(p.LastHeard) > v.timeout {
 			p.up = false
 			out = append(out, Change{Peer: p})
