--- a/internal/job/memory_test.go
+++ b/internal/job/memory_test.go
@@ -82,3 +82,14 @@
 	must.Eq(t, result.AnswerTooLarge, a.Code)
 	must.Nil(t, a.Results)
 }
+
+// A job that another host dispatched ends with that host's code: what ran
+// there is known here.
+func TestOutcomeOfAnotherHostKeepsItsCode(t *testing.T) {
+	for _, code := range []result.Code{result.AnswerTooLarge, result.AnswerReleased, result.DeadlineRan} {
+		b := newTestTable()
+		id := TaskID{Job: accept(t, b, "k", 1).ID}
+		must.True(t, b.Start(t0, id, "host"))
+		must.Eq(t, code, b.Finish(t0, id, Outcome{Code: code}).Code)
+	}
+}
