--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -45,6 +45,7 @@
 	sender       starter
 	mesh         messenger
 	metrics      *telemetry.Metrics
+	recorder     *recorder
 	log          *slog.Logger
 	tick         time.Duration
 	done         chan struct{}
@@ -62,6 +63,7 @@
 // run handles inputs until ctx ends.
 func (c *core) run(ctx context.Context) {
 	defer close(c.done)
+	defer func() { c.reportRecorder(ctx, c.recorder.close()) }()
 	ticker := time.NewTicker(c.tick)
 	defer ticker.Stop()
 	for {
@@ -84,6 +86,7 @@
 func (c *core) tickNow(now time.Time) {
 	c.model.Beat(now)
 	c.engine.Tick(now)
+	c.reportRecorder(context.Background(), c.recorder.flush())
 }
 
 func (c *core) apply(in input) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,8 +122,13 @@
 	}
 	cfg := d.engineConfig(inc)
 	cfg.Judge = func(a *job.Answer) { d.core.model.Answer(a) }
+	recorder, err := newRecorder(d.settings.Traces.RecordFile, &cfg)
+	if err != nil {
+		return err
+	}
 	d.core = &core{
 		engine:   engine.New(cfg),
+		recorder: recorder,
 		requests: ring.New[input](d.settings.Limits.RingSize),
 		outcomes: outcomes,
 		messages: ring.New[input](d.settings.Limits.RingSize),
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -13,14 +13,15 @@
 // Log events. The thousands group them: 1xxx process, 2xxx jobs, 3xxx
 // minions, 4xxx peers, 5xxx control and store, 6xxx HTTP.
 const (
-	Started          ID = 1001
-	StopRequested    ID = 1002
-	Stopped          ID = 1003
-	StopTimedOut     ID = 1004
-	SettingsRefused  ID = 1005
-	InvariantBroken  ID = 1006
-	RingFull         ID = 1007
-	SpanExportFailed ID = 1008
+	Started           ID = 1001
+	StopRequested     ID = 1002
+	Stopped           ID = 1003
+	StopTimedOut      ID = 1004
+	SettingsRefused   ID = 1005
+	InvariantBroken   ID = 1006
+	RingFull          ID = 1007
+	SpanExportFailed  ID = 1008
+	TraceRecordFailed ID = 1009
 
 	JobRefused        ID = 2001
 	JobEnded          ID = 2002
@@ -71,6 +72,7 @@
 	{InvariantBroken, slog.LevelError, "invariant broken", "Report it with the log and the trace; the affected job was answered as may have run."},
 	{RingFull, slog.LevelWarn, "ring full", "See docs/LIMITS.md for the ring's bound."},
 	{SpanExportFailed, slog.LevelWarn, "span export failed", "Check the collector's address and the span file's disk."},
+	{TraceRecordFailed, slog.LevelWarn, "recording ended", "The file is full or its disk failed; take what was recorded, and name another file."},
 	{JobRefused, slog.LevelDebug, "job refused", "See the result code."},
 	{JobEnded, slog.LevelDebug, "job ended", "None."},
 	{TaskStartRefused, slog.LevelDebug, "minion refused a task before its start", "None; the task is retried under the retry budget."},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,6 +97,7 @@
 	File       string  `json:"file"`          // empty: none
 	OTLP       string  `json:"otlp_endpoint"` // host:port of an OTLP/HTTP collector; empty: none
 	SampleRate float64 `json:"sample_rate" validate:"min=0,max=1"`
+	RecordFile string  `json:"record_file"` // trace of the decisions' inputs, for replay; empty: none
 }
 
 // Defaults returns the settings of every key that has a default.
