--- a/cmd/lwbench/main.go
+++ b/cmd/lwbench/main.go
@@ -23,6 +23,7 @@
 	subcommands.Register(&slowCommand{}, "measurements")
 	subcommands.Register(&ownershipCommand{}, "measurements")
 	subcommands.Register(&controlCommand{}, "measurements")
+	subcommands.Register(&replayCommand{}, "measurements")
 	subcommands.Register(&capacityCommand{}, "measurements")
 	subcommands.Register(&experimentCommand{}, "measurements")
 	flag.Parse()
