membership: the ordered list of peers is kept, not made at each use

Cause, found in reading: the host that dispatches is looked up for each submission and each heartbeat by the ordered list of peers, which was copied and sorted at each call. Ruled out: caching the dispatching host (it depends on the time). Conclusion: the list changes only with the configuration.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -51,6 +51,7 @@
 type View struct {
 	timeout  time.Duration
 	peers    map[string]*Peer
+	ordered  []*Peer // by name
 	departed []departure // oldest first
 }
 
@@ -67,6 +68,7 @@
 	for _, h := range peers {
 		v.peers[h.Name] = &Peer{Host: h}
 	}
+	v.order()
 	return v
 }
 
@@ -91,6 +93,7 @@
 		}
 	}
 	v.peers = next
+	v.order()
 	return changed
 }
 
@@ -222,14 +225,17 @@
 	return out
 }
 
-// All returns the peers ordered by name.
-func (v *View) All() []*Peer {
-	out := make([]*Peer, 0, len(v.peers))
+// All returns the peers ordered by name. The slice is shared: it must not be
+// changed, and SetHosts replaces it.
+func (v *View) All() []*Peer { return v.ordered }
+
+// order prepares the slice of All.
+func (v *View) order() {
+	v.ordered = make([]*Peer, 0, len(v.peers))
 	for _, p := range v.peers {
-		out = append(out, p)
+		v.ordered = append(v.ordered, p)
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
-	return out
+	sort.Slice(v.ordered, func(i, k int) bool { return v.ordered[i].Name < v.ordered[k].Name })
 }
 
 // Age returns how much longer than usual a message of the peer was under way,
