--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -51,7 +51,7 @@
 type View struct {
 	timeout  time.Duration
 	peers    map[string]*Peer
-	ordered  []*Peer // by name
+	ordered  []*Peer     // by name
 	departed []departure // oldest first
 }
 
