--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint unit race bench capacity
+.PHONY: build demo test lint unit race bench capacity soak mutants
 
 build:
 	@mkdir -p bin
@@ -18,10 +18,10 @@
 	go tool staticcheck ./...
 
 unit:
-	@skip=$$(scripts/known-red.sh) && go test "$${skip:--skip=^$$}" ./...
+	@skip=$$(scripts/known-red.sh) && go test -timeout 4m "$${skip:--skip=^$$}" ./...
 
 race:
-	@skip=$$(scripts/known-red.sh) && go test -race "$${skip:--skip=^$$}" ./internal/daemon/... ./internal/link/... ./internal/api/... ./internal/backend/...
+	@skip=$$(scripts/known-red.sh) && go test -timeout 4m -race "$${skip:--skip=^$$}" ./internal/daemon/... ./internal/link/... ./internal/api/... ./internal/backend/...
 
 # Starts per second and processor time per task, with the floor beside it.
 bench: build
@@ -30,3 +30,13 @@
 # The slopes of docs/CAPACITY.md.
 capacity: build
 	scripts/capacity.sh
+
+# Randomised runs with seeds from the clock, for the time in LW_SOAK. Each seed
+# is printed before its run; LW_SEED=N go test ./internal/emulator -run TestOneSeed
+# repeats one.
+soak:
+	LW_SOAK=$${LW_SOAK:-10m} go test ./internal/emulator -run TestSoak -count=1 -v -timeout 0
+
+# Broken variants of the code that the tests must fail on; takes about a minute.
+mutants:
+	scripts/mutants.sh
--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "help")
 	subcommands.Register(subcommands.CommandsCommand(), "help")
 	subcommands.Register(&statusCommand{client: c}, "inspect")
+	subcommands.Register(&explainCommand{client: c}, "inspect")
 	subcommands.Register(&hostsCommand{client: c}, "inspect")
 	subcommands.Register(&minionsCommand{client: c}, "inspect")
 	subcommands.Register(&jobsCommand{client: c}, "inspect")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/google/uuid"
@@ -29,6 +30,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
 	"github.com/laburnumwalk/laburnumwalk/internal/store"
 	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
+	"github.com/laburnumwalk/laburnumwalk/internal/verdict"
 	"github.com/pkg/errors"
 )
 
@@ -46,6 +48,7 @@
 	mesh      *link.Mesh
 	proposer  proposer
 	operators *operators
+	api       *api.API
 	control   *controller
 	servers   []*server.Hertz
 	listeners listeners
@@ -118,13 +121,21 @@
 		return err
 	}
 	cfg := d.engineConfig(inc)
+	cfg.Judge = func(a *job.Answer) { d.core.model.Answer(a) }
+	recorder, err := newRecorder(d.settings.Traces.RecordFile, &cfg)
+	if err != nil {
+		return err
+	}
 	d.core = &core{
 		engine:   engine.New(cfg),
+		recorder: recorder,
 		requests: ring.New[input](d.settings.Limits.RingSize),
 		outcomes: outcomes,
 		messages: ring.New[input](d.settings.Limits.RingSize),
 		waiters:  make(map[job.ID][]waiter),
+		writes:   newWrites(),
 		sender:   d.sender,
+		model:    verdict.NewModel(cfg.Host.Name),
 		metrics:  d.metrics,
 		log:      d.log,
 		tick:     settings.Millis(d.settings.Timing.TickMS),
@@ -137,7 +148,8 @@
 	if err := d.wireControl(cfg); err != nil {
 		return err
 	}
-	a := api.New(d, &d.settings, d.log)
+	d.api = api.New(d, &d.settings, d.log)
+	a := d.api
 	d.servers = []*server.Hertz{a.Callers(d.listeners.callers), a.Minions(d.listeners.minions), a.Operators(d.listeners.operators)}
 	return nil
 }
@@ -219,6 +231,8 @@
 			MaxActive:      s.Limits.MaxActiveJobs,
 			MaxRecords:     s.Limits.MaxRecords,
 			MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+			MaxJobBytes:    s.Limits.MaxJobBytes,
+			MaxActiveBytes: s.Limits.MaxActiveBytes,
 			KeyLifetime:    settings.Millis(s.Timing.KeyLifetimeMS),
 			ClockError:     settings.Millis(s.Timing.ClockErrorMS),
 		},
@@ -278,8 +292,10 @@
 	d.wg.Go(func() { d.core.run(duties) })
 	d.wg.Go(func() { d.control.run(duties) })
 	d.wg.Go(func() { d.mesh.Run(duties) })
-	for _, s := range d.servers {
-		d.wg.Go(func() { d.serve(duties, s) })
+	if err := d.startServers(duties); err != nil {
+		d.shutdown(stop)
+		stopTraces()
+		return err
 	}
 	d.ready.Store(true)
 	event.Log(ctx, d.log, event.Started, slog.String("host", d.settings.Host), slog.String("failure_domain", d.settings.FailureDomain))
@@ -299,19 +315,27 @@
 	}
 }
 
+func (d *Daemon) reportSpans(err error) {
+	event.Log(context.Background(), d.log, event.SpanExportFailed, slog.String("error", err.Error()))
+}
+
 const traceFlushTimeout = 3 * time.Second
 
 func (d *Daemon) startTraces(ctx context.Context) (func(), error) {
 	t := d.settings.Traces
-	_, closeTraces, err := telemetry.NewTracerProvider(ctx, telemetry.TraceConfig{
+	provider, closeTraces, err := telemetry.NewTracerProvider(ctx, telemetry.TraceConfig{
 		Host:       d.settings.Host,
 		File:       t.File,
 		Endpoint:   t.OTLP,
 		SampleRate: t.SampleRate,
+		Failed:     d.reportSpans,
 	})
 	if err != nil {
 		return nil, err
 	}
+	spans := telemetry.NewSpans(provider)
+	d.api.Spans = spans
+	d.sender.spans = spans
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 		defer cancel()
@@ -321,6 +345,45 @@
 	}, nil
 }
 
+// startServers returns when every server answers: the HTTP library forgets a
+// shutdown that comes before its loop runs.
+func (d *Daemon) startServers(duties context.Context) error {
+	for _, s := range d.servers {
+		d.wg.Go(func() { d.serve(duties, s) })
+	}
+	for _, l := range []net.Listener{d.listeners.callers, d.listeners.minions, d.listeners.operators} {
+		if err := awaitAnswer(l.Addr().String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	answerTimeout = 10 * time.Second
+	answerPoll    = time.Millisecond
+)
+
+// awaitAnswer waits until the server at the address answers its health check.
+func awaitAnswer(address string) error {
+	c, err := client.NewClient(client.WithDialTimeout(answerTimeout), client.WithKeepAlive(false))
+	if err != nil {
+		return errors.Wrap(err, "health check")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	for {
+		_, _, err = c.Get(ctx, nil, "http://"+address+api.PathHealth)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(err, "no answer at %s", address)
+		}
+		time.Sleep(answerPoll)
+	}
+}
+
 func (d *Daemon) serve(duties context.Context, s *server.Hertz) {
 	if err := s.Run(); err != nil && duties.Err() == nil {
 		event.Log(duties, d.log, event.ServerFailed, slog.String("error", err.Error()))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,6 +42,12 @@
 	FollowTimeout time.Duration // bound on a fetch from the owner
 	MaxSearches   int           // keys looked for at a time
 
+	// Judge, if not nil, sets the verdict of a final answer before it is sent.
+	Judge func(a *job.Answer) `json:"-"`
+
+	// Observer, when set, is told of every input and output, for recording.
+	Observer Observer `json:"-"`
+
 	Slots SlotPolicy
 }
 
@@ -55,6 +61,7 @@
 	Minion   string
 	Address  string
 	Deadline time.Time
+	Trace    string // W3C trace context, when sampled
 }
 
 // Cancel is a request to a minion to stop a task.
@@ -99,11 +106,15 @@
 	shutdown      shutdown
 	nextBeat      time.Time
 	searches      map[job.ID]*search
-	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
+	followers     map[job.ID]map[string]follower // hosts that attached to a job of this host
 	round         uint64
+	stall         stall
 	sharing
-	sizes map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
-	ready Ready
+	lending
+	arrivals  dispatch.Arrivals
+	cancelled map[job.ID]bool         // jobs in progress whose started tasks were asked to stop
+	sizes     map[job.TaskID]job.Size // declared sizes of the tasks in progress, where not zero
+	ready     Ready
 }
 
 // New returns an Engine with no jobs and no minions.
@@ -111,15 +122,17 @@
 	return &Engine{
 		cfg:     cfg,
 		jobs:    job.NewTable(cfg.Jobs, cfg.StartedAt),
-		queue:   dispatch.NewQueue(),
+		queue:   dispatch.NewQueue(cfg.RetryBudget / 2),
 		minions: minion.NewRegistry(cfg.MinionLease),
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
 		searches:  make(map[job.ID]*search),
-		followers: make(map[job.ID]map[string]bool),
+		followers: make(map[job.ID]map[string]follower),
 		shutdown:  shutdown{echoes: make(map[string]time.Duration)},
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
+		lending:   newLending(),
+		cancelled: make(map[job.ID]bool),
 	}
 }
 
@@ -127,6 +140,9 @@
 func (e *Engine) Ready() Ready {
 	r := e.ready
 	e.ready = Ready{}
+	if e.cfg.Observer != nil {
+		e.cfg.Observer.Output(&r)
+	}
 	return r
 }
 
@@ -158,9 +174,14 @@
 	if a == nil {
 		return
 	}
+	if e.cfg.Judge != nil {
+		e.cfg.Judge(a)
+	}
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
 	delete(e.forwards, a.ID)
+	delete(e.cancelled, a.ID)
+	e.forgetSmall(a.ID)
 	e.notifyFollowers(a)
 	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
 	e.cancelStarted(a.ID)
@@ -173,6 +194,9 @@
 	if j == nil {
 		return
 	}
+	if !j.Ended() {
+		e.cancelled[id] = true
+	}
 	j.Started(func(index int, name string) {
 		m := e.minions.Get(name)
 		if m == nil {
@@ -185,6 +209,15 @@
 // Submit admits, attaches or refuses a submission. A final answer is returned
 // at once; otherwise it follows in Ready.Answers.
 func (e *Engine) Submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
+	e.record(now, Input{Submit: s})
+	a, err := e.submit(now, s)
+	if err != nil && e.cfg.Observer != nil {
+		e.cfg.Observer.Refused(s.ID, err.Code)
+	}
+	return a, err
+}
+
+func (e *Engine) submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
 	if j := e.jobs.Get(s.ID); j != nil {
 		_, _, err := e.jobs.Submit(now, s, false)
 		return j.Answer(), err
@@ -192,7 +225,27 @@
 	if s.Attempt != 1 {
 		return nil, e.locate(now, s)
 	}
-	return nil, e.accept(now, s, false)
+	return nil, e.acceptFirst(now, s)
+}
+
+// acceptFirst admits a first attempt. A fetch of its key that looks for the
+// owner in vain gets the job's answer; a cancellation prevents the job.
+func (e *Engine) acceptFirst(now time.Time, s *job.Submission) *result.Error {
+	fetch := e.searches[s.ID]
+	if fetch == nil || fetch.submission != nil {
+		return e.accept(now, s, false)
+	}
+	if fetch.cancel {
+		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
+		e.giveUp(now, fetch, err)
+		return err
+	}
+	if err := e.accept(now, s, false); err != nil {
+		return err
+	}
+	e.endFetch(s.ID)
+	e.ready.Pending = append(e.ready.Pending, s.ID)
+	return nil
 }
 
 // accept admits a submission whose key no host has accepted before.
@@ -212,29 +265,6 @@
 	return nil
 }
 
-// admit refuses what can be refused without a job record.
-func (e *Engine) admit(now time.Time, s *job.Submission) *result.Error {
-	if err := e.admitHost(); err != nil {
-		return err
-	}
-	if !e.admitted() {
-		return result.Errorf(result.Joining, "host %s waits until its region knows it", e.cfg.Host.Name)
-	}
-	if err := e.admitTeam(s); err != nil {
-		return err
-	}
-	for i := range s.Tasks {
-		offered, fits := e.minions.Placeable(now, s.Service, s.Tasks[i].Size)
-		if !offered {
-			return result.Errorf(result.UnknownService, "service %q in failure domain %s", s.Service, e.cfg.Host.FailureDomain)
-		}
-		if !fits {
-			return result.Errorf(result.Unplaceable, "task %d", i)
-		}
-	}
-	return nil
-}
-
 // cancel withdraws a known job's queued tasks and stops its started ones.
 func (e *Engine) cancel(now time.Time, id job.ID) {
 	a := e.jobs.Cancel(now, id)
@@ -244,6 +274,7 @@
 
 // dispatch starts every task that a free minion can take.
 func (e *Engine) dispatch(now time.Time) {
+	defer e.recordContention(now)
 	for {
 		a, ok := e.queue.Next(now, e.minions)
 		if !ok {
@@ -272,11 +303,13 @@
 		Minion:   a.Minion.Name,
 		Address:  a.Minion.Address,
 		Deadline: j.Deadline,
+		Trace:    j.Trace,
 	}
 }
 
 // TaskFinished records the outcome of a start that reached its minion.
 func (e *Engine) TaskFinished(now time.Time, id job.TaskID, name string, o job.Outcome) {
+	e.record(now, Input{Finished: &Finished{Task: id, Minion: name, Outcome: o}})
 	switch o.Code {
 	case result.AnswerMismatch:
 		e.log(event.AnswerMismatch, slog.String("job", id.Job.String()), slog.Int("task", id.Index), slog.String("minion", name))
@@ -284,8 +317,10 @@
 		e.log(event.TaskStartUnknown, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
 			slog.String("minion", name), slog.String("detail", o.Detail))
 	}
+	e.observe(now, id, name, o)
 	a := e.jobs.Finish(now, id, o)
-	e.release(id, name, time.Time{})
+	e.minions.Release(name, e.takeSize(id))
+	e.queue.Finished(id)
 	if o.Code != result.OK && a == nil {
 		e.cancelStarted(id.Job)
 	}
@@ -295,28 +330,31 @@
 
 // TaskDisproved records a start that certainly did not happen.
 func (e *Engine) TaskDisproved(now time.Time, id job.TaskID, name string, reason result.Code) {
+	e.record(now, Input{Disproved: &Disproved{Task: id, Minion: name, Reason: reason}})
 	a := e.jobs.Disprove(now, id)
-	e.release(id, name, now.Add(e.cfg.BusyPause))
+	e.minions.Refuse(now, name, e.takeSize(id), e.cfg.BusyPause)
+	e.queue.Finished(id)
 	e.log(event.TaskStartRefused, slog.String("job", id.Job.String()), slog.Int("task", id.Index),
 		slog.String("minion", name), slog.Int("code", int(reason)))
 	e.answer(a)
-	if j := e.jobs.Get(id.Job); j != nil && !j.Ended() && j.Retries() > e.cfg.RetryBudget+len(j.Tasks) {
+	if j := e.jobs.Get(id.Job); j != nil && !j.Ended() && j.Retries() > e.cfg.RetryBudget+len(j.Tasks)+dispatch.Earned(now, j) {
 		e.log(event.TaskStartsStopped, slog.String("job", id.Job.String()))
 		e.answer(e.jobs.Refuse(now, id.Job, result.TaskNotStarted, "retry budget used up"))
 	}
 	e.dispatch(now)
 }
 
-// release frees the slot of a start that has ended. The job table must have
-// recorded the end.
-func (e *Engine) release(id job.TaskID, name string, retryAt time.Time) {
-	e.minions.Release(name, e.sizes[id], retryAt)
+// takeSize returns and forgets the declared size of a task in progress.
+func (e *Engine) takeSize(id job.TaskID) job.Size {
+	size := e.sizes[id]
 	delete(e.sizes, id)
-	e.queue.Finished(id)
+	return size
 }
 
 // Tick advances time: deadlines, leases, heartbeats.
 func (e *Engine) Tick(now time.Time) {
+	e.record(now, Input{Tick: true})
+	e.stall.observe(now)
 	for _, a := range e.jobs.Tick(now) {
 		e.answer(a)
 	}
@@ -326,8 +364,9 @@
 	for _, c := range e.members.Tick(now) {
 		e.log(event.PeerDown, slog.String("host", c.Peer.Name))
 		e.failForwards(now, c.Peer)
-		e.reshare()
 	}
+	e.reshare(now)
+	e.forwardWaiting(now)
 	e.tickSearches(now)
 	e.tickShutdown(now)
 	e.members.ForgetDepartures(now.Add(-e.cfg.Jobs.KeyLifetime - 2*e.cfg.Jobs.ClockError))
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -52,6 +52,11 @@
 	Deadline    time.Time // the host's clock
 	Digest      uint64    // hash of the body, to detect a key used twice
 	Tasks       []Task
+
+	Receive    time.Duration // from the first byte of the request to its last
+	ReceivedAt time.Time     // the last byte; zero when not known
+	Control    time.Duration // looking for the owner of the key
+	Trace      string        // W3C trace context of the request, when sampled
 }
 
 // State is the state of one task.
@@ -74,6 +79,8 @@
 	Detail string        // failure text
 	Run    time.Duration // the minion's own run time, zero when not given
 	Trip   time.Duration // from sending to the answer, on the host's clock
+	Own    time.Duration // the minion's whole time for the task; the run when not given
+	SentAt time.Time     // when the request was sent; zero when not known
 }
 
 // Answer is the whole answer to one submission.
@@ -83,6 +90,9 @@
 	Detail    string
 	Results   [][]byte // one per task, only when Code is result.OK
 	Breakdown Breakdown
+
+	Service  string    // empty when another host owns the job
+	Accepted time.Time // zero when another host owns the job
 }
 
 // Breakdown tells where the time of the answer's last task went. All
@@ -95,6 +105,23 @@
 	Minion  string        // minion of the last task
 	Task    int           // index of the last task
 	Retries int           // disproved starts in the whole job
+
+	Receive   time.Duration // from the first byte of the request to its last
+	Admit     time.Duration // from the last byte to acceptance, without Control
+	Control   time.Duration // looking for the owner of the key
+	Refused   time.Duration // in disproved starts of the task
+	RefusedBy string        // minion of the last of them
+	Handoff   time.Duration // from the decision to start until the request was sent
+	Own       time.Duration // the minion's whole time for the task
+	Open      time.Duration // since the start of a task that was not answered
+	Collect   time.Duration // from the minion's answer until the host decided on it
+	Pause     time.Duration // of the trip, during which the host stood still
+	Peer      string        // owner of the job, when it is another host
+	PeerTrip  time.Duration // from asking the owner to its answer
+	PeerHeld  time.Duration // of PeerTrip, the owner's own time
+	Encode    time.Duration // of the answer
+	Write     time.Duration // until the caller's connection had taken the answer
+	Verdict   Verdict
 }
 
 type task struct {
@@ -105,6 +132,10 @@
 	queued   time.Time
 	started  time.Time
 	outcome  Outcome
+
+	waited    time.Duration // queued before disproved starts
+	refused   time.Duration // in disproved starts
+	refusedBy string
 }
 
 // Job is one accepted submission.
@@ -121,8 +152,9 @@
 	detail    string
 	ended     bool
 	answer    *Answer
-	endedAt   time.Time
 	retention time.Time
+	bytes     int // payloads and results that count as active
+	heapIndex int // in the table's heap of deadlines, until the job has ended
 }
 
 // Queued returns the number of tasks that may still start.
@@ -207,22 +239,48 @@
 	}
 }
 
+// finalCode is the code of a job without tasks in progress that is true of
+// what its tasks did, whatever the reason to stop was at first.
+func (j *Job) finalCode() result.Code {
+	switch {
+	case j.stopCode == result.OK:
+		return result.OK
+	case j.stopCode == result.CancelledNotRun:
+		return j.byProgress(result.CancelledNotRun, result.CancelledRan, result.CancelledMaybe)
+	case j.stopCode.Class() == result.Ran:
+		return j.byProgress(j.stopCode, j.stopCode, result.StartUnknown)
+	default:
+		return j.byProgress(j.stopCode, result.TaskFailed, result.StartUnknown)
+	}
+}
+
 func (j *Job) breakdown(now time.Time, last int) Breakdown {
-	b := Breakdown{Total: now.Sub(j.Accepted), Task: last, Retries: j.retries}
 	t := &j.tasks[last]
-	b.Minion = t.minion
-	b.Trip = t.outcome.Trip
-	b.Run = t.outcome.Run
-	if t.starts > t.disprove {
-		b.Queue = t.started.Sub(t.queued)
-	} else {
-		b.Queue = now.Sub(t.queued)
+	b := Breakdown{
+		Total: now.Sub(j.Accepted), Task: last, Retries: j.retries, Minion: t.minion,
+		Receive: j.Receive, Control: j.Control, Refused: t.refused, RefusedBy: t.refusedBy,
+		Trip: t.outcome.Trip, Run: t.outcome.Run, Own: t.outcome.Own,
+	}
+	if !j.ReceivedAt.IsZero() {
+		b.Admit = max(0, j.Accepted.Sub(j.ReceivedAt)-j.Control)
+	}
+	if t.starts == t.disprove {
+		b.Queue = t.waited + now.Sub(t.queued)
+		return b
+	}
+	b.Queue = t.waited + t.started.Sub(t.queued)
+	if t.state == Started {
+		b.Open = now.Sub(t.started)
+	}
+	if sent := t.outcome.SentAt; !sent.IsZero() {
+		b.Handoff = max(0, sent.Sub(t.started))
+		b.Collect = max(0, now.Sub(sent)-t.outcome.Trip)
 	}
 	return b
 }
 
 func (j *Job) end(now time.Time, code result.Code, detail string, last int) *Answer {
-	a := &Answer{ID: j.ID, Code: code, Detail: detail, Breakdown: j.breakdown(now, last)}
+	a := &Answer{ID: j.ID, Code: code, Detail: detail, Breakdown: j.breakdown(now, last), Service: j.Service, Accepted: j.Accepted}
 	if code == result.OK {
 		a.Results = make([][]byte, len(j.tasks))
 		for i := range j.tasks {
@@ -232,7 +290,6 @@
 	j.withdraw()
 	j.ended = true
 	j.answer = a
-	j.endedAt = now
 	return a
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// repeat sends a message, as the decisions do, until it arrives: one that was
+// written to a connection that the peer was about to reject is lost.
+func repeat(t *testing.T, from *node, to, name string, received <-chan string) string {
+	t.Helper()
+	const interval = 20 * time.Millisecond
+	for begin := time.Now(); time.Since(begin) < patience; {
+		must.True(t, from.Send(to, &peer.MinionLeave{Name: name}))
+		select {
+		case got := <-received:
+			return got
+		case <-time.After(interval):
+		}
+	}
+	t.Fatal("nothing received")
+	return ""
+}
+
 // A host that the receiver does not know is rejected; once it is added, its
 // messages arrive; a removed peer gets none.
 func TestPeersAreAddedAndRemoved(t *testing.T) {
@@ -63,8 +80,7 @@
 	a.SetPeers([]membership.Host{b.host})
 	must.True(t, a.Send("b", &peer.MinionLeave{Name: "x"}))
 	must.Eq(t, "a:x", receive(t, b.received))
-	must.True(t, b.Send("a", &peer.MinionLeave{Name: "y"}))
-	must.Eq(t, "b:y", receive(t, a.received))
+	must.Eq(t, "b:y", repeat(t, b, "a", "y", a.received))
 	a.SetPeers(nil)
 	must.False(t, a.Send("b", &peer.MinionLeave{Name: "z"}))
 }
@@ -91,3 +107,55 @@
 	must.False(t, m.Send("b", &peer.Heartbeat{}))
 	must.Eq(t, uint64(1), m.Dropped())
 }
+
+// Leases that were queued while a peer was down are not sent to it later: they
+// would count from their arrival.
+func TestLeasesForAPeerThatWasDownAreDropped(t *testing.T) {
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := far.Addr().String()
+	a := newNode(t, "a", membership.Host{Name: "far", Address: address})
+	conn := acceptHello(t, far)
+	must.NoError(t, far.Close())
+	must.NoError(t, conn.Close())
+	for range outboundSize / 2 { // more than a closed connection takes
+		must.True(t, a.Send("far", &peer.Heartbeat{}))
+	}
+
+	far, err = net.Listen("tcp", address)
+	must.NoError(t, err)
+	defer far.Close()
+	conn = acceptHello(t, far)
+	defer conn.Close()
+	must.True(t, a.Send("far", &peer.MinionLeave{Name: "new"}))
+	got, err := read(conn)
+	must.NoError(t, err)
+	must.Eq(t, peer.Body(&peer.MinionLeave{Name: "new"}), got)
+}
+
+func acceptHello(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	conn, err := l.Accept()
+	must.NoError(t, err)
+	hello, err := read(conn)
+	must.NoError(t, err)
+	must.Eq(t, peer.KindHello, hello.Kind())
+	return conn
+}
+
+// A message that is too large for a frame is dropped and counted; those behind
+// it arrive over the same connection.
+func TestOversizedMessageDoesNotBreakTheConnection(t *testing.T) {
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer far.Close()
+	a := newNode(t, "a", membership.Host{Name: "far", Address: far.Addr().String()})
+	conn := acceptHello(t, far)
+	defer conn.Close()
+	must.True(t, a.Send("far", &peer.JobAnswer{Results: [][]byte{make([]byte, peer.MaxFrame)}}))
+	must.True(t, a.Send("far", &peer.MinionLeave{Name: "next"}))
+	got, err := read(conn)
+	must.NoError(t, err)
+	must.Eq(t, peer.Body(&peer.MinionLeave{Name: "next"}), got)
+	must.Eq(t, uint64(1), a.Dropped())
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -45,6 +45,10 @@
 	Config  uint64        `msgpack:"c"` // configuration version in force
 	Leases  []MinionLease `msgpack:"l,omitempty"`
 	Stopped bool          `msgpack:"s,omitempty"` // the sender takes no new work
+	Demand  int           `msgpack:"d,omitempty"` // tasks of the sender's own small jobs in progress
+	InUse   int           `msgpack:"u,omitempty"` // tasks that the sender has in progress on the domain's minions
+	Ejected []string      `msgpack:"j,omitempty"` // minions that the dispatching host has ejected
+	Lent    int           `msgpack:"n,omitempty"` // slots that the sender lends to the receiver
 }
 
 // MinionLease renews the lease of a minion that announced to the sender.
@@ -58,6 +62,7 @@
 type MinionUpdate struct {
 	Minion    minion.Announcement `msgpack:"m"`
 	Remaining time.Duration       `msgpack:"r"`
+	SentAt    time.Duration       `msgpack:"t"` // sender's monotonic clock
 }
 
 // MinionLeave relays a leave.
--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -101,36 +100,6 @@
 	out.Close()
 }
 
-// Ports of listeners that are given away before they are opened. They lie below
-// the range from which the system picks ports of outgoing connections: the
-// hosts' many dials took such a port now and then.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort atomic.Int32
-
-// reservedAddress returns a loopback address that nothing listens on and that
-// no outgoing connection gets.
-func reservedAddress(t *testing.T) string {
-	t.Helper()
-	nextPort.CompareAndSwap(0, firstPort+rand.Int32N(lastPort-firstPort))
-	for range lastPort - firstPort {
-		port := nextPort.Add(1)
-		if port >= lastPort {
-			nextPort.Store(firstPort)
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // controlSystem is three control hosts in three failure domains and a host
 // without a disk. Every host reaches every other through a relay of its own.
 type controlSystem struct {
@@ -145,7 +114,7 @@
 	for i := range 4 {
 		s := hostSettings(t, fmt.Sprintf("h%d", i), fmt.Sprintf("d%d", i%3))
 		s.Listen = settings.Listen{
-			Callers: reservedAddress(t), Minions: reservedAddress(t), Operators: reservedAddress(t), Peers: reservedAddress(t),
+			Callers: freeAddress(t), Minions: freeAddress(t), Operators: freeAddress(t), Peers: freeAddress(t),
 		}
 		s.Control.Members = []string{"h0", "h1", "h2"}
 		s.Timing.ProposeMS = 1000
@@ -169,6 +138,8 @@
 	return c
 }
 
+const operatorName = "tester"
+
 // cut drops silently all that the host sends and, if both is set, receives.
 func (c *controlSystem) cut(name string, dropping, both bool) {
 	for link, r := range c.relays {
@@ -178,14 +149,20 @@
 	}
 }
 
+// planDocument makes a plan for a document on the host and returns its identity.
+func (h *host) planDocument(t *testing.T, document string) string {
+	t.Helper()
+	return h.plan(t, api.PlanRequest{Intent: plan.Change, Document: document}).ID
+}
+
 // accept gets a change accepted. While there is no majority the command is
 // resent: after a start or a cut the hosts first have to find each other.
 func (h *host) accept(t *testing.T, command, document string) uint64 {
 	t.Helper()
-	id := h.plan(t, api.PlanRequest{Intent: plan.Change, Document: document}).ID
+	id := h.planDocument(t, document)
 	var r api.ConfirmResponse
 	for range 30 {
-		if r = h.confirm(t, id, command, "tester"); r.Code != result.NoMajority {
+		if r = h.confirm(t, id, command, operatorName); r.Code != result.NoMajority {
 			must.Eq(t, result.OK, r.Code, must.Sprint(r.Detail))
 			return r.Version
 		}
@@ -278,8 +255,7 @@
 			version := c.hosts[0].accept(t, "first", teams("team"))
 			awaitVersions(t, version, c.hosts...)
 			c.cut("h2", true, both)
-			id := cut.plan(t, api.PlanRequest{Intent: plan.Change, Document: teams("cut")}).ID
-			r := cut.confirm(t, id, "from-the-cut", "tester")
+			r := cut.confirm(t, cut.planDocument(t, teams("cut")), "from-the-cut", operatorName)
 			must.Eq(t, result.NoMajority, r.Code, must.Sprint(r.Detail))
 			job, err := cut.submit(newRequest("k", "one"))
 			must.NoError(t, err)
