daemon: a resend gets its first outcome from any host, also after a restart

Cause: the outcome of a confirm was known to the host that had the plan only. When that host died between the acceptance and the answer, a resend got 503, whether or not the change was in force. Seen: the new process test got 503 from the restarted host.

Versions carry the identities of the latest commands already. A host without the plan looks there: an older version was accepted; for the latest one the same proposal goes to the control hosts again, as only they know whether enough disks have it. The operator's name has to match as well.

Ruled out: durable plans (a plan may be made again at no cost, and the outcome is what matters).

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -54,7 +54,8 @@
 	Version uint64
 	Disk    string // identity of the host's disk, or empty
 	Voting  bool
-	Since   time.Time // when Version became known here
+	Since   time.Time          // when Version became known here
+	Record  *peer.ConfigRecord // of Version; nil at 0; never changed
 }
 
 // controlInput is one event for the controller.
@@ -214,7 +215,7 @@
 }
 
 func (c *controller) publish() {
-	v := controlView{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), Since: time.Now()}
+	v := controlView{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), Since: time.Now(), Record: c.machine.Record()}
 	old := c.view.Load()
 	if old != nil && old.Version == v.Version {
 		v.Since = old.Since
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/engine"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/plan"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
@@ -140,7 +142,7 @@
 	c, err := o.store.Begin(time.Now(), id, r.Command, r.Operator)
 	if err != nil {
 		o.mu.Unlock()
-		return api.ConfirmResponse{}, err
+		return d.confirmChosen(ctx, r, err)
 	}
 	try := *c
 	o.mu.Unlock()
@@ -159,6 +161,33 @@
 	return confirmResponse(outcome), nil
 }
 
+// confirmChosen answers a command whose plan this host does not have, or no
+// longer, from the latest configuration versions. unknown is the answer when
+// none of them was chosen for the command.
+func (d *Daemon) confirmChosen(ctx context.Context, r api.ConfirmRequest, unknown *result.Error) (api.ConfirmResponse, *result.Error) {
+	latest := d.control.view.Load().Record
+	if unknown.Code != result.UnknownPlan || latest == nil {
+		return api.ConfirmResponse{}, unknown
+	}
+	i := slices.IndexFunc(latest.Recent, func(c peer.CommandRecord) bool { return c.Command == r.Command && c.Operator == r.Operator })
+	if i < 0 {
+		return api.ConfirmResponse{}, unknown
+	}
+	version := latest.Recent[i].Version
+	if version < latest.Version {
+		return confirmResponse(plan.Outcome{Version: version}), nil
+	}
+	// The same proposal again: only the control hosts know whether the latest
+	// version is on enough disks to count as accepted.
+	chosen := d.proposer.Propose(ctx, control.Proposal{
+		Command:  r.Command,
+		Operator: r.Operator,
+		Base:     version - 1,
+		Document: latest.Document,
+	})
+	return confirmResponse(plan.Outcome{Code: chosen.Code, Detail: chosen.Detail, Version: chosen.Version, Winner: chosen.Winner}), nil
+}
+
 // enter waits until no other request with the command is in progress.
 func (o *operators) enter(ctx context.Context, command string) *result.Error {
 	for {
--- a/test/process/operators_test.go
+++ b/test/process/operators_test.go
@@ -219,6 +219,28 @@
 	must.Eq(t, result.UnknownPlan, a2.confirm(t, old.ID, "c4", "eva").Code)
 }
 
+// The control hosts remember the commands of the latest versions, so that a
+// resend gets its first outcome from any host, also after the restart of the
+// one that had the plan.
+func TestResendAfterTheLossOfThePlan(t *testing.T) {
+	a1, a2, b1 := controlHosts(t)
+	p := a1.plan(t, drainOf("m1"))
+	older := a1.confirm(t, p.ID, "older", "ana")
+	must.Eq(t, result.OK, older.Code, must.Sprint(older.Detail))
+	p = a1.plan(t, drainOf("m2"))
+	latest := a1.confirm(t, p.ID, "latest", "ana")
+	must.Eq(t, result.OK, latest.Code, must.Sprint(latest.Detail))
+	a1.kill()
+	a1.restart(t)
+	for _, h := range []*host{a1, a2, b1} {
+		h.awaitVersion(t, latest.Version)
+		must.Eq(t, older, h.confirm(t, "lost", "older", "ana"))
+		must.Eq(t, latest, h.confirm(t, "lost", "latest", "ana"))
+		must.Eq(t, result.UnknownPlan, h.confirm(t, "lost", "latest", "rui").Code)
+		must.Eq(t, result.UnknownPlan, h.confirm(t, "lost", "never", "ana").Code)
+	}
+}
+
 // Of two operators with equal base, on two hosts, one wins. The other is told
 // by whom and what changed.
 func TestRacingOperators(t *testing.T) {
