api: the digest of a submission without encoding it again

Cause: every submission was encoded to JSON a second time for its digest. The fields are hashed as typed values, each text after its length.

The digest's test covers every field now.

--- a/internal/api/submission.go
+++ b/internal/api/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"time"
@@ -131,11 +132,47 @@
 }
 
 // digest hashes what a repetition must have in common with the first attempt.
+// Each text follows its length, so that no two requests run together.
 func (r *SubmitRequest) digest() uint64 {
-	c := *r
-	c.Attempt = 0
-	c.DeadlineMS = 0
-	h := xxhash.New()
-	_ = json.NewEncoder(h).Encode(&c) // a hash's Write does not fail
+	var h digester
+	h.Reset()
+	h.text(r.Key)
+	h.text(r.Team)
+	h.text(r.Service)
+	h.number(r.SubmittedAtMS)
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		h.text(t.Payload)
+		h.flag(t.NoRepeat)
+		h.flag(t.Size != nil)
+		if t.Size != nil {
+			h.number(int64(t.Size.MilliCPU))
+			h.number(int64(t.Size.MemoryMB))
+			h.number(int64(t.Size.Accelerators))
+			h.number(t.Size.RunMS)
+		}
+	}
 	return h.Sum64()
 }
+
+// digester hashes typed values; its writes do not fail.
+type digester struct{ xxhash.Digest }
+
+func (d *digester) number(n int64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(n))
+	_, _ = d.Write(b[:])
+}
+
+func (d *digester) text(s string) {
+	d.number(int64(len(s)))
+	_, _ = d.WriteString(s)
+}
+
+func (d *digester) flag(b bool) {
+	if b {
+		d.number(1)
+		return
+	}
+	d.number(0)
+}
--- a/internal/api/submission_test.go
+++ b/internal/api/submission_test.go
@@ -52,7 +52,14 @@
 	}
 	first := parse(goodBody)
 	must.Eq(t, first, parse(strings.Replace(strings.Replace(goodBody, `"attempt":1`, `"attempt":2`, 1), ":100", ":50", 1)))
-	must.NotEq(t, first, parse(strings.Replace(goodBody, `"p"`, `"q"`, 1)))
+	for _, change := range [][2]string{
+		{`"p"`, `"q"`}, {`"key":"k"`, `"key":"l"`}, {`"team":"t"`, `"team":"u"`}, {`"service":"s"`, `"service":"r"`},
+		{`_ms":5`, `_ms":6`}, {`"p"}`, `"p"},{"payload":""}`}, {`"p"}`, `"p","no_repeat":true}`}, {`"p"}`, `"p","size":{}}`},
+		{`"p"}`, `"p","size":{"milli_cpu":1}}`}, {`"p"}`, `"p","size":{"memory_mb":1}}`},
+		{`"p"}`, `"p","size":{"accelerators":1}}`}, {`"p"}`, `"p","size":{"run_ms":1}}`},
+	} {
+		must.NotEq(t, first, parse(strings.Replace(goodBody, change[0], change[1], 1)), must.Sprint(change))
+	}
 }
 
 // FuzzParseSubmission checks that arbitrary bodies are refused with a 1xx code
@@ -71,3 +78,16 @@
 		must.True(t, len(s.Tasks) >= 1 && len(s.Tasks) <= testLimits.MaxTasks)
 	})
 }
+
+func BenchmarkParseSubmission(b *testing.B) {
+	const tasks = 100
+	task := `{"payload":"` + strings.Repeat("x", 200) + `"}`
+	body := strings.Replace(goodBody, `{"payload":"p"}`, strings.Repeat(task+",", tasks-1)+task, 1)
+	limits := Limits{MaxTasks: tasks, MaxPayloadBytes: 200, MaxDeadline: time.Minute}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ParseSubmission(testNow, []byte(body), limits); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
