backend: a task's identity without formatting

Cause: fmt took 2.2% of the daemon's processor time in jobs of 100, all of it for the identity header.

--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -4,7 +4,7 @@
 package backend
 
 import (
-	"fmt"
+	"strconv"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
@@ -44,5 +44,5 @@
 // Identity returns the value of HeaderTask. It differs between tasks, jobs,
 // teams and process starts of a host.
 func Identity(inc membership.Incarnation, id job.TaskID) string {
-	return fmt.Sprintf("%s/%s/%s/%d", inc, id.Job.Team, id.Job.Key, id.Index)
+	return string(inc) + "/" + id.Job.Team + "/" + id.Job.Key + "/" + strconv.Itoa(id.Index)
 }
