--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -218,7 +218,7 @@
 
 // controlRelays is the number of hosts per failure domain that a chosen
 // version is pushed to.
-const controlRelays = 2
+const controlRelays = 1
 
 func (d *Daemon) engineConfig(inc membership.Incarnation) engine.Config {
 	s := &d.settings
@@ -231,6 +231,7 @@
 			MaxActive:      s.Limits.MaxActiveJobs,
 			MaxRecords:     s.Limits.MaxRecords,
 			MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+			MaxJobBytes:    s.Limits.MaxJobBytes,
 			MaxActiveBytes: s.Limits.MaxActiveBytes,
 			KeyLifetime:    settings.Millis(s.Timing.KeyLifetimeMS),
 			ClockError:     settings.Millis(s.Timing.ClockErrorMS),
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -14,6 +14,7 @@
 	MaxRecords     int           // keys remembered, in progress or ended
 	MaxAnswerBytes int           // bytes of ended answers kept for later fetches
 	MaxActiveBytes int           // payloads and results of jobs in progress; 0: no bound
+	MaxJobBytes    int           // payloads and results of one job; 0: no bound
 	KeyLifetime    time.Duration // from SubmittedAt; older submissions are refused
 	ClockError     time.Duration // tolerated difference between clocks
 }
@@ -78,6 +79,16 @@
 	}
 }
 
+// EachActive calls f for every job in progress. Its cost doesn't grow with the
+// ended jobs that are remembered.
+func (t *Table) EachActive(f func(*Job)) {
+	for _, j := range t.deadlines {
+		if !j.Ended() {
+			f(j)
+		}
+	}
+}
+
 // Submit admits, attaches or refuses s. Located says that every host in scope
 // has fenced the key, so that a repetition may run here.
 func (t *Table) Submit(now time.Time, s *Submission, located bool) (*Job, Admission, *result.Error) {
