engine: a later attempt that joins a search is fenced as such

Cause: a repetition that arrived while an earlier attempt of its key was looked for shared that search's answer, but the hosts had fenced only the earlier attempt. Ruled out: a search of its own, with twice the messages. The search now asks anew under the later attempt. TestLaterAttemptRaisesTheFences failed before.

--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -63,7 +63,7 @@
 		if s.submission.Digest != sub.Digest {
 			return result.Errorf(result.OwnerUnknown, "the owner of key %q is looked for with another body", sub.ID.Key)
 		}
-		return nil
+		return e.join(now, s, sub)
 	}
 	if err := e.jobs.Expired(now, sub); err != nil {
 		return err
@@ -80,6 +80,32 @@
 	return e.search(now, &search{id: sub.ID, submission: sub, cancel: e.endFetch(sub.ID)})
 }
 
+// join lets a repetition wait for a search in progress. The hosts are asked
+// anew when it is a later attempt than they have fenced.
+func (e *Engine) join(now time.Time, s *search, sub *job.Submission) *result.Error {
+	if s.owner != "" || sub.Attempt <= s.submission.Attempt {
+		return nil
+	}
+	if err := e.jobs.Fence(sub.ID, sub.SubmittedAt, sub.Attempt); err != nil {
+		return err
+	}
+	raised := *s.submission
+	raised.Attempt = sub.Attempt
+	s.submission = &raised
+	e.askAnew(now, s)
+	return nil
+}
+
+// askAnew forgets the replies so far and asks every host under a new round.
+func (e *Engine) askAnew(now time.Time, s *search) {
+	e.round++
+	s.round = e.round
+	for host := range s.asked {
+		s.asked[host] = false
+	}
+	e.ask(now, s)
+}
+
 // endFetch ends a search on behalf of a fetch: a submission of the key has
 // arrived, and those who wait for the fetch get its answer. It reports whether
 // the job was to be cancelled.
--- a/internal/engine/locate_test.go
+++ b/internal/engine/locate_test.go
@@ -112,3 +112,22 @@
 	_, err = e.Submit(t0, repetition("k", 3, 1))
 	must.Eq(t, result.KeyConflict, err.Code)
 }
+
+// A later attempt that joins a search is fenced as such everywhere before
+// anything is said about it.
+func TestLaterAttemptRaisesTheFences(t *testing.T) {
+	e := newEngine("p")
+	_, err := e.Submit(t0, repetition("k", 2, 1))
+	must.Nil(t, err)
+	first := e.Ready().Messages[0].Body.(*peer.Locate)
+	_, err = e.Submit(t0, repetition("k", 4, 1))
+	must.Nil(t, err)
+	e.Receive(t0, "p", "1", &peer.LocateReply{Team: "t", Key: "k", Round: first.Round, State: peer.NotSeen})
+	r := e.Ready()
+	must.SliceEmpty(t, r.Answers)
+	must.SliceLen(t, 1, r.Messages)
+	must.Eq(t, 4, r.Messages[0].Body.(*peer.Locate).Attempt)
+	_, err = e.Submit(t0, repetition("k", 3, 1))
+	must.Nil(t, err)
+	must.SliceEmpty(t, e.Ready().Messages)
+}
