api: a repetition that names another submission time is the same work

Ruled out: another class for 207, which is right for another body. The time is left out of the digest; it must still be the first attempt's, since it tells what a restarted host can't know. The digest test, extended, failed before; its old checks are kept.

--- a/internal/api/submission.go
+++ b/internal/api/submission.go
@@ -135,6 +135,7 @@
 	c := *r
 	c.Attempt = 0
 	c.DeadlineMS = 0
+	c.SubmittedAtMS = 0
 	h := xxhash.New()
 	_ = json.NewEncoder(h).Encode(&c) // a hash's Write does not fail
 	return h.Sum64()
--- a/internal/api/submission_test.go
+++ b/internal/api/submission_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -43,8 +44,9 @@
 	}
 }
 
-// A repetition differs in attempt and deadline only.
-func TestDigestIgnoresAttemptAndDeadline(t *testing.T) {
+// A repetition differs in attempt and deadline only. One that names another
+// time is still the same work, and must not be told that it did not run.
+func TestDigestIgnoresAttemptAndTimes(t *testing.T) {
 	parse := func(body string) uint64 {
 		s, err := ParseSubmission(testNow, []byte(body), testLimits)
 		must.Nil(t, err)
@@ -52,6 +54,9 @@
 	}
 	first := parse(goodBody)
 	must.Eq(t, first, parse(strings.Replace(strings.Replace(goodBody, `"attempt":1`, `"attempt":2`, 1), ":100", ":50", 1)))
+	later := regexp.MustCompile(`"submitted_at_ms":\d+`).ReplaceAllString(goodBody, `"submitted_at_ms":42`)
+	must.NotEq(t, goodBody, later)
+	must.Eq(t, first, parse(later))
 	must.NotEq(t, first, parse(strings.Replace(goodBody, `"p"`, `"q"`, 1)))
 }
 
