--- a/internal/api/submission.go
+++ b/internal/api/submission.go
@@ -154,7 +154,6 @@
 	return h.Sum64()
 }
 
-
 // digester hashes typed values; its writes do not fail.
 type digester struct{ xxhash.Digest }
 
