daemon: a resent command proposes the document, not its compressed record

Cause: TestResendAfterTheLossOfThePlan got 504, 'invalid character', after two parts were merged: records hold compressed documents now, and the resend of a command on the latest version proposed the record's bytes. Ruled out: a corrupt record (the same version was in force everywhere). Before: that test fails. After: passes. Conclusion: control.Document is the only way to a record's document.

--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -177,13 +177,17 @@
 	if version < latest.Version {
 		return confirmResponse(plan.Outcome{Version: version}), nil
 	}
+	document, err := control.Document(latest)
+	if err != nil {
+		return api.ConfirmResponse{}, result.Errorf(result.StoreUnavailable, "%v", err)
+	}
 	// The same proposal again: only the control hosts know whether the latest
 	// version is on enough disks to count as accepted.
 	chosen := d.proposer.Propose(ctx, control.Proposal{
 		Command:  r.Command,
 		Operator: r.Operator,
 		Base:     version - 1,
-		Document: latest.Document,
+		Document: document,
 	})
 	return confirmResponse(plan.Outcome{Code: chosen.Code, Detail: chosen.Detail, Version: chosen.Version, Winner: chosen.Winner}), nil
 }
