engine: loans are bounded by an equal part of the slots and by what is used

Also, a lent slot that was once refused was not used again, since small jobs went to sure slots only.

A loan is now bounded by an equal part of the slots and, while slots are scarce, by what the borrower keeps busy; a small job may be a trial.

--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -24,6 +24,10 @@
 	// lent to it while slots are scarce, and while they are not.
 	contendedShare = 0.33
 	idleShare      = 1.5
+	// wellUsed is the part of a loan that must be busy while slots are scarce.
+	wellUsed = 0.95
+	// loanStep is by how much a well used loan grows while slots are scarce.
+	loanStep = 1
 	// demandWeight is the weight of one heartbeat's sample of the demand.
 	demandWeight = 0.25
 )
@@ -31,7 +35,7 @@
 // lending is the state of lending on both sides.
 type lending struct {
 	smallJobs   map[job.ID]int // tasks of this host's own small jobs in progress
-	smallTasks  int            // their sum
+	smallTasks  int            // their sum, waiting ones included
 	demand      float64        // their smoothed number
 	lent        map[string]int
 	contendedAt time.Time
@@ -84,7 +88,8 @@
 }
 
 // adjustLending decides, once per heartbeat, how many slots each host of the
-// failure domain is lent.
+// failure domain is lent. The demand counts waiting tasks too, so that an equal
+// part of all slots bounds it.
 func (e *Engine) adjustLending(now time.Time) {
 	e.demand += (float64(e.smallTasks) - e.demand) * demandWeight
 	idle := e.minIdle
@@ -101,24 +106,26 @@
 			delete(e.lent, p.Name)
 		}
 	})
+	part := e.minions.Slots(now) / (borrowers + 1)
 	e.eachDomainPeer(func(p *membership.Peer) {
 		if p.Up() && e.paths[p.Name] != nil {
-			e.lent[p.Name] = e.loan(now, e.lent[p.Name], e.paths[p.Name].demand, idle/(2*borrowers))
+			demand := min(e.paths[p.Name].demand, part)
+			e.lent[p.Name] = min(e.loan(now, e.lent[p.Name], demand, e.paths[p.Name].used, idle/(2*borrowers)), part)
 		}
 	})
 }
 
-// loan returns a host's next loan. While slots are scarce it follows the
-// demand only roughly: a loan that shrinks leaves tasks on slots that the
-// lender takes for its own. Otherwise it grows by up to half of the slots that
-// stayed idle.
-func (e *Engine) loan(now time.Time, lent, demand, growth int) int {
-	scarce := int(contendedShare * float64(demand))
+// loan returns a host's next loan. While slots are scarce it is a part of the
+// demand, and no more than is kept busy. It then shrinks by large steps only:
+// each leaves tasks on slots that the lender takes for its own. Otherwise it
+// grows by up to half of the slots that stayed idle.
+func (e *Engine) loan(now time.Time, lent, demand int, used float64, growth int) int {
+	scarce := min(int(contendedShare*float64(demand)), int(used/wellUsed)+loanStep)
 	if now.Sub(e.contendedAt) >= contendedMemory {
 		ample := int(math.Ceil(idleShare * float64(demand)))
 		return max(min(lent+growth, ample), scarce)
 	}
-	if 4*lent >= 3*scarce && 4*lent <= 5*scarce {
+	if lent > scarce && 4*lent <= 5*scarce {
 		return lent
 	}
 	return scarce
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -67,9 +67,10 @@
 	held    time.Duration // age, at the peer, of the last heartbeat it got from here
 	echoed  bool
 	stopped bool
-	demand  int // tasks of the peer's own small jobs in progress
-	lent    int // slots that the peer lends to this host
-	inUse   int // tasks that the peer has in progress on the minions
+	demand  int     // tasks of the peer's own small jobs in progress
+	lent    int     // slots that the peer lends to this host
+	inUse   int     // tasks that the peer has in progress on the minions
+	used    float64 // their smoothed number
 }
 
 // sharing is the state of the slot policy.
@@ -110,6 +111,7 @@
 	p.demand = h.Demand
 	p.lent = h.Lent
 	p.inUse = h.InUse
+	p.used += (float64(h.InUse) - p.used) * demandWeight
 	if d := e.dispatcher(now); d != nil && d.Name == from {
 		e.minions.Bar(h.Ejected)
 	}
--- a/internal/minion/limit.go
+++ b/internal/minion/limit.go
@@ -45,10 +45,11 @@
 	l.trialAt = now.Add(l.pause)
 }
 
-// cap returns share, or what the limit allows of it.
-func (l *limit) cap(share int) int {
+// room returns the tasks of a share that may be sent beside inUse, where one
+// is allowed: up to the limit, or one as a trial.
+func (l *limit) room(share, inUse int) int {
 	if !l.active {
-		return share
+		return share - inUse
 	}
-	return min(share, l.tasks)
+	return max(min(share, l.tasks)-inUse, 1)
 }
--- a/internal/minion/share.go
+++ b/internal/minion/share.go
@@ -71,15 +71,26 @@
 	n := 0
 	for _, m := range r.ordered {
 		if m.inUse < m.share && m.usable(now) {
-			n += m.limit.cap(m.share) - m.inUse
+			n += m.limit.room(m.share, m.inUse)
 		}
 	}
 	return n
 }
 
-// usable reports whether the minion takes more than probes and trials.
+// Slots returns the slots of the minions that are ready and not ejected.
+func (r *Registry) Slots(now time.Time) int {
+	n := 0
+	for _, m := range r.ordered {
+		if m.Ready(now) && !m.health.ejected {
+			n += m.Slots
+		}
+	}
+	return n
+}
+
+// usable reports whether the minion may be given a task that is no probe.
 func (m *Minion) usable(now time.Time) bool {
-	return !m.health.ejected && !m.health.barred && m.limit.allows(now, m.inUse, true) && m.Ready(now)
+	return !m.health.ejected && !m.health.barred && m.limit.allows(now, m.inUse, false) && m.Ready(now)
 }
 
 // Free returns the slots of this host's share on which a task of the service
@@ -88,7 +99,7 @@
 	n := 0
 	for _, m := range r.offers[service] {
 		if m.inUse < m.share && m.usable(now) {
-			n += m.limit.cap(m.share) - m.inUse
+			n += m.limit.room(m.share, m.inUse)
 		}
 	}
 	return n
