engine: shares leased by demand, for the comparison of slot policies

Cause: an even split is not the best that shares can do. SlotsLeased splits every minion's slots by what the hosts said on their last heartbeat to want.

Central remains the policy in force.

--- a/cmd/lwbench/experiment.go
+++ b/cmd/lwbench/experiment.go
@@ -58,6 +58,7 @@
 	baselineVariant("least loaded", placeLeastLoaded),
 	engineVariant("A anywhere", engine.SlotsAnywhere),
 	engineVariant("B split", engine.SlotsSplit),
+	engineVariant("B leased", engine.SlotsLeased),
 	engineVariant("C central", engine.SlotsCentral),
 }
 
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -206,6 +206,19 @@
 	if t == nil {
 		return 0
 	}
+	return t.queued()
+}
+
+// Tasks returns the tasks of all teams that wait for their start.
+func (q *Queue) Tasks() int {
+	n := 0
+	for _, t := range q.active {
+		n += t.queued()
+	}
+	return n
+}
+
+func (t *team) queued() int {
 	n := 0
 	for _, l := range t.lists {
 		for _, e := range l.heap {
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -17,6 +17,7 @@
 	leases := e.localLeases(now)
 	e.adjustLending(now)
 	ejected := e.ejectedMinions(now)
+	demand := e.reportDemand()
 	for _, p := range e.members.All() {
 		echo := e.members.EchoFor(now, p.Name)
 		h := &peer.Heartbeat{
@@ -28,7 +29,7 @@
 		}
 		if p.FailureDomain == e.cfg.Host.FailureDomain {
 			h.Leases = leases
-			h.Demand = int(e.demand)
+			h.Demand = demand
 			h.Lent = e.lent[p.Name]
 			h.InUse = e.minions.InUse()
 			h.Ejected = ejected
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -37,6 +37,7 @@
 	smallJobs   map[job.ID]int // tasks of this host's own small jobs in progress
 	smallTasks  int            // their sum, waiting ones included
 	demand      float64        // their smoothed number
+	wanted      int            // what the last heartbeat said
 	lent        map[string]int
 	contendedAt time.Time
 	minIdle     int // fewest idle slots since the last heartbeat
@@ -146,9 +147,8 @@
 	switch e.cfg.Slots {
 	case SlotsAnywhere:
 		return
-	case SlotsSplit:
-		index, hosts := e.rank()
-		e.minions.SetShare(minion.Share{Index: index, Hosts: hosts})
+	case SlotsSplit, SlotsLeased:
+		e.minions.SetShare(e.splitShare())
 	default:
 		e.minions.SetShare(e.centralShare(now))
 	}
@@ -184,18 +184,42 @@
 	return 0
 }
 
-// rank returns this host's place among the reachable hosts of its failure
-// domain, and their number.
-func (e *Engine) rank() (index, hosts int) {
-	hosts = 1
+// splitShare divides the slots among the reachable hosts of the failure domain:
+// evenly, or by what each said on its last heartbeat to want.
+func (e *Engine) splitShare() minion.Share {
+	var s minion.Share
+	own := false
+	add := func(wanted int) {
+		if e.cfg.Slots == SlotsSplit {
+			wanted = 0
+		}
+		s.Weights = append(s.Weights, wanted+1)
+	}
+	addOwn := func() {
+		s.Index = len(s.Weights)
+		add(e.wanted)
+		own = true
+	}
 	e.eachDomainPeer(func(p *membership.Peer) {
-		if !p.Up() {
-			return
+		if !own && p.Name > e.cfg.Host.Name {
+			addOwn()
 		}
-		hosts++
-		if p.Name < e.cfg.Host.Name {
-			index++
+		if p.Up() && e.paths[p.Name] != nil {
+			add(e.paths[p.Name].demand)
 		}
 	})
-	return index, hosts
+	if !own {
+		addOwn()
+	}
+	return s
+}
+
+// reportDemand returns what this host says on its heartbeats to want: tasks in
+// progress and waiting where shares are leased, those of small jobs otherwise.
+func (e *Engine) reportDemand() int {
+	e.wanted = int(e.demand)
+	if e.cfg.Slots == SlotsLeased {
+		e.wanted = e.minions.InUse() + e.queue.Tasks()
+	}
+	return e.wanted
 }
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -25,6 +25,9 @@
 	SlotsAnywhere
 	// SlotsSplit gives each reachable host an equal share of every minion.
 	SlotsSplit
+	// SlotsLeased splits every minion's slots by what the hosts want, as told
+	// on the heartbeats.
+	SlotsLeased
 )
 
 const (
--- a/internal/minion/health_test.go
+++ b/internal/minion/health_test.go
@@ -147,14 +147,17 @@
 }
 
 func TestSplitSharesAddUp(t *testing.T) {
-	for hosts := 1; hosts < 5; hosts++ {
-		sum := 0
-		for index := range hosts {
+	for _, weights := range [][]int{{1}, {1, 1}, {1, 1, 1}, {7, 1, 30}, {1, 200, 3, 50}} {
+		sum := make([]int, 5)
+		for index := range weights {
 			r := registry(5)
-			r.SetShare(Share{Index: index, Hosts: hosts})
-			sum += r.Idle(begin)
+			r.SetShare(Share{Weights: weights, Index: index})
+			for i, m := range r.ordered {
+				must.GreaterEq(t, 0, m.share)
+				sum[i] += m.share
+			}
 		}
-		must.Eq(t, 10, sum)
+		must.Eq(t, []int{2, 2, 2, 2, 2}, sum)
 	}
 }
 
--- a/internal/minion/share.go
+++ b/internal/minion/share.go
@@ -13,9 +13,10 @@
 	All   bool   // all slots but the loans; otherwise the loans only
 	Loans []Loan // slots that one host lends to others
 
-	// Hosts above 0 splits every minion's slots evenly instead; Index is the
-	// place of this host among them.
-	Index, Hosts int
+	// Weights, when not empty, splits every minion's slots by the hosts'
+	// weights instead; Index is the place of this host among them.
+	Weights []int
+	Index   int
 }
 
 // Loan is a number of slots lent to one host, spread over the minions.
@@ -38,9 +39,8 @@
 
 // of returns the share of the minion with the given place among count.
 func (s *Share) of(m *Minion, place, count int) int {
-	if s.Hosts > 0 {
-		turn := (s.Index + place) % s.Hosts
-		return part(m.Slots, s.Hosts, turn)
+	if len(s.Weights) > 0 {
+		return s.cut(m.Slots, place, s.Index+1) - s.cut(m.Slots, place, s.Index)
 	}
 	lent := 0
 	for _, l := range s.Loans {
@@ -53,6 +53,28 @@
 	return min(lent, m.Slots)
 }
 
+// cut returns how many of a minion's slots belong to the hosts below index. The
+// rounding differs between minions, so that the sums follow the weights.
+func (s *Share) cut(slots, place, index int) int {
+	if index == 0 {
+		return 0
+	}
+	below, total := 0, 0
+	for i, w := range s.Weights {
+		if i < index {
+			below += w
+		}
+		total += w
+	}
+	if below == total {
+		return slots
+	}
+	return (slots*below + (place*total/roundings)%total) / total
+}
+
+// roundings is the number of different roundings of shares.
+const roundings = 5
+
 // part returns the size of part number index when total is cut into parts as
 // even as possible, the larger ones first.
 func part(total, parts, index int) int {
