--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -4,7 +4,7 @@
 package backend
 
 import (
-	"fmt"
+	"strconv"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
@@ -24,10 +24,16 @@
 	HeaderNoRepeat   = "Lw-No-Repeat"   // "1" when the caller marked the task as not idempotent
 	HeaderTraceID    = "Traceparent"    // W3C trace context, when sampled
 	HeaderOutcome    = "Lw-Outcome"     // in the answer: one of the Outcome values
-	HeaderTiming     = "Server-Timing"  // in the answer: run;dur=<milliseconds>
+	HeaderTiming     = "Server-Timing"  // in the answer: run;dur=<milliseconds>, total;dur=<milliseconds>
 	outcomeBodyBytes = 512              // bytes of a failure text that are kept
 )
 
+// Metrics of HeaderTiming.
+const (
+	timingRun   = "run"   // the task's run
+	timingTotal = "total" // from the request's arrival to the answer
+)
+
 // Values of HeaderOutcome.
 const (
 	OutcomeDone       = "done"
@@ -38,5 +44,5 @@
 // Identity returns the value of HeaderTask. It differs between tasks, jobs,
 // teams and process starts of a host.
 func Identity(inc membership.Incarnation, id job.TaskID) string {
-	return fmt.Sprintf("%s/%s/%s/%d", inc, id.Job.Team, id.Job.Key, id.Index)
+	return string(inc) + "/" + id.Job.Team + "/" + id.Job.Key + "/" + strconv.Itoa(id.Index)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,6 +42,12 @@
 	FollowTimeout time.Duration // bound on a fetch from the owner
 	MaxSearches   int           // keys looked for at a time
 
+	// Judge, if not nil, sets the verdict of a final answer before it is sent.
+	Judge func(a *job.Answer) `json:"-"`
+
+	// Observer, when set, is told of every input and output, for recording.
+	Observer Observer `json:"-"`
+
 	Slots SlotPolicy
 }
 
@@ -55,6 +61,7 @@
 	Minion   string
 	Address  string
 	Deadline time.Time
+	Trace    string // W3C trace context, when sampled
 }
 
 // Cancel is a request to a minion to stop a task.
@@ -99,8 +106,9 @@
 	shutdown      shutdown
 	nextBeat      time.Time
 	searches      map[job.ID]*search
-	followers     map[job.ID]map[string]bool // hosts that attached to a job of this host
+	followers     map[job.ID]map[string]follower // hosts that attached to a job of this host
 	round         uint64
+	stall         stall
 	sharing
 	lending
 	arrivals  dispatch.Arrivals
@@ -119,7 +127,7 @@
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
 
 		searches:  make(map[job.ID]*search),
-		followers: make(map[job.ID]map[string]bool),
+		followers: make(map[job.ID]map[string]follower),
 		shutdown:  shutdown{echoes: make(map[string]time.Duration)},
 		sizes:     make(map[job.TaskID]job.Size),
 		sharing:   newSharing(),
@@ -132,6 +140,9 @@
 func (e *Engine) Ready() Ready {
 	r := e.ready
 	e.ready = Ready{}
+	if e.cfg.Observer != nil {
+		e.cfg.Observer.Output(&r)
+	}
 	return r
 }
 
@@ -163,6 +174,9 @@
 	if a == nil {
 		return
 	}
+	if e.cfg.Judge != nil {
+		e.cfg.Judge(a)
+	}
 	e.ready.Answers = append(e.ready.Answers, a)
 	e.queue.Remove(a.ID)
 	delete(e.forwards, a.ID)
@@ -195,6 +209,15 @@
 // Submit admits, attaches or refuses a submission. A final answer is returned
 // at once; otherwise it follows in Ready.Answers.
 func (e *Engine) Submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
+	e.record(now, Input{Submit: s})
+	a, err := e.submit(now, s)
+	if err != nil && e.cfg.Observer != nil {
+		e.cfg.Observer.Refused(s.ID, err.Code)
+	}
+	return a, err
+}
+
+func (e *Engine) submit(now time.Time, s *job.Submission) (*job.Answer, *result.Error) {
 	if j := e.jobs.Get(s.ID); j != nil {
 		_, _, err := e.jobs.Submit(now, s, false)
 		return j.Answer(), err
@@ -202,7 +225,27 @@
 	if s.Attempt != 1 {
 		return nil, e.locate(now, s)
 	}
-	return nil, e.accept(now, s, false)
+	return nil, e.acceptFirst(now, s)
+}
+
+// acceptFirst admits a first attempt. A fetch of its key that looks for the
+// owner in vain gets the job's answer; a cancellation prevents the job.
+func (e *Engine) acceptFirst(now time.Time, s *job.Submission) *result.Error {
+	fetch := e.searches[s.ID]
+	if fetch == nil || fetch.submission != nil {
+		return e.accept(now, s, false)
+	}
+	if fetch.cancel {
+		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
+		e.giveUp(now, fetch, err)
+		return err
+	}
+	if err := e.accept(now, s, false); err != nil {
+		return err
+	}
+	e.endFetch(s.ID)
+	e.ready.Pending = append(e.ready.Pending, s.ID)
+	return nil
 }
 
 // accept admits a submission whose key no host has accepted before.
@@ -260,11 +303,13 @@
 		Minion:   a.Minion.Name,
 		Address:  a.Minion.Address,
 		Deadline: j.Deadline,
+		Trace:    j.Trace,
 	}
 }
 
 // TaskFinished records the outcome of a start that reached its minion.
 func (e *Engine) TaskFinished(now time.Time, id job.TaskID, name string, o job.Outcome) {
+	e.record(now, Input{Finished: &Finished{Task: id, Minion: name, Outcome: o}})
 	switch o.Code {
 	case result.AnswerMismatch:
 		e.log(event.AnswerMismatch, slog.String("job", id.Job.String()), slog.Int("task", id.Index), slog.String("minion", name))
@@ -285,6 +330,7 @@
 
 // TaskDisproved records a start that certainly did not happen.
 func (e *Engine) TaskDisproved(now time.Time, id job.TaskID, name string, reason result.Code) {
+	e.record(now, Input{Disproved: &Disproved{Task: id, Minion: name, Reason: reason}})
 	a := e.jobs.Disprove(now, id)
 	e.minions.Refuse(now, name, e.takeSize(id), e.cfg.BusyPause)
 	e.queue.Finished(id)
@@ -307,6 +353,8 @@
 
 // Tick advances time: deadlines, leases, heartbeats.
 func (e *Engine) Tick(now time.Time) {
+	e.record(now, Input{Tick: true})
+	e.stall.observe(now)
 	for _, a := range e.jobs.Tick(now) {
 		e.answer(a)
 	}
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -202,7 +202,8 @@
 	f.interval *= 2
 	e.send(f.to, &peer.Forward{
 		To: f.inc, Team: j.ID.Team, Key: j.ID.Key, Attempt: j.Attempt, Service: j.Service,
-		SubmittedAt: j.SubmittedAt, Remaining: j.Deadline.Sub(now) - forwardMargin, Digest: j.Digest, Tasks: j.Tasks,
+		SubmittedAt: j.SubmittedAt, Remaining: j.Deadline.Sub(now) - forwardMargin, SentAt: now.Sub(e.cfg.StartedAt), Digest: j.Digest, Tasks: j.Tasks,
+		Trace: j.Trace,
 	})
 }
 
@@ -213,9 +214,10 @@
 	}
 	id := job.ID{Team: m.Team, Key: m.Key}
 	if r, ok := e.refusals[id]; ok {
-		e.send(from, jobAnswer(&job.Answer{ID: id, Code: r.code, Detail: r.detail}))
+		e.send(from, jobAnswer(&job.Answer{ID: id, Code: r.code, Detail: r.detail}, 0))
 		return
 	}
+	e.endConflictingSearch(now, id, m.Digest)
 	if e.jobs.Get(id) == nil && !e.acceptForward(now, from, id, m) {
 		return
 	}
@@ -228,9 +230,13 @@
 func (e *Engine) acceptForward(now time.Time, from string, id job.ID, m *peer.Forward) bool {
 	s := &job.Submission{
 		ID: id, Attempt: m.Attempt, Service: m.Service, SubmittedAt: m.SubmittedAt,
-		Deadline: now.Add(m.Remaining), Digest: m.Digest, Tasks: m.Tasks,
+		Deadline: now.Add(m.Remaining - e.age(now, from, m.SentAt)), Digest: m.Digest, Tasks: m.Tasks,
+		Trace: m.Trace,
 	}
 	err := e.admit(now, s)
+	if !now.Before(s.Deadline) {
+		err = result.Errorf(result.DeadlineNotRun, "the forward came after the deadline")
+	}
 	if err == nil {
 		var j *job.Job
 		if j, _, err = e.jobs.Submit(now, s, true); err == nil {
@@ -252,7 +258,7 @@
 	}
 	until := now.Add(e.cfg.Jobs.KeyLifetime + 2*e.cfg.Jobs.ClockError)
 	e.refusals[s.ID] = refusal{code: err.Code, detail: err.Detail, until: until}
-	e.send(from, jobAnswer(&job.Answer{ID: s.ID, Code: err.Code, Detail: err.Detail}))
+	e.send(from, jobAnswer(&job.Answer{ID: s.ID, Code: err.Code, Detail: err.Detail}, 0))
 }
 
 // settleForward ends a forwarded job by the answer of the host that dispatched
@@ -281,12 +287,12 @@
 	if a == nil {
 		return
 	}
-	a.Breakdown.Minion = m.Breakdown.Minion
-	a.Breakdown.Task = m.Breakdown.Task
-	a.Breakdown.Queue = m.Breakdown.Queue
-	a.Breakdown.Trip = m.Breakdown.Trip
-	a.Breakdown.Run = m.Breakdown.Run
-	a.Breakdown.Retries = m.Breakdown.Retries
+	if m.Breakdown.Total > 0 {
+		own := a.Breakdown
+		a.Breakdown = job.Breakdown(m.Breakdown)
+		a.Breakdown.Total, a.Breakdown.Receive, a.Breakdown.Admit, a.Breakdown.Control = own.Total, own.Receive, own.Admit, own.Control
+		a.Breakdown.Peer, a.Breakdown.PeerTrip, a.Breakdown.PeerHeld = f.to, own.Total, m.Breakdown.Admit+m.Breakdown.Total
+	}
 	e.answer(a)
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -27,12 +27,14 @@
 	Incarnation Incarnation
 	LastHeard   time.Time
 	RoundTrip   time.Duration // smoothed, zero before the first measurement
+	LastTrip    time.Duration // of the newest measurement
 	ConfigSeen  uint64        // configuration version the peer reported
 	ConfigAt    time.Time     // when it first reported that version
 
 	up       bool
 	lastSent time.Duration // the peer's clock reading in its last heartbeat
 	beatAt   time.Time     // when that heartbeat arrived
+	transit  transit
 }
 
 // Up reports whether the peer was heard from within the timeout.
@@ -49,6 +51,7 @@
 type View struct {
 	timeout  time.Duration
 	peers    map[string]*Peer
+	ordered  []*Peer     // by name
 	departed []departure // oldest first
 }
 
@@ -65,6 +68,7 @@
 	for _, h := range peers {
 		v.peers[h.Name] = &Peer{Host: h}
 	}
+	v.order()
 	return v
 }
 
@@ -89,6 +93,7 @@
 		}
 	}
 	v.peers = next
+	v.order()
 	return changed
 }
 
@@ -146,6 +151,9 @@
 		return Change{}, false
 	}
 	restart := p.Incarnation != "" && p.Incarnation != inc
+	if restart {
+		p.transit = transit{}
+	}
 	changed := !p.up || restart
 	p.Incarnation = inc
 	p.LastHeard = now
@@ -183,6 +191,7 @@
 	if trip < 0 {
 		return
 	}
+	p.LastTrip = trip
 	p.RoundTrip = smooth(p.RoundTrip, trip)
 }
 
@@ -204,10 +213,10 @@
 	return Echo{SentAt: p.lastSent, Held: now.Sub(p.beatAt)}
 }
 
-// Tick marks silent peers as down and returns the transitions.
+// Tick marks silent peers as down and returns the transitions, ordered by name.
 func (v *View) Tick(now time.Time) []Change {
 	var out []Change
-	for _, p := range v.peers {
+	for _, p := range v.All() {
 		if p.up && now.Sub(p.LastHeard) > v.timeout {
 			p.up = false
 			out = append(out, Change{Peer: p})
@@ -216,12 +225,52 @@
 	return out
 }
 
-// All returns the peers ordered by name.
-func (v *View) All() []*Peer {
-	out := make([]*Peer, 0, len(v.peers))
+// All returns the peers ordered by name. The slice is shared: it must not be
+// changed, and SetHosts replaces it.
+func (v *View) All() []*Peer { return v.ordered }
+
+// order prepares the slice of All.
+func (v *View) order() {
+	v.ordered = make([]*Peer, 0, len(v.peers))
 	for _, p := range v.peers {
-		out = append(out, p)
+		v.ordered = append(v.ordered, p)
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
-	return out
+	sort.Slice(v.ordered, func(i, k int) bool { return v.ordered[i].Name < v.ordered[k].Name })
+}
+
+// Age returns how much longer than usual a message of the peer was under way,
+// or waited in either process, given the sender's and this host's clock.
+func (v *View) Age(name string, sentAt, elapsed time.Duration) time.Duration {
+	p := v.peers[name]
+	if p == nil {
+		return 0
+	}
+	return p.transit.excess(sentAt, elapsed)
+}
+
+// transitWindow is the time over which the shortest transit is kept: long
+// against a stall, short against the drift of the clocks.
+const transitWindow = 30 * time.Second
+
+// transit holds the least difference between this host's clock at the arrival
+// of a message and the sender's at its sending, over the last two windows.
+type transit struct {
+	least    time.Duration
+	previous time.Duration
+	since    time.Duration // this host's clock
+	known    bool
+}
+
+// excess records one message and returns its delay over the least.
+func (t *transit) excess(sentAt, elapsed time.Duration) time.Duration {
+	sample := elapsed - sentAt
+	switch {
+	case !t.known:
+		*t = transit{least: sample, previous: sample, since: elapsed, known: true}
+	case elapsed-t.since > transitWindow:
+		*t = transit{least: sample, previous: t.least, since: elapsed, known: true}
+	default:
+		t.least = min(t.least, sample)
+	}
+	return sample - min(t.least, t.previous)
 }
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
@@ -19,6 +20,7 @@
 	Team        string    `msgpack:"t"`
 	Key         string    `msgpack:"k"`
 	SubmittedAt time.Time `msgpack:"s"`
+	Attempt     int       `msgpack:"a"` // of the submission; 0 when not known
 	Fence       bool      `msgpack:"f"` // refuse the key from now on, if it is not known
 	Round       uint64    `msgpack:"r"` // returned in the reply
 }
@@ -31,7 +33,7 @@
 	NotSeen   LocateState = iota + 1 // never accepted here; fenced, if asked for
 	Owned                            // accepted here, in progress or ended
 	Locating                         // this host is looking for the owner and goes first
-	Uncertain                        // restarted since, or no room for a fence
+	Uncertain                        // restarted since, a later attempt fenced, or no room for a fence
 )
 
 // LocateReply answers a Locate.
@@ -52,12 +54,14 @@
 	Key    string `msgpack:"k"`
 	Digest uint64 `msgpack:"d"` // of the body; 0 when not known
 	Cancel bool   `msgpack:"c"` // cancel the job first
+	Round  uint64 `msgpack:"r"` // returned in the answer
 }
 
 // JobAnswer carries the final answer to a host that attached.
 type JobAnswer struct {
 	Team      string      `msgpack:"t"`
 	Key       string      `msgpack:"k"`
+	Round     uint64      `msgpack:"n"` // of the Attach
 	Code      result.Code `msgpack:"c"`
 	Detail    string      `msgpack:"d"`
 	Results   [][]byte    `msgpack:"r"`
@@ -73,6 +77,23 @@
 	Minion  string        `msgpack:"m"`
 	Task    int           `msgpack:"k"`
 	Retries int           `msgpack:"n"`
+
+	Receive   time.Duration `msgpack:"a"`
+	Admit     time.Duration `msgpack:"d"`
+	Control   time.Duration `msgpack:"c"`
+	Refused   time.Duration `msgpack:"f"`
+	RefusedBy string        `msgpack:"fb"`
+	Handoff   time.Duration `msgpack:"h"`
+	Own       time.Duration `msgpack:"o"`
+	Open      time.Duration `msgpack:"oo"`
+	Collect   time.Duration `msgpack:"l"`
+	Pause     time.Duration `msgpack:"s"`
+	Peer      string        `msgpack:"w"`
+	PeerTrip  time.Duration `msgpack:"wt"`
+	PeerHeld  time.Duration `msgpack:"wh"`
+	Encode    time.Duration `msgpack:"e"`
+	Write     time.Duration `msgpack:"we"`
+	Verdict   job.Verdict   `msgpack:"v"`
 }
 
 // Kind implements Body.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	Dispatch      Dispatch `json:"dispatch"`
 	Log           Log      `json:"log"`
 	Traces        Traces   `json:"traces"`
+	Profiling     bool     `json:"profiling"`
 }
 
 // Listen holds the four addresses of a daemon.
@@ -51,11 +52,14 @@
 
 // Limits bounds requests and memory.
 type Limits struct {
-	MaxBodyBytes    int `json:"max_body_bytes" validate:"min=1024,max=268435456"`
+	MaxBodyBytes    int `json:"max_body_bytes" validate:"min=1024,max=62914560"`
 	MaxTasks        int `json:"max_tasks" validate:"min=1,max=100000"`
 	MaxPayloadBytes int `json:"max_payload_bytes" validate:"min=1,max=67108864"`
 	MaxResultBytes  int `json:"max_result_bytes" validate:"min=1,max=67108864"`
 	MaxHeaderBytes  int `json:"max_header_bytes" validate:"min=1024,max=1048576"`
+	MaxConnections  int `json:"max_connections" validate:"min=1,max=1000000"`
+	MaxJobBytes     int `json:"max_job_bytes" validate:"min=1024,max=62914560"`
+	MaxActiveBytes  int `json:"max_active_bytes" validate:"min=1024"`
 	MaxActiveJobs   int `json:"max_active_jobs" validate:"min=1,max=1000000"`
 	MaxRecords      int `json:"max_records" validate:"min=1,max=10000000"`
 	MaxAnswerBytes  int `json:"max_answer_bytes" validate:"min=1024"`
@@ -95,6 +99,7 @@
 	File       string  `json:"file"`          // empty: none
 	OTLP       string  `json:"otlp_endpoint"` // host:port of an OTLP/HTTP collector; empty: none
 	SampleRate float64 `json:"sample_rate" validate:"min=0,max=1"`
+	RecordFile string  `json:"record_file"` // trace of the decisions' inputs, for replay; empty: none
 }
 
 // Defaults returns the settings of every key that has a default.
@@ -106,8 +111,11 @@
 			MaxPayloadBytes: 1 << 20,
 			MaxResultBytes:  1 << 20,
 			MaxHeaderBytes:  16 << 10,
+			MaxConnections:  4096,
+			MaxActiveBytes:  256 << 20,
 			MaxActiveJobs:   20000,
 			MaxRecords:      1000000,
+			MaxJobBytes:     32 << 20,
 			MaxAnswerBytes:  64 << 20,
 			MaxInFlight:     4096,
 			MaxSearches:     4096,
--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -102,36 +100,6 @@
 	out.Close()
 }
 
-// Ports of listeners that are given away before they are opened. They lie below
-// the range from which the system picks ports of outgoing connections: the
-// hosts' many dials took such a port now and then.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort atomic.Int32
-
-// reservedAddress returns a loopback address that nothing listens on and that
-// no outgoing connection gets.
-func reservedAddress(t *testing.T) string {
-	t.Helper()
-	nextPort.CompareAndSwap(0, firstPort+rand.Int32N(lastPort-firstPort))
-	for range lastPort - firstPort {
-		port := nextPort.Add(1)
-		if port >= lastPort {
-			nextPort.Store(firstPort)
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // controlSystem is three control hosts in three failure domains and a host
 // without a disk. Every host reaches every other through a relay of its own.
 type controlSystem struct {
@@ -146,7 +114,7 @@
 	for i := range 4 {
 		s := hostSettings(t, fmt.Sprintf("h%d", i), fmt.Sprintf("d%d", i%3))
 		s.Listen = settings.Listen{
-			Callers: reservedAddress(t), Minions: reservedAddress(t), Operators: reservedAddress(t), Peers: reservedAddress(t),
+			Callers: freeAddress(t), Minions: freeAddress(t), Operators: freeAddress(t), Peers: freeAddress(t),
 		}
 		s.Control.Members = []string{"h0", "h1", "h2"}
 		s.Timing.ProposeMS = 1000
@@ -203,13 +171,10 @@
 	return 0
 }
 
-func (c *controlSystem) awaitVersion(t *testing.T, version uint64, hosts ...*host) {
+func awaitVersions(t *testing.T, version uint64, hosts ...*host) {
 	t.Helper()
 	for _, h := range hosts {
-		eventually(t, fmt.Sprintf("%s has version %d", h.settings.Host, version), func() bool {
-			s, err := h.status()
-			return err == nil && s.ConfigVersion == version
-		})
+		h.awaitVersion(t, version)
 	}
 }
 
@@ -220,9 +185,9 @@
 func TestAcceptedChangeSurvivesKillOfAll(t *testing.T) {
 	c := startControlSystem(t)
 	version := c.hosts[3].accept(t, "first", teams("team"))
-	c.awaitVersion(t, version, c.hosts...)
+	awaitVersions(t, version, c.hosts...)
 	version = c.hosts[0].accept(t, "second", teams("patio"))
-	c.awaitVersion(t, version, c.hosts...)
+	awaitVersions(t, version, c.hosts...)
 	for _, h := range c.hosts {
 		h.kill()
 	}
@@ -236,7 +201,7 @@
 	for _, h := range c.hosts {
 		h.restart(t)
 	}
-	c.awaitVersion(t, version, c.hosts...)
+	awaitVersions(t, version, c.hosts...)
 	must.Eq(t, version+1, c.hosts[1].accept(t, "third", teams("team")))
 }
 
@@ -248,12 +213,12 @@
 		lost.kill()
 		must.NoError(t, os.RemoveAll(lost.settings.DataFolder))
 		lost.restart(t)
-		c.awaitVersion(t, version, lost)
+		awaitVersions(t, version, lost)
 		s, err := lost.status()
 		must.NoError(t, err)
 		must.False(t, s.Voting)
 		version = c.hosts[0].accept(t, fmt.Sprint("admit-", i), c.groupWith(t, lost.settings.Host, s.Disk))
-		c.awaitVersion(t, version, c.hosts...)
+		awaitVersions(t, version, c.hosts...)
 		eventually(t, "votes again", func() bool {
 			s, err := lost.status()
 			return err == nil && s.Voting
@@ -264,11 +229,8 @@
 // groupWith returns the document in force with another disk for a host.
 func (c *controlSystem) groupWith(t *testing.T, name, disk string) string {
 	t.Helper()
-	resp, err := http.Get("http://" + c.hosts[0].settings.Listen.Operators + "/v1/config")
+	r, err := operate[api.ConfigResponse](c.hosts[0], "GET", "/v1/config", nil)
 	must.NoError(t, err)
-	defer resp.Body.Close()
-	var r api.ConfigResponse
-	must.NoError(t, json.NewDecoder(resp.Body).Decode(&r))
 	var d map[string]any
 	must.NoError(t, json.Unmarshal([]byte(r.Document), &d))
 	for _, h := range d["control_hosts"].([]any) {
@@ -291,7 +253,7 @@
 			startMinion(t, "m1", "d2", cut)
 			cut.awaitMinions(t, 1)
 			version := c.hosts[0].accept(t, "first", teams("team"))
-			c.awaitVersion(t, version, c.hosts...)
+			awaitVersions(t, version, c.hosts...)
 			c.cut("h2", true, both)
 			r := cut.confirm(t, cut.planDocument(t, teams("cut")), "from-the-cut", operatorName)
 			must.Eq(t, result.NoMajority, r.Code, must.Sprint(r.Detail))
@@ -301,9 +263,9 @@
 			for i := range 3 {
 				version = c.hosts[0].accept(t, fmt.Sprint("second-", i), teams(fmt.Sprint("patio-", i)))
 			}
-			c.awaitVersion(t, version, c.hosts[0], c.hosts[1], c.hosts[3])
+			awaitVersions(t, version, c.hosts[0], c.hosts[1], c.hosts[3])
 			c.cut("h2", false, both)
-			c.awaitVersion(t, version, c.hosts...)
+			awaitVersions(t, version, c.hosts...)
 			must.Eq(t, version+1, c.hosts[1].accept(t, "after", teams("team")))
 		})
 	}
