--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -125,6 +125,7 @@
 		queue:   dispatch.NewQueue(cfg.RetryBudget / 2),
 		minions: minion.NewRegistry(cfg.MinionLease),
 		members: membership.NewView(cfg.PeerTimeout, cfg.Peers),
+		stall:   stall{last: cfg.StartedAt},
 
 		searches:  make(map[job.ID]*search),
 		followers: make(map[job.ID]map[string]follower),
@@ -225,27 +226,7 @@
 	if s.Attempt != 1 {
 		return nil, e.locate(now, s)
 	}
-	return nil, e.acceptFirst(now, s)
-}
-
-// acceptFirst admits a first attempt. A fetch of its key that looks for the
-// owner in vain gets the job's answer; a cancellation prevents the job.
-func (e *Engine) acceptFirst(now time.Time, s *job.Submission) *result.Error {
-	fetch := e.searches[s.ID]
-	if fetch == nil || fetch.submission != nil {
-		return e.accept(now, s, false)
-	}
-	if fetch.cancel {
-		err := result.Errorf(result.CancelledNotRun, "cancelled by the caller")
-		e.giveUp(now, fetch, err)
-		return err
-	}
-	if err := e.accept(now, s, false); err != nil {
-		return err
-	}
-	e.endFetch(s.ID)
-	e.ready.Pending = append(e.ready.Pending, s.ID)
-	return nil
+	return nil, e.accept(now, s, false)
 }
 
 // accept admits a submission whose key no host has accepted before.
--- a/internal/engine/locate_test.go
+++ b/internal/engine/locate_test.go
@@ -14,7 +14,19 @@
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// newEngine returns an engine that has run for an hour, at t0.
 func newEngine(peers ...string) *Engine {
+	e := freshEngine(peers...)
+	for now := t0.Add(-2 * backlogTime); !now.After(t0); now = now.Add(stallLimit / 2) {
+		e.Tick(now)
+	}
+	e.Ready()
+	return e
+}
+
+// freshEngine returns an engine that was started an hour before t0, without
+// any input yet.
+func freshEngine(peers ...string) *Engine {
 	cfg := Config{
 		Host: membership.Host{Name: "self", FailureDomain: "d", Region: "r"}, StartedAt: t0.Add(-time.Hour),
 		MinionLease: time.Second, HeartbeatEvery: time.Second, PeerTimeout: time.Second,
--- a/internal/engine/stall.go
+++ b/internal/engine/stall.go
@@ -13,14 +13,14 @@
 // stall notices that the process was suspended, or starved of processor time,
 // by a gap between its inputs. What arrives right after may have waited.
 type stall struct {
-	last   time.Time // latest input
+	last   time.Time // latest input, or the start of the process
 	length time.Duration
 	until  time.Time // end of the backlog
 }
 
 // observe records an input.
 func (s *stall) observe(now time.Time) {
-	if gap := now.Sub(s.last); !s.last.IsZero() && gap > stallLimit {
+	if gap := now.Sub(s.last); gap > stallLimit {
 		s.length = gap
 		s.until = now.Add(backlogTime)
 	}
--- /dev/null
+++ b/internal/engine/stall_test.go
@@ -0,0 +1,19 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/minion"
+	"github.com/shoenig/test/must"
+)
+
+// A process that was suspended between its start and its first input can't
+// tell how long that input waited, and grants a lease from its start only.
+func TestStallBeforeTheFirstInput(t *testing.T) {
+	e := freshEngine()
+	started := t0.Add(-time.Hour) // by freshEngine
+	a := minion.Announcement{Name: "m", FailureDomain: "d", Services: []string{"s"}, Slots: 1, Connections: 1, Address: "m:1"}
+	must.Nil(t, e.Announce(started.Add(600*time.Millisecond), a))
+	must.Eq(t, started.Add(e.minions.Lease()), e.minions.Get("m").LeaseUntil)
+}
