--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -242,12 +242,12 @@
 // finalCode is the code of a job without tasks in progress that is true of
 // what its tasks did, whatever the reason to stop was at first.
 func (j *Job) finalCode() result.Code {
-	switch j.stopCode {
-	case result.OK:
+	switch {
+	case j.stopCode == result.OK:
 		return result.OK
-	case result.CancelledNotRun:
+	case j.stopCode == result.CancelledNotRun:
 		return j.byProgress(result.CancelledNotRun, result.CancelledRan, result.CancelledMaybe)
-	case result.TaskFailed, result.AnswerReleased, result.AnswerTooLarge:
+	case j.stopCode.Class() == result.Ran:
 		return j.byProgress(j.stopCode, j.stopCode, result.StartUnknown)
 	default:
 		return j.byProgress(j.stopCode, result.TaskFailed, result.StartUnknown)
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -254,14 +254,14 @@
 	}
 	j.running--
 	k.outcome = o
-	switch o.Code {
-	case result.OK:
+	switch {
+	case o.Code == result.OK:
 		k.state = Done
 		j.done++
 		t.holdResult(j, k)
-	case result.TaskFailed:
+	case o.Code.Class() == result.Ran:
 		k.state = Failed
-		j.stop(result.TaskFailed, o.Detail)
+		j.stop(o.Code, o.Detail)
 	default:
 		k.state = Unknown
 		j.stop(o.Code, o.Detail)
