backend: an answer is not read beyond its bound

Cause: the size of a result was checked after the whole body was in memory; a minion, or something in its place, could send without end. The client stops at max_result_bytes; the header still tells whose answer it was: TaskFailed when it is the task's, AnswerMismatch when not, never disproved, never sent again.

Seen to fail: both tests of endless answers without the bound (they wait for the announced gigabyte until the deadline).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -68,6 +68,7 @@
 		client.WithMaxIdleConnDuration(idleTimeout),
 		client.WithKeepAlive(true),
 		client.WithNoDefaultUserAgentHeader(true),
+		config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = max(maxResult, outcomeBodyBytes) }},
 	)
 	if err != nil {
 		return nil, errors.Wrap(err, "backend client")
@@ -115,6 +116,9 @@
 	c.fill(req, r, identity, left)
 	err := c.http.Do(ctx, req, resp)
 	trip := time.Since(sent)
+	if errors.Is(err, hertzerrors.ErrBodyTooLarge) {
+		return c.oversized(resp, identity, sent, trip)
+	}
 	if err != nil {
 		return failure(err, sent, trip)
 	}
@@ -151,6 +155,19 @@
 	return Reply{Outcome: job.Outcome{Code: result.StartUnknown, Detail: err.Error(), SentAt: sent, Trip: trip}}
 }
 
+// oversized classifies an answer whose body was not read beyond the bound. Its
+// header still tells whose answer it is, and whether the task was started.
+func (c *Client) oversized(resp *protocol.Response, identity string, sent time.Time, trip time.Duration) Reply {
+	resp.ResetBody()
+	r := c.reply(resp, identity, sent, trip)
+	if r.Outcome.Code == result.OK {
+		r.Outcome.Code = result.TaskFailed
+		r.Outcome.Result = nil
+		r.Outcome.Detail = fmt.Sprintf("result exceeds %d bytes", c.maxResult)
+	}
+	return r
+}
+
 func (c *Client) reply(resp *protocol.Response, identity string, sent time.Time, trip time.Duration) Reply {
 	o := job.Outcome{SentAt: sent, Trip: trip}
 	o.Run, o.Own = serverTiming(string(resp.Header.Peek(HeaderTiming)))
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -149,3 +149,27 @@
 	})
 	must.Eq(t, result.TaskFailed, start(t, newClient(t), m.address).Outcome.Code)
 }
+
+// A result far beyond the bound is not read: the minion never gets to send it
+// all, and no second request is made.
+func TestEndlessResultIsNotRead(t *testing.T) {
+	const announced = 1 << 30
+	m := newRawMinion(t, func(_ int64, r *http.Request) []byte {
+		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nLw-Task: %s\r\nLw-Outcome: done\r\nContent-Length: %d\r\n\r\nstart",
+			r.Header.Get(HeaderTask), announced)
+	})
+	r := start(t, newClient(t), m.address)
+	must.Eq(t, result.TaskFailed, r.Outcome.Code)
+	must.False(t, r.Disproved)
+	must.Eq(t, int64(1), m.requests.Load())
+}
+
+// The same from something that is not the minion proves nothing.
+func TestEndlessForeignAnswerIsUnknown(t *testing.T) {
+	m := newRawMinion(t, func(int64, *http.Request) []byte {
+		return fmt.Appendf(nil, "HTTP/1.1 502 Bad\r\nContent-Length: %d\r\n\r\nstart", 1<<30)
+	})
+	r := start(t, newClient(t), m.address)
+	must.Eq(t, result.AnswerMismatch, r.Outcome.Code)
+	must.False(t, r.Disproved)
+}
