--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -40,7 +40,7 @@
 	engine       *engine.Engine
 	requests     *ring.Ring[input] // from HTTP handlers
 	outcomes     *ring.Ring[input] // of started tasks; sized so that it is never full
-	messages     *ring.Ring[input] // from peers
+	messages     *inbox            // from peers
 	waiters      map[job.ID][]waiter
 	sender       starter
 	mesh         messenger
@@ -75,7 +75,7 @@
 		case in := <-c.requests.C():
 			c.batch(in, c.requests)
 		case in := <-c.messages.C():
-			c.batch(in, c.messages)
+			c.batch(in, c.messages.Ring)
 		}
 		c.flush(ctx)
 	}
@@ -262,6 +262,7 @@
 
 func (m *message) apply(c *core, now time.Time) {
 	c.metrics.PeerReceived.Add(1)
+	c.messages.taken(m)
 	c.engine.Receive(now, m.from, m.inc, m.body)
 	if _, ok := m.body.(*peer.Heartbeat); ok {
 		if p := c.engine.Members().Get(m.from); p != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,7 +126,7 @@
 		engine:   engine.New(cfg),
 		requests: ring.New[input](d.settings.Limits.RingSize),
 		outcomes: outcomes,
-		messages: ring.New[input](d.settings.Limits.RingSize),
+		messages: newInbox(d.settings.Limits.RingSize, d.settings.Limits.MaxActiveBytes),
 		waiters:  make(map[job.ID][]waiter),
 		writes:   newWrites(),
 		sender:   d.sender,
@@ -258,7 +258,7 @@
 	if h, ok := b.(*peer.Heartbeat); ok {
 		d.control.hint(from, h.Config)
 	}
-	d.core.messages.TryPush(&message{from: from, inc: inc, body: b})
+	d.core.messages.push(&message{from: from, inc: inc, body: b})
 }
 
 func (d *Daemon) rejectPeer(remote string, err error) {
