--- a/internal/api/submission.go
+++ b/internal/api/submission.go
@@ -139,7 +139,6 @@
 	h.text(r.Key)
 	h.text(r.Team)
 	h.text(r.Service)
-	h.number(r.SubmittedAtMS)
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		h.text(t.Payload)
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -54,7 +54,8 @@
 	Version uint64
 	Disk    string // identity of the host's disk, or empty
 	Voting  bool
-	Since   time.Time // when Version became known here
+	Since   time.Time          // when Version became known here
+	Record  *peer.ConfigRecord // of Version; nil at 0; never changed
 }
 
 // controlInput is one event for the controller.
@@ -192,8 +193,12 @@
 // decodeRecord returns the document of a version, with the control hosts that
 // choose the next one.
 func decodeRecord(r *peer.ConfigRecord) (*config.Document, error) {
+	document, err := control.Document(r)
+	if err != nil {
+		return nil, err
+	}
 	var d config.Document
-	if err := json.Unmarshal(r.Document, &d); err != nil {
+	if err := json.Unmarshal(document, &d); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	d.ControlHosts = make([]config.ControlHost, len(r.Group))
@@ -214,7 +219,7 @@
 }
 
 func (c *controller) publish() {
-	v := controlView{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), Since: time.Now()}
+	v := controlView{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), Since: time.Now(), Record: c.machine.Record()}
 	old := c.view.Load()
 	if old != nil && old.Version == v.Version {
 		v.Since = old.Since
--- a/internal/engine/locate.go
+++ b/internal/engine/locate.go
@@ -1,8 +1,13 @@
 package engine
 
 import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
@@ -24,7 +29,6 @@
 	resendAt   time.Time
 	since      time.Time // when the search began
 	found      time.Time // when the owner was found
-	ticked     time.Time // last tick during the search
 }
 
 // Lookup returns the answer of a job, after cancelling it if asked to. While
@@ -32,6 +36,7 @@
 // Ready.Answers; Ready.Pending names the keys whose owner was found and whose
 // job is in progress.
 func (e *Engine) Lookup(now time.Time, id job.ID, cancel bool) (*job.Answer, *result.Error) {
+	e.record(now, Input{Lookup: &Lookup{Job: id, Cancel: cancel}})
 	if j := e.jobs.Get(id); j != nil {
 		if cancel {
 			e.cancel(now, id)
@@ -58,7 +63,7 @@
 		if s.submission.Digest != sub.Digest {
 			return result.Errorf(result.OwnerUnknown, "the owner of key %q is looked for with another body", sub.ID.Key)
 		}
-		return nil
+		return e.join(now, s, sub)
 	}
 	if err := e.jobs.Expired(now, sub); err != nil {
 		return err
@@ -75,6 +80,32 @@
 	return e.search(now, &search{id: sub.ID, submission: sub, cancel: e.endFetch(sub.ID)})
 }
 
+// join lets a repetition wait for a search in progress. The hosts are asked
+// anew when it is a later attempt than they have fenced.
+func (e *Engine) join(now time.Time, s *search, sub *job.Submission) *result.Error {
+	if s.owner != "" || sub.Attempt <= s.submission.Attempt {
+		return nil
+	}
+	if err := e.jobs.Fence(sub.ID, sub.SubmittedAt, sub.Attempt); err != nil {
+		return err
+	}
+	raised := *s.submission
+	raised.Attempt = sub.Attempt
+	s.submission = &raised
+	e.askAnew(now, s)
+	return nil
+}
+
+// askAnew forgets the replies so far and asks every host under a new round.
+func (e *Engine) askAnew(now time.Time, s *search) {
+	e.round++
+	s.round = e.round
+	for host := range s.asked {
+		s.asked[host] = false
+	}
+	e.ask(now, s)
+}
+
 // endFetch ends a search on behalf of a fetch: a submission of the key has
 // arrived, and those who wait for the fetch get its answer. It reports whether
 // the job was to be cancelled.
@@ -140,14 +171,14 @@
 }
 
 // receiveLocate answers a question about a key.
-func (e *Engine) receiveLocate(from string, q *peer.Locate) {
+func (e *Engine) receiveLocate(now time.Time, from string, q *peer.Locate) {
 	id := job.ID{Team: q.Team, Key: q.Key}
 	r := &peer.LocateReply{Team: q.Team, Key: q.Key, Round: q.Round, Config: e.configVersion}
-	r.State, r.Ended = e.knowledge(from, id, q)
+	r.State, r.Ended = e.knowledge(now, from, id, q)
 	e.send(from, r)
 }
 
-func (e *Engine) knowledge(from string, id job.ID, q *peer.Locate) (state peer.LocateState, ended bool) {
+func (e *Engine) knowledge(now time.Time, from string, id job.ID, q *peer.Locate) (state peer.LocateState, ended bool) {
 	if j := e.jobs.Get(id); j != nil {
 		return peer.Owned, j.Ended()
 	}
@@ -158,7 +189,7 @@
 		if e.cfg.Host.Name < from {
 			return peer.Locating, false
 		}
-		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
+		e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
 	}
 	if e.jobs.Forgot(q.SubmittedAt) || e.jobs.Fence(id, q.SubmittedAt, q.Attempt) != nil {
 		return peer.Uncertain, false
@@ -175,7 +206,7 @@
 	switch r.State {
 	case peer.NotSeen:
 		if r.Config > e.configVersion {
-			e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s has a newer configuration, which may list more hosts", from))
+			e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "host %s has a newer configuration, which may list more hosts", from))
 			return
 		}
 		if _, ok := s.asked[from]; ok {
@@ -185,9 +216,9 @@
 	case peer.Owned:
 		e.follow(now, s, from, inc, r.Ended)
 	case peer.Locating:
-		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
+		e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "host %s looks for the owner of the key as well", from))
 	default:
-		e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s cannot tell whether it accepted the key", from))
+		e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "host %s cannot tell whether it accepted the key", from))
 	}
 }
 
@@ -214,16 +245,16 @@
 		}
 	}
 	if s.submission == nil {
-		e.giveUp(s, result.Errorf(result.JobUnknown, "job %s", s.id))
+		e.giveUp(now, s, result.Errorf(result.JobUnknown, "job %s", s.id))
 		return
 	}
 	if s.cancel {
-		e.refuseLocated(s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
+		e.refuseLocated(now, s, result.Errorf(result.CancelledNotRun, "cancelled by the caller"))
 		return
 	}
 	s.submission.Control = now.Sub(s.since)
 	if err := e.accept(now, s.submission, true); err != nil {
-		e.refuseLocated(s, err)
+		e.refuseLocated(now, s, err)
 		return
 	}
 	delete(e.searches, s.id)
@@ -231,24 +262,53 @@
 }
 
 // refuseLocated answers a repetition that every host has fenced as not run.
-func (e *Engine) refuseLocated(s *search, err *result.Error) {
+func (e *Engine) refuseLocated(now time.Time, s *search, err *result.Error) {
 	if s.submission.Attempt == 0 {
 		e.jobs.Spend(s.id)
 	}
-	e.giveUp(s, err)
+	e.giveUp(now, s, err)
 }
 
-// giveUp ends a search without an answer from an owner.
-func (e *Engine) giveUp(s *search, err *result.Error) {
+// giveUp ends a search without an answer from an owner. When the job has come
+// here meanwhile, as one that this host dispatches, it answers.
+func (e *Engine) giveUp(now time.Time, s *search, err *result.Error) {
 	delete(e.searches, s.id)
-	b := job.Breakdown{Peer: s.owner}
+	if e.jobs.Get(s.id) == nil {
+		e.answerSearch(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail, Breakdown: s.breakdown(now)})
+		return
+	}
+	if s.cancel {
+		e.cancel(now, s.id)
+	}
+	if j := e.jobs.Get(s.id); j.Ended() {
+		e.answerSearch(j.Answer())
+		return
+	}
+	e.ready.Pending = append(e.ready.Pending, s.id)
+}
+
+// breakdown tells where the time of a search that is given up went.
+func (s *search) breakdown(now time.Time) job.Breakdown {
 	if s.owner == "" {
-		b.Control = max(0, s.ticked.Sub(s.since))
-	} else {
-		b.Control = s.found.Sub(s.since)
-		b.PeerTrip = max(0, s.ticked.Sub(s.found))
+		return job.Breakdown{Control: now.Sub(s.since)}
+	}
+	return job.Breakdown{Peer: s.owner, Control: s.found.Sub(s.since), PeerTrip: now.Sub(s.found)}
+}
+
+// endConflictingSearch ends the search for a key with another body before a job
+// of the key comes here: those who wait must not get its answer.
+func (e *Engine) endConflictingSearch(now time.Time, id job.ID, digest uint64) {
+	s := e.searches[id]
+	if s != nil && s.submission != nil && s.submission.Digest != digest {
+		e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "the key is in use with another body"))
 	}
-	e.answer(&job.Answer{ID: s.id, Code: err.Code, Detail: err.Detail, Breakdown: b})
+}
+
+// answerSearch answers those who wait here for another host's job; a job of
+// this host with the same key goes on.
+func (e *Engine) answerSearch(a *job.Answer) {
+	e.ready.Answers = append(e.ready.Answers, a)
+	e.log(event.JobEnded, slog.String("job", a.ID.String()), slog.Int("code", int(a.Code)))
 }
 
 // receiveAttach handles another host's wish for the answer of a job of this host.
@@ -294,7 +354,8 @@
 		return
 	}
 	end := a.Accepted.Add(a.Breakdown.Total)
-	for host, f := range followers {
+	for _, host := range slices.Sorted(maps.Keys(followers)) {
+		f := followers[host]
 		m := jobAnswer(a, f.round)
 		m.Breakdown.PeerHeld = max(0, end.Sub(f.since))
 		e.send(host, m)
@@ -313,7 +374,7 @@
 	b.Control = s.found.Sub(s.since)
 	b.Peer = from
 	b.PeerTrip = now.Sub(s.found)
-	e.answer(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: b})
+	e.answerSearch(&job.Answer{ID: s.id, Code: m.Code, Detail: m.Detail, Results: m.Results, Breakdown: b})
 }
 
 func jobAnswer(a *job.Answer, round uint64) *peer.JobAnswer {
@@ -325,19 +386,31 @@
 
 // tickSearches repeats questions and gives up on hosts that do not answer.
 func (e *Engine) tickSearches(now time.Time) {
-	for _, s := range e.searches {
-		s.ticked = now
+	for _, s := range e.dueSearches(now) {
 		switch {
 		case e.ownerLost(s):
-			e.giveUp(s, result.Errorf(result.OwnerUnknown, "host %s, which owns the key, is unreachable", s.owner))
+			e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "host %s, which owns the key, is unreachable", s.owner))
 		case !now.Before(s.until):
-			e.giveUp(s, result.Errorf(result.OwnerUnknown, "no answer from %s in time", s.missing()))
+			e.giveUp(now, s, result.Errorf(result.OwnerUnknown, "no answer from %s in time", s.missing()))
 		case !now.Before(s.resendAt):
 			e.ask(now, s)
 		}
 	}
 }
 
+// dueSearches returns the searches to act upon in a fixed order, so that a run
+// can be repeated.
+func (e *Engine) dueSearches(now time.Time) []*search {
+	var due []*search
+	for _, s := range e.searches {
+		if e.ownerLost(s) || !now.Before(s.until) || !now.Before(s.resendAt) {
+			due = append(due, s)
+		}
+	}
+	slices.SortFunc(due, func(a, b *search) int { return cmp.Compare(a.round, b.round) })
+	return due
+}
+
 func (e *Engine) ownerLost(s *search) bool {
 	if s.owner == "" {
 		return false
--- a/internal/job/memory_test.go
+++ b/internal/job/memory_test.go
@@ -69,3 +69,27 @@
 	must.Nil(t, b.Finish(now, TaskID{Job: id}, Outcome{Code: result.OK}))
 	must.Zero(t, b.activeBytes)
 }
+
+// A job whose payloads and results exceed the bound ends with a code that says
+// that its work ran, and gives no part of the answer.
+func TestJobBytesAreBounded(t *testing.T) {
+	l := limits
+	l.MaxJobBytes = 5
+	b := NewTable(l, t0.Add(-time.Hour))
+	accept(t, b, "k", 3)
+	must.Nil(t, finishTask(b, t0, "k", 0, 3))
+	a := finishTask(b, t0, "k", 1, 3)
+	must.Eq(t, result.AnswerTooLarge, a.Code)
+	must.Nil(t, a.Results)
+}
+
+// A job that another host dispatched ends with that host's code: what ran
+// there is known here.
+func TestOutcomeOfAnotherHostKeepsItsCode(t *testing.T) {
+	for _, code := range []result.Code{result.AnswerTooLarge, result.AnswerReleased, result.DeadlineRan} {
+		b := newTestTable()
+		id := TaskID{Job: accept(t, b, "k", 1).ID}
+		must.True(t, b.Start(t0, id, "host"))
+		must.Eq(t, code, b.Finish(t0, id, Outcome{Code: code}).Code)
+	}
+}
