engine: heartbeats to far peers in turn

Ways ruled out: only one or two hosts per foreign domain (the search of a key's owner asks every host of the region and needs to know which are up); one longer interval for all (minion leases and lending travel on the domain's heartbeats). A silent far peer is noticed later by the intervals of its turn; shown by the process that stops later in proportion, as it waits for every peer's echo (8 s at most).

--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -11,13 +11,13 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
-// heartbeat sends each peer the host's state; the peers of the own failure
+// heartbeat sends the peers whose turn it is the host's state; the peers of the own failure
 // domain also get the leases of the minions that announced here.
 func (e *Engine) heartbeat(now time.Time) {
 	leases := e.localLeases(now)
 	e.adjustLending(now)
 	ejected := e.ejectedMinions(now)
-	for _, p := range e.members.All() {
+	for _, p := range e.duePeers() {
 		echo := e.members.EchoFor(now, p.Name)
 		h := &peer.Heartbeat{
 			SentAt:  now.Sub(e.cfg.StartedAt),
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -105,6 +105,7 @@
 	listedIn      uint64 // first version in force here that lists this host
 	shutdown      shutdown
 	nextBeat      time.Time
+	beats         int // heartbeat intervals so far
 	searches      map[job.ID]*search
 	followers     map[job.ID]map[string]follower // hosts that attached to a job of this host
 	round         uint64
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -28,6 +28,7 @@
 	LastHeard   time.Time
 	RoundTrip   time.Duration // smoothed, zero before the first measurement
 	LastTrip    time.Duration // of the newest measurement
+	Slack       time.Duration // silence that is usual for the peer, beyond the timeout
 	ConfigSeen  uint64        // configuration version the peer reported
 	ConfigAt    time.Time     // when it first reported that version
 
@@ -214,7 +215,7 @@
 func (v *View) Tick(now time.Time) []Change {
 	var out []Change
 	for _, p := range v.All() {
-		if p.up && now.Sub(p.LastHeard) > v.timeout {
+		if p.up && now.Sub(p.LastHeard) > v.timeout+p.Slack {
 			p.up = false
 			out = append(out, Change{Peer: p})
 		}
