scripts: capacity measures the forwarding host beside the dispatching one

Cause: with one dispatching host per failure domain the cost of a task is split over two hosts, and only the sum was measured. Ruled out: counting messages on paper. Conclusion: none yet.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -45,8 +45,41 @@
   stop_all
 }
 
+# Jobs that arrive at a host that forwards them to the dispatching one.
+measure_forwarding() { # measure_forwarding TASKS
+  echo "## forwarding, jobs of $1"
+  local named=
+  for n in 1 2; do
+    cat >"$run/host-$n.json" <<JSON
+{
+  "host": "bench-$n", "failure_domain": "bench", "region": "bench",
+  "listen": {"callers": "127.0.0.1:189${n}1", "minions": "127.0.0.1:189${n}2",
+             "operators": "127.0.0.1:189${n}3", "peers": "127.0.0.1:189${n}4"},
+  "peers": [{"name": "bench-$((3 - n))", "failure_domain": "bench", "region": "bench", "address": "127.0.0.1:189$((3 - n))4"}],
+  "timing": {"clock_error_ms": 1}, "log": {"level": "error"},
+}
+JSON
+    bin/laburnumd -settings "$run/host-$n.json" &
+    pids+=($!)
+    named="${named:+$named,}host-$n=$!"
+  done
+  for n in 1 2 3 4; do
+    bin/lwbench minion -name "minion-$n" -domain bench -hosts 127.0.0.1:18912 -slots 64 &
+    pids+=($!)
+  done
+  for _ in $(seq 100); do
+    [ "$(bin/laburnumctl -host 127.0.0.1:18923 status 2>/dev/null | grep -c ' ready ')" = 4 ] && break
+    sleep 0.1
+  done
+  sleep 2
+  bin/lwbench load -hosts 127.0.0.1:18921 -tasks "$1" -callers 8 -duration "${seconds}s" -pids "$named"
+  stop_all
+}
+
 measure minions 0,34,68,136,272 0
 measure connections 0,500,1000,2000 0
 measure tasks 1000,4000,8000,16000 4
 measure jobs 500,2000,4000,8000 4
 measure records 1000,50000,100000,200000 4
+measure_forwarding 100
+measure_forwarding 1
