--- a/internal/minion/health.go
+++ b/internal/minion/health.go
@@ -136,7 +136,20 @@
 	ratio := math.Log(run.Seconds()) - typical
 	m.health.runs++
 	m.health.slowness += (ratio - m.health.slowness) * max(runWeight, 1/float64(m.health.runs))
-	return ratio > math.Log(slowFactor)
+	return ratio-r.othersSlowness(m) > math.Log(slowFactor)
+}
+
+// othersSlowness is the mean slowness of the other minions. Where all became
+// slow, the tasks are at fault.
+func (r *Registry) othersSlowness(except *Minion) float64 {
+	sum, n := 0.0, 0
+	for _, m := range r.ordered {
+		if m != except && m.health.runs > 0 && !m.health.ejected {
+			sum += m.health.slowness
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
 }
 
 func (h *health) share() float64 {
@@ -152,7 +165,8 @@
 func (r *Registry) shouldEject(m *Minion) bool {
 	h := &m.health
 	failing := bits.OnesCount16(h.failures) >= minFailures && h.share() >= failureShare
-	slow := h.runs >= minRunSamples && h.slowness > math.Log(slowFactor)
+	slow := h.runs >= minRunSamples && h.slowness > math.Log(slowFactor) &&
+		h.slowness-r.othersSlowness(m) > math.Log(slowFactor)
 	if !failing && !slow || !r.mayEject() {
 		return false
 	}
--- a/internal/minion/health_test.go
+++ b/internal/minion/health_test.go
@@ -94,6 +94,20 @@
 	must.Eq(t, []string{"m3"}, r.Ejected())
 }
 
+// Where every minion becomes slow, the tasks are at fault.
+func TestSlowServiceEjectsNobody(t *testing.T) {
+	r := registry(10)
+	for round := range 200 {
+		run := 200 * time.Millisecond
+		if round >= 100 {
+			run *= 20
+		}
+		for i := range 10 {
+			must.Eq(t, Unchanged, r.Observe(begin, fmt.Sprintf("m%d", i), "s", job.Outcome{Run: run}))
+		}
+	}
+}
+
 func expNormal(rng *rand.Rand) float64 {
 	x := 1.0
 	for range 12 {
