lwbench: experiment with several teams

Cause: the order within fairness was measured with one team only.

A softer rule (a rank penalty per task above the share) was not tried.

--- a/cmd/lwbench/experiment.go
+++ b/cmd/lwbench/experiment.go
@@ -66,6 +66,7 @@
 type experimentCommand struct {
 	seed      uint64
 	tasks     int
+	teams     int
 	loads     string
 	mixes     string
 	scenarios string
@@ -84,6 +85,7 @@
 func (c *experimentCommand) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&c.seed, "seed", 1, "seed of traces and delays")
 	f.IntVar(&c.tasks, "tasks", 150_000, "tasks per trace")
+	f.IntVar(&c.teams, "teams", 1, "teams of equal weight; half of the jobs are the first one's")
 	f.StringVar(&c.loads, "loads", "50,70,90,110", "offered work in percent of the slots, separated by commas")
 	f.StringVar(&c.mixes, "mixes", "mixed,single,hundred", "job sizes")
 	f.StringVar(&c.scenarios, "scenarios", "healthy", "disturbances; all: every one")
@@ -141,6 +143,7 @@
 		}
 		g.Go(func() error {
 			t := newTrace(c.seed, m, float64(load)/100, c.tasks, s.burst)
+			t.assignTeams(c.teams)
 			row := formatRow(s, m, load, v.name, v.run(c.seed, t, s))
 			mu.Lock()
 			defer mu.Unlock()
@@ -157,8 +160,8 @@
 }
 
 func (c *experimentCommand) printHead() {
-	fmt.Printf("Seed %d, %d tasks a trace, %d hosts, %d minions of %d slots. Response over the ideal.\n\n",
-		c.seed, c.tasks, traceHosts, traceMinions, slotsPerMinion)
+	fmt.Printf("Seed %d, %d tasks a trace, %d teams, %d hosts, %d minions of %d slots. Response over the ideal.\n\n",
+		c.seed, c.tasks, c.teams, traceHosts, traceMinions, slotsPerMinion)
 	fmt.Println("| scenario | jobs | load | variant | median | p99 | p99.9 | p99 by size 1 / 2-5 / 6-20 / 21-100 / 101-200 | wasted per task | wasted per job | wasted | refused starts per job | goodput | not complete | codes |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 }
--- a/cmd/lwbench/experiment_engine.go
+++ b/cmd/lwbench/experiment_engine.go
@@ -105,7 +105,7 @@
 		h = r.Hosts()[a.host]
 	}
 	s := job.Submission{
-		ID: job.ID{Team: "t", Key: fmt.Sprint(i)}, Attempt: 1, Service: "despacho", SubmittedAt: r.Now(),
+		ID: job.ID{Team: fmt.Sprintf("t%d", a.team), Key: fmt.Sprint(i)}, Attempt: 1, Service: "despacho", SubmittedAt: r.Now(),
 		Tasks: make([]job.Task, len(a.tasks)),
 	}
 	for k := range a.tasks {
--- a/cmd/lwbench/experiment_trace.go
+++ b/cmd/lwbench/experiment_trace.go
@@ -34,6 +34,7 @@
 type arrival struct {
 	at    time.Duration
 	host  int
+	team  int
 	tasks []time.Duration // run time of each task
 }
 
@@ -96,6 +97,15 @@
 	return min(max(t, time.Millisecond), maxRun)
 }
 
+// assignTeams gives the jobs to teams, half of them to the first one.
+func (t *trace) assignTeams(teams int) {
+	for i := range t.arrivals {
+		if teams > 1 && i%2 == 1 {
+			t.arrivals[i].team = 1 + i/2%(teams-1)
+		}
+	}
+}
+
 // newTrace draws jobs until they hold the given number of tasks, and spreads
 // them as a Poisson process whose offered work is load times the slots.
 func newTrace(seed uint64, mix jobMix, load float64, tasks int, burst bool) *trace {
