daemon: a repetition is answered by its own deadline

Cause: a repetition that joined a job with a later deadline waited for the job's answer (10 s instead of 50 ms in the test, which failed before). Ruled out: the job's deadline moved forward, which would harm the first caller; a code that tells more, since the job is in progress. TestRepetitionIsAnsweredByItsDeadline passes; its verdict needs the job to last longer than the deadline, 10 s against 50 ms.

--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -11,10 +11,20 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
 )
 
-// Submit implements api.Core.
+// answerGrace is how long after a submission's deadline the job's own answer is
+// awaited; it is due by the next tick.
+const answerGrace = 100 * time.Millisecond
+
+// Submit implements api.Core. A repetition with an earlier deadline than the
+// job that it joined is answered without it.
 func (d *Daemon) Submit(ctx context.Context, s *job.Submission, wait bool) (*job.Answer, *result.Error) {
 	in := &submission{job: s, wait: wait, out: make(chan submitted, 1)}
-	answer, err := d.await(ctx, in, in.out)
+	bounded, cancel := context.WithDeadline(ctx, s.Deadline.Add(answerGrace))
+	defer cancel()
+	answer, err := d.await(bounded, in, in.out)
+	if answer == nil && err == nil && wait && ctx.Err() == nil {
+		return nil, result.Errorf(result.DeadlineUnknown, "the job goes on under the deadline of another attempt")
+	}
 	if err != nil && err.Code == result.Busy && s.Attempt != 1 {
 		// An earlier attempt may be in progress here.
 		err = result.Errorf(result.OwnerUnknown, "%s", err.Detail)
--- a/test/process/repeat_test.go
+++ b/test/process/repeat_test.go
@@ -141,3 +141,17 @@
 	must.Eq(t, result.CancelledRan, h2.request(t, "GET", "/v1/jobs/team/k").Code)
 	must.Eq(t, result.JobUnknown, h2.request(t, "GET", "/v1/jobs/team/unknown").Code)
 }
+
+// A repetition is answered by its own deadline, also when the job that it
+// joined has a later one.
+func TestRepetitionIsAnsweredByItsDeadline(t *testing.T) {
+	h1, _ := twoHosts(t)
+	req := newRequest("k", "sleep 10s")
+	go func() { _, _ = h1.submit(req) }()
+	h1.awaitJob(t)
+	hasty := again(req, 2)
+	hasty.DeadlineMS = 50
+	r, err := h1.submit(hasty)
+	must.NoError(t, err)
+	must.Eq(t, result.DeadlineUnknown, r.Code)
+}
