scripts: broken variants of control, store and controller; soak runs them too

Cause: the variants were tried on a scratch copy only; make soak ran the emulator alone. Ways ruled out: a list apart (two scripts that do the same). Soak seeds now come from the clock; a failure prints its seed.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 # is printed before its run; LW_SEED=N go test ./internal/emulator -run TestOneSeed
 # repeats one.
 soak:
-	LW_SOAK=$${LW_SOAK:-10m} go test ./internal/emulator -run TestSoak -count=1 -v -timeout 0
+	LW_SOAK=$${LW_SOAK:-10m} go test ./internal/emulator ./internal/control -run TestSoak -count=1 -v -timeout 0
 
 # Broken variants of the code that the tests must fail on; takes about a minute.
 mutants:
--- a/internal/control/soak_test.go
+++ b/internal/control/soak_test.go
@@ -7,7 +7,7 @@
 )
 
 // soakVariable holds how long the open-ended run lasts, for example "10m".
-const soakVariable = "LABURNUM_SOAK"
+const soakVariable = "LW_SOAK"
 
 // TestSoakRandomFaults runs new seeds until the time is over.
 func TestSoakRandomFaults(t *testing.T) {
@@ -15,10 +15,11 @@
 	if err != nil {
 		t.Skipf("set %s to a duration", soakVariable)
 	}
-	const firstSeed, virtual = 1000, 5 * time.Minute
+	const virtual = 5 * time.Minute
 	begin := time.Now()
 	steps := 0
-	seed := uint64(firstSeed)
+	firstSeed := uint64(begin.UnixMilli())
+	seed := firstSeed
 	var sum simCounts
 	for ; time.Since(begin) < length; seed++ {
 		n, c := runSimulation(seed, virtual)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,4 +62,32 @@
 mutant 'stopped with requests in progress' $engine 's/return e.jobs.Active() == 0 \&\& len(e.searches) == 0/return true/' $chaos
 mutant 'leases kept for a peer that was down' internal/link/link.go 's/^\t\t\t\tdropLeases(out)$//' ./internal/link Down
 mutant 'answer identity not checked' $client 's/; got != identity {/; got == "" {/' ./internal/backend AnswerOfAnotherTask
+
+readonly acceptor=internal/control/acceptor.go proposer=internal/control/proposer.go
+mutant 'control: promise not synced' $acceptor '/m.state.Promised = p.Ballot/{n;d}' ./internal/control TestPromiseSurvivesRestart
+mutant 'control: acceptance not synced' $acceptor '/a.Ballot, a.Ballot, a.Value/{n;d}' ./internal/control TestRandomFaults
+mutant 'control: accept ignores the promise' $acceptor 's/if a.Ballot.Compare(m.state.Promised) < 0/if false/' ./internal/control TestRandomFaults
+mutant 'control: proposer ignores accepted values' $proposer 's/value := a.highestAccepted()/var value *peer.ConfigRecord/' ./internal/control TestRandomFaults
+mutant 'control: proposer takes the lowest accepted value' $proposer 's/p.Accepted.Compare(best) > 0/(value == nil || p.Accepted.Compare(best) < 0)/' ./internal/control TestRandomFaults
+mutant 'control: new disk votes at once' internal/control/state.go 's/return disk != "" \&\& diskOf(group, host) == disk/return disk != "" \&\& diskOf(group, host) != ""/' ./internal/control TestRandomFaults
+mutant 'control: majority off by one' internal/control/state.go 's/return n\/2 + 1/return max(1, n\/2)/' ./internal/control TestRandomFaults
+mutant 'control: command identity ignored' $proposer 's/if c, ok := findCommand(m.state.Chosen, p.Command); ok {/if c, ok := findCommand(nil, p.Command); ok {/' ./internal/control TestRandomFaults
+mutant 'control: version 1 asks a majority only' $proposer 's/return len(a.acceptors)$/return majority(len(a.acceptors))/' ./internal/control TestRandomFaults
+mutant 'control: version 1 accepted by a disk that it does not name' $acceptor 's/a.Version == 1 \&\& !m.namedFirst(a.Value.Group)/false/' ./internal/control TestFirstVersionMustNameTheDisk
+mutant 'control: accepted before the new group has it' internal/control/learner.go 's/return len(m.synced) >= majority(len(m.state.Chosen.Group))/return true/' ./internal/control TestRandomFaults
+mutant 'control: votes without the version before' $acceptor 's/version > m.Version()+1 || !m.Voting()/!m.Voting()/' ./internal/control TestHostThatIsBehind
+mutant 'control: votes after its store failed' internal/control/machine.go 's/if m.failed || m.state.Disk == ""/if m.state.Disk == ""/' ./internal/control TestRandomFaults
+mutant 'control: group change without live hosts' internal/control/group.go 's/if live < majority(len(p.Group))/if false/' ./internal/control TestRandomFaults
+mutant 'control: stale ballot'\''s acceptances count' $proposer 's/r.Version != a.version || r.Ballot != a.ballot {/r.Version != a.version {/' ./internal/control TestAnswersToAnOldBallot
+mutant 'control: stale ballot'\''s promises count' $proposer 's/p.Version != a.version || p.Ballot != a.ballot ||/p.Version != a.version ||/' ./internal/control TestAnswersToAnOldBallot
+mutant 'control: added host not asked' internal/control/group.go 's/if r == nil || r.Disk.*/if r == nil \&\& false {/' ./internal/control TestAddedHostMustBeUpToDate
+mutant 'store: file not synced' internal/store/store.go 's/if err := f.Sync(); err != nil {/if err := error(nil); err != nil {/' ./internal/store Test
+mutant 'store: folder not synced' internal/store/store.go 's/return s.fs.SyncDir(s.folder)/return nil/' ./internal/store Test
+mutant 'store: file replaced in place' internal/store/store.go 's/temporary = ".tmp"/temporary = ""/' ./internal/store Test
+mutant 'store: checksum ignored' internal/store/store.go 's/ || sum != xxhash.Sum64(payload)/ || sum == 0/' ./internal/store Test
+mutant 'store: writes go on after a failure' internal/store/store.go 's/	if s.failed {/	if false {/' ./internal/store Test
+mutant 'store: folder not locked' internal/store/fs.go 's/LOCK_EX|syscall.LOCK_NB/LOCK_SH|syscall.LOCK_NB/' ./internal/store Test
+mutant 'controller: messages sent though the write failed' internal/daemon/controller.go 's/			r.Messages = nil/			_ = r.Messages/' ./internal/daemon 'TestController|TestUnsynced|TestState'
+mutant 'controller: state not written again at start' internal/daemon/controller.go 's/	return state, saveState(s, \&state)/	return state, nil/' ./internal/daemon 'TestController|TestUnsynced|TestState'
+mutant 'controller: store failure not told to the machine' internal/daemon/controller.go '/c.machine.StoreFailed()/d' ./internal/daemon 'TestController|TestUnsynced|TestState'
 exit $failed
