lwbench: heartbeats of the loss run reach other failure domains

Cause: the run with loss repaired a missed push by the own domain's heartbeats only: 3940 ms at most until everywhere, 8 hosts, 5% loss, which no host would see. Ways ruled out: a relay's acknowledgement (one more message a domain).

--- a/cmd/lwbench/control_sim.go
+++ b/cmd/lwbench/control_sim.go
@@ -24,6 +24,7 @@
 	beatInterval  = 500 * time.Millisecond
 	changeSpacing = time.Second
 	teamCount     = 45
+	otherBeats    = 22 // heartbeats per interval beyond the failure domain
 )
 
 // pushMode is how a chosen version is spread.
@@ -60,6 +61,7 @@
 	busy  time.Time // end of the synced write in progress
 	bytes int
 	used  time.Duration
+	beats int
 }
 
 type controlEvent struct {
@@ -202,16 +204,20 @@
 	s.do(h, func() { h.m.Tick(s.now) })
 }
 
-// beat tells the other hosts of the failure domain the own version, as the
-// heartbeat does. Its bytes are counted by the idle run.
+// beat tells other hosts the own version, as heartbeats do: those of the
+// failure domain each time, the others in turn. Its bytes are counted by the
+// idle run.
 func (s *controlSimulation) beat(h *controlSimHost) {
 	s.after(beatInterval, func() { s.beat(h) })
+	h.beats++
+	stride := (len(s.hosts) + otherBeats - 1) / otherBeats
 	version := h.m.Version()
-	for _, o := range s.hosts {
-		if o == h || o.FailureDomain != h.FailureDomain || s.lost() {
+	for i, o := range s.hosts {
+		due := o.FailureDomain == h.FailureDomain || (h.beats+i)%stride == 0
+		if o == h || !due || s.lost() {
 			continue
 		}
-		s.after(domainDelay, func() { s.do(o, func() { o.m.Hint(s.now, h.Name, version) }) })
+		s.after(s.delay(h, o), func() { s.do(o, func() { o.m.Hint(s.now, h.Name, version) }) })
 	}
 }
 
