--- a/internal/engine/locate_test.go
+++ b/internal/engine/locate_test.go
@@ -14,7 +14,19 @@
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// newEngine returns an engine that has run for an hour, at t0.
 func newEngine(peers ...string) *Engine {
+	e := freshEngine(peers...)
+	for now := t0.Add(-2 * backlogTime); !now.After(t0); now = now.Add(stallLimit / 2) {
+		e.Tick(now)
+	}
+	e.Ready()
+	return e
+}
+
+// freshEngine returns an engine that was started an hour before t0, without
+// any input yet.
+func freshEngine(peers ...string) *Engine {
 	cfg := Config{
 		Host: membership.Host{Name: "self", FailureDomain: "d", Region: "r"}, StartedAt: t0.Add(-time.Hour),
 		MinionLease: time.Second, HeartbeatEvery: time.Second, PeerTimeout: time.Second,
@@ -112,3 +124,22 @@
 	_, err = e.Submit(t0, repetition("k", 3, 1))
 	must.Eq(t, result.KeyConflict, err.Code)
 }
+
+// A later attempt that joins a search is fenced as such everywhere before
+// anything is said about it.
+func TestLaterAttemptRaisesTheFences(t *testing.T) {
+	e := newEngine("p")
+	_, err := e.Submit(t0, repetition("k", 2, 1))
+	must.Nil(t, err)
+	first := e.Ready().Messages[0].Body.(*peer.Locate)
+	_, err = e.Submit(t0, repetition("k", 4, 1))
+	must.Nil(t, err)
+	e.Receive(t0, "p", "1", &peer.LocateReply{Team: "t", Key: "k", Round: first.Round, State: peer.NotSeen})
+	r := e.Ready()
+	must.SliceEmpty(t, r.Answers)
+	must.SliceLen(t, 1, r.Messages)
+	must.Eq(t, 4, r.Messages[0].Body.(*peer.Locate).Attempt)
+	_, err = e.Submit(t0, repetition("k", 3, 1))
+	must.Nil(t, err)
+	must.SliceEmpty(t, e.Ready().Messages)
+}
