--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -161,6 +161,22 @@
 	must.Eq(t, result.PlanRefused, m.Ready().Decisions[0].Outcome.Code)
 }
 
+// A host that slept through hundreds of versions fetches one document.
+func TestSleeperCatchesUpWithOneDocument(t *testing.T) {
+	m := newMachine(atVersion(4))
+	m.Hint(start, "b", 400)
+	m.Hint(start, "c", 400) // while the first fetch is out
+	r := m.Ready()
+	must.SliceLen(t, 1, r.Messages)
+	last[*peer.ControlFetch](t, r)
+	m.Receive(start, "b", &peer.ControlChosen{Record: record(400, "x", abc)})
+	r = m.Ready()
+	must.Eq(t, uint64(400), r.Save.Version())
+	must.Eq(t, uint64(400), r.Chosen.Version)
+	m.Hint(start.Add(time.Minute), "c", 400)
+	must.SliceEmpty(t, m.Ready().Messages)
+}
+
 func TestDocumentOfARecord(t *testing.T) {
 	r := record(1, "c", abc)
 	text := strings.Repeat("document ", 1000)
--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/api"
 	"github.com/laburnumwalk/laburnumwalk/internal/plan"
@@ -205,6 +206,31 @@
 	must.Eq(t, version+1, c.hosts[1].accept(t, "third", teams("team")))
 }
 
+// Hosts that slept through hundreds of changes serve under their last version
+// at once, and get the newest.
+func TestSleepersCatchUp(t *testing.T) {
+	const changes = 200
+	c := startControlSystem(t)
+	version := c.hosts[0].accept(t, "first", teams("team"))
+	awaitVersions(t, version, c.hosts...)
+	sleepers := c.hosts[2:] // a control host and the host without a disk
+	for _, h := range sleepers {
+		h.kill()
+	}
+	slept := version
+	for i := range changes {
+		version = c.hosts[i%2].accept(t, fmt.Sprint("change-", i), teams(fmt.Sprint("team-", i)))
+		c.hosts[(i+1)%2].awaitVersion(t, version)
+	}
+	must.Eq(t, slept+changes, version)
+	for _, h := range sleepers {
+		h.restart(t)
+		begin := time.Now()
+		h.awaitVersion(t, version)
+		t.Logf("%s has version %d %v after it was ready", h.settings.Host, version, time.Since(begin))
+	}
+}
+
 // A lost disk doesn't vote until it is admitted; then a second one may go.
 func TestLostDiskThenAnother(t *testing.T) {
 	c := startControlSystem(t)
