daemon: a stopping host listens on until the balancer has noticed

Cause: the listeners closed as soon as the host was idle, some 100 ms after it ceased to be ready; and clients kept idle connections that the host closed while a request was on the way.

timing.stop_linger_ms (1 s by default) keeps the listeners open, with code 206 "not run" for new work, and answers of a host that is not ready close their connection. Ruled out: waiting until no request came for a while (callers without a balancer would keep the host up until its bound).

The test's linger is seven times the balancer's interval, so that a slow machine does not change the verdict; it was seen to fail without the linger.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -111,6 +111,7 @@
 // Callers returns the server of the callers' listener.
 func (a *API) Callers(l net.Listener) *server.Hertz {
 	h := a.server(l, a.maxBodyBytes)
+	h.Use(a.retireConnection)
 	h.POST("/v1/jobs", a.submit)
 	h.GET("/v1/jobs/:team/:key", a.fetch)
 	h.DELETE("/v1/jobs/:team/:key", a.cancel)
@@ -155,6 +156,15 @@
 	}
 }
 
+// retireConnection closes a connection after its answer when the host is not
+// ready, so that none is left open for a later request when it stops.
+func (a *API) retireConnection(ctx context.Context, c *app.RequestContext) {
+	c.Next(ctx)
+	if !a.core.Ready() {
+		c.SetConnectionClose()
+	}
+}
+
 func (a *API) health(h *server.Hertz) {
 	h.GET(PathHealth, func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
 	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -397,6 +397,7 @@
 	d.ready.Store(false)
 	deadline := time.Now().Add(settings.Millis(d.settings.Timing.StopTimeoutMS))
 	_ = d.query(func(e *engine.Engine, _ time.Time) { e.Stop() })
+	time.Sleep(settings.Millis(d.settings.Timing.StopLingerMS)) // the balancer notices
 	if !d.waitIdle(deadline) {
 		event.Log(log, d.log, event.StopTimedOut, slog.String("host", d.settings.Host))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,7 @@
 	ClockErrorMS    int `json:"clock_error_ms" validate:"min=0,max=60000"`
 	MaxDeadlineMS   int `json:"max_deadline_ms" validate:"min=1,max=3600000"`
 	StopTimeoutMS   int `json:"stop_timeout_ms" validate:"min=0,max=600000"`
+	StopLingerMS    int `json:"stop_linger_ms" validate:"min=0,max=60000"`
 	TickMS          int `json:"tick_ms" validate:"min=1,max=1000"`
 	LocateTimeoutMS int `json:"locate_timeout_ms" validate:"min=10,max=60000"`
 	BusyPauseMS     int `json:"busy_pause_ms" validate:"min=0,max=10000"`
@@ -129,6 +130,7 @@
 			ClockErrorMS:    500,
 			MaxDeadlineMS:   120000,
 			StopTimeoutMS:   30000,
+			StopLingerMS:    1000,
 			TickMS:          10,
 			LocateTimeoutMS: 500,
 			BusyPauseMS:     5,
--- a/test/process/operators_test.go
+++ b/test/process/operators_test.go
@@ -77,7 +77,7 @@
 
 // controlHosts starts three control hosts in two failure domains, with a
 // declared configuration in force.
-func controlHosts(t *testing.T) (a1, a2, b1 *host) {
+func controlHosts(t *testing.T, edits ...func(*settings.Settings)) (a1, a2, b1 *host) {
 	t.Helper()
 	s := []settings.Settings{hostSettings(t, "a-1", "a"), hostSettings(t, "a-2", "a"), hostSettings(t, "b-1", "b")}
 	joinAll(&s[0], &s[1], &s[2])
@@ -85,6 +85,9 @@
 	for i := range s {
 		s[i].DataFolder = t.TempDir()
 		s[i].Control.Members = []string{"a-1", "a-2", "b-1"}
+		for _, edit := range edits {
+			edit(&s[i])
+		}
 		hosts[i] = startHost(t, s[i])
 	}
 	for _, h := range hosts {
--- a/test/process/stop_test.go
+++ b/test/process/stop_test.go
@@ -6,9 +6,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/api"
+	"github.com/laburnumwalk/laburnumwalk/internal/plan"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/laburnumwalk/laburnumwalk/internal/settings"
 	"github.com/shoenig/test/must"
 )
 
@@ -78,3 +81,55 @@
 	l.stop(t)
 	t.Logf("%d jobs answered", l.count())
 }
+
+// probeEvery is how often the balancer of a test looks at the readiness.
+const probeEvery = 700 * time.Millisecond
+
+// stopLingerMS is much more than probeEvery, so that a slow machine does not
+// change the verdict.
+const stopLingerMS = 5000
+
+// balance lets the load run until the readiness check fails, as a balancer
+// does that looked just before the host ceased to be ready.
+func balance(t *testing.T, h *host, l *load) {
+	t.Helper()
+	for range int(patience / probeEvery) {
+		time.Sleep(probeEvery)
+		resp, err := http.Get("http://" + h.settings.Listen.Callers + "/readyz")
+		if err != nil {
+			break
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			break
+		}
+	}
+	l.stopped.Store(true)
+	l.wg.Wait()
+}
+
+// Callers behind a balancer that looks at the readiness see no connection
+// fail while the host stops: each request is answered completely, or refused
+// as not run.
+func TestPlannedStopBehindBalancer(t *testing.T) {
+	a1, a2, _ := controlHosts(t, func(s *settings.Settings) { s.Timing.StopLingerMS = stopLingerMS })
+	startMinion(t, "m1", "a", a1)
+	a2.awaitMinions(t, 1)
+	l := startLoad(a2, 8, "sleep 5ms")
+	eventually(t, "load runs", func() bool { return l.count() > 300 })
+	p := a1.plan(t, api.PlanRequest{Intent: plan.Stop, Hosts: []string{"a-2"}})
+	must.Eq(t, result.OK, a1.confirm(t, p.ID, "c", "ana").Code)
+	balance(t, a2, l)
+	must.NoError(t, <-a2.exited)
+	a2.exited <- nil
+	must.SliceEmpty(t, l.errors)
+	refused := 0
+	for _, r := range l.answers {
+		if r.Code == result.Stopping {
+			refused++
+			continue
+		}
+		must.Eq(t, result.OK, r.Code, must.Sprint(r.Key, " ", r.Detail))
+	}
+	t.Logf("%d jobs answered, %d of them refused as not run", l.count(), refused)
+}
