minion: an ejected minion is shown as ejected

Cause: State did not look at the minion's health. It now does, for minions that this host or the dispatching one has ejected.

--- a/cmd/laburnumctl/minions.go
+++ b/cmd/laburnumctl/minions.go
@@ -23,7 +23,7 @@
 }
 
 func (m *minionsCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&m.state, "state", "", "show only minions in this `state`: ready, leaving, draining, expired or another that the table shows")
+	f.StringVar(&m.state, "state", "", "show only minions in this `state`: ready, leaving, draining, ejected or expired")
 }
 
 func (m *minionsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -336,11 +336,12 @@
 	StateLeaving
 	StateDraining
 	StateExpired
+	StateEjected // single probes only, after failures or slowness
 )
 
 // String returns the state's wire name.
 func (s State) String() string {
-	return [...]string{"ready", "leaving", "draining", "expired"}[s]
+	return [...]string{"ready", "leaving", "draining", "expired", "ejected"}[s]
 }
 
 // State returns the minion's state at now.
@@ -352,6 +353,8 @@
 		return StateLeaving
 	case m.Draining:
 		return StateDraining
+	case m.health.ejected || m.health.barred:
+		return StateEjected
 	}
 	return StateReady
 }
--- /dev/null
+++ b/internal/minion/state_test.go
@@ -0,0 +1,24 @@
+package minion
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Operators see an ejected minion as such, whichever host ejected it.
+func TestStateOfEjectedMinion(t *testing.T) {
+	now := time.Unix(1767225600, 0)
+	r := NewRegistry(time.Second)
+	must.True(t, r.Announce(now, Announcement{Name: "m1", Services: []string{"s"}, Slots: 1}, time.Second, true))
+	must.Eq(t, "ready", r.Get("m1").State(now).String())
+	r.Bar([]string{"m1"})
+	must.Eq(t, "ejected", r.Get("m1").State(now).String())
+	r.Bar(nil)
+	r.Get("m1").health.ejected = true
+	must.Eq(t, "ejected", r.Get("m1").State(now).String())
+	r.SetDrains([]string{"m1"})
+	must.Eq(t, "draining", r.Get("m1").State(now).String())
+	must.Eq(t, "expired", r.Get("m1").State(now.Add(time.Second)).String())
+}
