--- a/cmd/lwbench/minion.go
+++ b/cmd/lwbench/minion.go
@@ -38,6 +38,7 @@
 	f.StringVar(&m.services, "services", "despacho", "services, separated by commas")
 	f.IntVar(&a.Slots, "slots", 8, "tasks at a time")
 	f.IntVar(&a.Connections, "connections", 64, "connections at a time")
+	f.StringVar(&a.Address, "advertise", "", "address to announce; empty: the one listened on")
 	f.StringVar(&m.listen, "listen", "127.0.0.1:0", "address to listen on")
 	f.DurationVar(&m.delays.Before, "delay-before", 0, "delay between a request's arrival and its run")
 	f.DurationVar(&m.delays.Run, "delay-run", 0, "delay in each run")
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -52,9 +52,12 @@
 	starts  map[string]int           // by task identity
 }
 
-// New returns a stand-in that listens on l and announces itself to hosts.
+// New returns a stand-in that listens on l and announces itself to hosts, under
+// the address of l when the announcement has none.
 func New(a minion.Announcement, l net.Listener, hosts []string) *Minion {
-	a.Address = l.Addr().String()
+	if a.Address == "" {
+		a.Address = l.Addr().String()
+	}
 	a.Generation = uint64(time.Now().UnixNano())
 	m := &Minion{
 		announcement: a,
