--- a/internal/verdict/window.go
+++ b/internal/verdict/window.go
@@ -51,10 +51,8 @@
 // quantile sorts r and returns the q quantile by weight.
 func (r weightedRuns) quantile(q float64) time.Duration {
 	slices.SortFunc(r, func(a, b weightedRun) int { return cmp.Compare(a.took, b.took) })
-	var sum, below time.Duration
-	for _, x := range r {
-		sum += x.weight
-	}
+	sum := r.weight()
+	var below time.Duration
 	for _, x := range r {
 		below += x.weight
 		if float64(below) >= q*float64(sum) {
@@ -64,6 +62,15 @@
 	return 0
 }
 
+// weight returns the sum of the weights.
+func (r weightedRuns) weight() time.Duration {
+	var sum time.Duration
+	for _, x := range r {
+		sum += x.weight
+	}
+	return sum
+}
+
 // overlap returns the length of the intersection of two intervals.
 func overlap(from, to, from2, to2 time.Time) time.Duration {
 	if from2.After(from) {
