daemon: a host without control.members proposes once it has a version

Cause: a host without a disk and without control.members answered every confirmation with 'no control hosts are configured', also after it had learned who they are from a version; found while reading the wiring. Ways ruled out: requiring the key on every host (new hosts would need a setting that only version 0 uses). Before: 501 at once. After: the proposer is the controller; 501 with that detail only at version 0 without members. Conclusion: control.members matters until version 1 only.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -47,6 +47,7 @@
 	hosts   atomic.Pointer[[]membership.Host] // new list of peers, until it is taken over
 	done    chan struct{}
 	timeout time.Duration // bound on a proposal
+	members int           // hosts that choose version 1
 }
 
 // controlView is what other duties may know of the controller.
@@ -248,6 +249,9 @@
 // Propose implements proposer. A document without control hosts keeps those
 // of its base.
 func (c *controller) Propose(ctx context.Context, p control.Proposal) control.Outcome {
+	if c.members == 0 && c.view.Load().Version == 0 {
+		return noControl{}.Propose(ctx, p)
+	}
 	group, err := groupOf(p.Document)
 	if err != nil {
 		return control.Outcome{Command: p.Command, Code: result.PlanRefused, Detail: err.Error()}
--- a/internal/daemon/controller_test.go
+++ b/internal/daemon/controller_test.go
@@ -59,7 +59,7 @@
 		store: s, inputs: ring.New[controlInput](controlRing), mesh: &sent{},
 		apply:   func(uint64, *config.Document) {},
 		waiters: make(map[uint64]chan control.Outcome),
-		self:    "h", log: log, done: make(chan struct{}), timeout: time.Minute,
+		self:    "h", log: log, done: make(chan struct{}), timeout: time.Minute, members: 1,
 	}
 	c.publish()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -149,3 +149,18 @@
 	must.False(t, c.view.Load().Voting)
 	must.Eq(t, "", c.view.Load().Disk)
 }
+
+// A host without control.members and without a disk can pass on a change once
+// it has learned a version.
+func TestHostWithoutMembersProposesOnceItHasAVersion(t *testing.T) {
+	c, stop := startController(t, t.TempDir(), store.OS{})
+	defer stop()
+	p := control.Proposal{Command: "c1", Operator: "o", Document: []byte("{}")}
+	must.Eq(t, result.OK, c.Propose(context.Background(), p).Code)
+	c.members = 0
+	p = control.Proposal{Command: "c2", Operator: "o", Base: 1, Document: []byte("{}")}
+	must.Eq(t, result.OK, c.Propose(context.Background(), p).Code)
+	fresh := &controller{}
+	fresh.view.Store(&controlView{})
+	must.StrContains(t, fresh.Propose(context.Background(), p).Detail, "no control hosts are configured")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -183,13 +183,12 @@
 		log:     d.log,
 		done:    make(chan struct{}),
 		timeout: timing.Propose,
+		members: len(d.settings.Control.Members),
 	}
 	c.publish()
 	d.control = c
 	d.core.hostsChanged = c.setPeers
-	if len(d.settings.Control.Members) > 0 || state.Chosen != nil {
-		d.proposer = c
-	}
+	d.proposer = c
 	if s != nil {
 		event.Log(context.Background(), d.log, event.DiskOpened, slog.String("disk", state.Disk),
 			slog.Uint64("version", state.Version()), slog.Bool("voting", c.machine.Voting()))
