--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -173,3 +174,15 @@
 	must.Eq(t, result.AnswerMismatch, r.Outcome.Code)
 	must.False(t, r.Disproved)
 }
+
+// A result without an announced length is not read beyond the bound either.
+func TestEndlessChunkedResultIsNotRead(t *testing.T) {
+	m := newRawMinion(t, func(_ int64, r *http.Request) []byte {
+		head := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nLw-Task: %s\r\nLw-Outcome: done\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get(HeaderTask))
+		chunk := fmt.Appendf(nil, "400\r\n%s\r\n", make([]byte, 1<<10))
+		return append(head, bytes.Repeat(chunk, 4)...) // and no end
+	})
+	r := start(t, newClient(t), m.address)
+	must.Eq(t, result.TaskFailed, r.Outcome.Code)
+	must.False(t, r.Disproved)
+}
