minion: short runs don't make a minion slow

Slowness is a ratio of run times; below a millisecond the ratio is of scheduling delays. Ruled out: failures (none were counted). Before: TestShortRunsEjectNobody fails (0.2 ms against 2 ms: ejected). After: run times below 10 ms count as 10 ms when minions are compared; the mean for admission is unchanged. Conclusion: a straggler of a service of 1 ms is not ejected below 25 ms.

--- a/internal/minion/health.go
+++ b/internal/minion/health.go
@@ -26,6 +26,9 @@
 	maxProbePause   = time.Minute
 	maxEjectedShare = 5 // at most one in so many
 	minToEject      = 3 // minions, below which none is ejected
+	// shortRun is the run time below which a minion is not called slow: such
+	// runs differ by scheduling.
+	shortRun = 10 * time.Millisecond
 )
 
 // Change is a transition of a minion's health.
@@ -64,9 +67,12 @@
 	s.samples++
 	w := max(serviceWeight, 1/float64(s.samples))
 	s.mean += (x - s.mean) * w
-	s.logMean += (math.Log(x) - s.logMean) * w
+	s.logMean += (logRun(run) - s.logMean) * w
 }
 
+// logRun is the logarithm of a run time by which minions are compared.
+func logRun(run time.Duration) float64 { return math.Log(max(run, shortRun).Seconds()) }
+
 // MeanRun returns the learned mean run time of a service's tasks, or false
 // before enough have run.
 func (r *Registry) MeanRun(service string) (time.Duration, bool) {
@@ -133,7 +139,7 @@
 	if !enough {
 		return false
 	}
-	ratio := math.Log(run.Seconds()) - typical
+	ratio := logRun(run) - typical
 	m.health.runs++
 	m.health.slowness += (ratio - m.health.slowness) * max(runWeight, 1/float64(m.health.runs))
 	return ratio-r.othersSlowness(m) > math.Log(slowFactor)
--- a/internal/minion/health_test.go
+++ b/internal/minion/health_test.go
@@ -187,3 +187,17 @@
 	r.Release("m", size)
 	must.NotNil(t, r.Pick(begin, "s", size, false))
 }
+
+// Runs of a millisecond differ by scheduling, not by the minion.
+func TestShortRunsEjectNobody(t *testing.T) {
+	r := registry(10)
+	for range 200 {
+		for i := range 10 {
+			run := 200 * time.Microsecond
+			if i == 0 {
+				run *= 10
+			}
+			must.Eq(t, Unchanged, r.Observe(begin, fmt.Sprintf("m%d", i), "s", job.Outcome{Run: run}))
+		}
+	}
+}
