engine: an expired forward is not refused as not run

Cause: a forward is repeated while its answer is awaited. Ruled out: longer records at the dispatching host, which only move the moment. Such a forward is answered as 'may have run'. TestExpiredForwardMayHaveRun failed before. Not run after the change: make soak.

--- a/internal/engine/locate_test.go
+++ b/internal/engine/locate_test.go
@@ -143,3 +143,21 @@
 	must.Nil(t, err)
 	must.SliceEmpty(t, e.Ready().Messages)
 }
+
+// A forward older than the key lifetime may be a copy of one whose record is
+// gone: it is not refused as not run.
+func TestExpiredForwardMayHaveRun(t *testing.T) {
+	e := newEngine("p")
+	must.Nil(t, e.Announce(t0, minion.Announcement{Name: "m", FailureDomain: "d", Services: []string{"s"}, Slots: 1, Connections: 1, Address: "m:1"}))
+	e.Ready()
+	e.Receive(t0, "p", "1", &peer.Forward{
+		Team: "t", Key: "k", Attempt: 1, Service: "s", SubmittedAt: t0.Add(-2 * time.Minute), Tasks: make([]job.Task, 1), Remaining: time.Second,
+	})
+	for _, m := range e.Ready().Messages {
+		if a, ok := m.Body.(*peer.JobAnswer); ok {
+			must.Eq(t, result.OwnerUnknown, a.Code)
+			return
+		}
+	}
+	t.Fatal("the forward was not answered")
+}
--- a/internal/engine/slots.go
+++ b/internal/engine/slots.go
@@ -244,6 +244,10 @@
 			return true
 		}
 	}
+	if err.Code == result.Expired {
+		// A copy of the forward may have come, and its record gone, before.
+		err = result.Errorf(result.OwnerUnknown, "%s", err.Detail)
+	}
 	e.refuseForward(now, from, s, err)
 	return false
 }
