--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -99,6 +99,9 @@
 	if err := checkControl(before, wanted, v); err != nil {
 		return nil, err
 	}
+	if err := checkRegions(before, wanted); err != nil {
+		return nil, err
+	}
 	p := &Plan{Intent: r.Intent, Base: v.Version, Before: before, Document: wanted}
 	p.Changes = Changes(before, wanted)
 	if len(p.Changes) == 0 {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/config"
@@ -163,3 +164,20 @@
 	refused(t, result.PlanRefused, Request{Intent: Drain, Hosts: []string{"a-1"}}, View{})
 	refused(t, result.PlanRefused, Request{Intent: Drain, Minions: []string{""}}, v)
 }
+
+// A region may at most double in one change: a host that still has the old
+// list must find one with the new list among those that it asks.
+func TestRegionMayAtMostDouble(t *testing.T) {
+	v := newView(t)
+	grow := func(names ...string) Request {
+		list := ""
+		for _, n := range names {
+			list += `, {"name": "` + n + `", "address": "127.0.0.1:9"}`
+		}
+		text := strings.Replace(documentText, `{"name": "b-1", "address": "127.0.0.1:3"}`, `{"name": "b-1", "address": "127.0.0.1:3"}`+list, 1)
+		return Request{Intent: Change, Document: parse(t, text)}
+	}
+	made(t, grow("b-2", "b-3", "b-4"), v)
+	detail := refused(t, result.PlanRefused, grow("b-2", "b-3", "b-4", "b-5"), v)
+	must.StrContains(t, detail, "region r")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -55,6 +55,14 @@
 mutant 'late forward started' internal/engine/slots.go 's/m.Remaining - e.age(now, from, m.SentAt)/m.Remaining/' ./internal/engine AfterItsDeadline
 mutant 'search answers for a job here' $locate 's/if e.jobs.Get(s.id) == nil {/if true {/' $chaos
 mutant 'round of an answer not checked' $locate 's/ || s.round != m.Round {/ {/' ./internal/engine EarlierSearch
+mutant 'joining host works at once' internal/engine/admission.go 's/if !e.admitted() {/if false {/' ./internal/emulator Joining
+mutant 'newer configuration ignored' $locate 's/if r.Config > e.configVersion {/if false {/' ./internal/emulator Joining
+mutant 'removed hosts forgotten at once' internal/membership/view.go 's/!d.at.Before(t)/false/' ./internal/emulator Removed
+mutant 'refused forward not remembered' internal/engine/slots.go 's/if r, ok := e.refusals\[id\]; ok {/if r, ok := e.refusals[id]; ok \&\& false {/' ./internal/engine RefusedForward
+mutant 'forward to a former process accepted' internal/engine/slots.go 's/if m.To != e.cfg.Incarnation {/if false {/' ./internal/engine FormerProcess
+mutant 'lost dispatcher answered as not run' internal/engine/slots.go 's/Code: result.StartUnknown, Detail: "host " + p.Name/Code: result.TaskNotStarted, Detail: "host " + p.Name/' $chaos
+mutant 'short runs eject' internal/minion/health.go 's/max(run, shortRun).Seconds()/run.Seconds()/' ./internal/minion ShortRuns
+mutant 'oversized message breaks the connection' internal/link/link.go 's/if errors.Is(err, peer.ErrTooLarge) {/if false {/' ./internal/link Oversized
 mutant 'unknown starts retried' $table 's/^\t\tk.state = Unknown$/\t\tk.disprove++; k.state = Queued; j.queued++; return nil/' $chaos
 mutant 'deadline answered as not run' $table 's/j.byProgress(result.DeadlineNotRun, result.DeadlineRan, result.DeadlineUnknown)/result.DeadlineNotRun/' $chaos
 mutant 'unknown outcome hidden by a failure' $job 's/j.byProgress(j.stopCode, j.stopCode, result.StartUnknown)/j.stopCode/' $chaos
