--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,6 +56,7 @@
 mutant 'search answers for a job here' $locate 's/if e.jobs.Get(s.id) == nil {/if true {/' $chaos
 mutant 'round of an answer not checked' $locate 's/ || s.round != m.Round {/ {/' ./internal/engine EarlierSearch
 mutant 'joining host works at once' internal/engine/admission.go 's/if !e.admitted() {/if false {/' ./internal/emulator Joining
+mutant 'only a majority of the region serves' internal/engine/admission.go 's/if !e.admitted() {/if !e.members.RegionConfirms(e.cfg.Host.Region, 0) {/' ./internal/emulator CutOffDomain
 mutant 'newer configuration ignored' $locate 's/if r.Config > e.configVersion {/if false {/' ./internal/emulator Joining
 mutant 'removed hosts forgotten at once' internal/membership/view.go 's/!d.at.Before(t)/false/' ./internal/emulator Removed
 mutant 'refused forward not remembered' internal/engine/slots.go 's/if r, ok := e.refusals\[id\]; ok {/if r, ok := e.refusals[id]; ok \&\& false {/' ./internal/engine RefusedForward
