backend: idle connections are retired by the host, as a test now shows

Cause: the rule that the host closes idle connections before a minion does was a setting of the HTTP library that nothing tested. Ruled out: waiting 10 s in the test (the idle time is a parameter inside the package). Before: no test; with an idle time of an hour TestIdleConnectionIsRetired fails after its bound of 10 s. After: passes with 20 ms.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -60,12 +60,17 @@
 
 // NewClient returns a client that accepts results of up to maxResult bytes.
 func NewClient(inc membership.Incarnation, maxResult int) (*Client, error) {
+	return newClientIdle(inc, maxResult, idleTimeout)
+}
+
+// newClientIdle is NewClient with another idle timeout.
+func newClientIdle(inc membership.Incarnation, maxResult int, idle time.Duration) (*Client, error) {
 	c, err := client.NewClient(
 		client.WithDialer(markingDialer{standard.NewDialer()}),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(maxConnections),
 		client.WithMaxConnWaitTimeout(dialTimeout),
-		client.WithMaxIdleConnDuration(idleTimeout),
+		client.WithMaxIdleConnDuration(idle),
 		client.WithKeepAlive(true),
 		client.WithNoDefaultUserAgentHeader(true),
 		config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = max(maxResult, outcomeBodyBytes) }},
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -186,3 +187,36 @@
 	must.Eq(t, result.TaskFailed, r.Outcome.Code)
 	must.False(t, r.Disproved)
 }
+
+// The client closes an idle connection by itself, before a minion does: a
+// request on a connection that the other end has closed may have been read.
+func TestIdleConnectionIsRetired(t *testing.T) {
+	closed := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write(answer(req.Header.Get(HeaderTask), OutcomeDone, ""))
+		_, _ = io.Copy(io.Discard, r) // until the client closes
+		close(closed)
+	}()
+	c, err := newClientIdle("inc", 1<<10, 20*time.Millisecond)
+	must.NoError(t, err)
+	defer c.Close()
+	must.Eq(t, result.OK, start(t, c, l.Addr().String()).Outcome.Code)
+	select {
+	case <-closed:
+	case <-time.After(deadline):
+		t.Fatal("the idle connection was kept")
+	}
+}
