test: a host joins by configuration, as processes

Ruled out: a trial by hand (not repeatable). Before: no test. With the configuration's hosts not connected (broken variant, in mutants.sh) it fails: the added host never gets the version. Conclusion: the other hosts' settings need no change when a host is added.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -57,6 +57,7 @@
 mutant 'round of an answer not checked' $locate 's/ || s.round != m.Round {/ {/' ./internal/engine EarlierSearch
 mutant 'joining host works at once' internal/engine/admission.go 's/if !e.admitted() {/if false {/' ./internal/emulator Joining
 mutant 'only a majority of the region serves' internal/engine/admission.go 's/if !e.admitted() {/if !e.members.RegionConfirms(e.cfg.Host.Region, 0) {/' ./internal/emulator CutOffDomain
+mutant 'hosts of the configuration not connected' internal/engine/configure.go 's/^\te.setHosts(now, d)$//' ./test/process HostJoins
 mutant 'newer configuration ignored' $locate 's/if r.Config > e.configVersion {/if false {/' ./internal/emulator Joining
 mutant 'removed hosts forgotten at once' internal/membership/view.go 's/!d.at.Before(t)/false/' ./internal/emulator Removed
 mutant 'refused forward not remembered' internal/engine/slots.go 's/if r, ok := e.refusals\[id\]; ok {/if r, ok := e.refusals[id]; ok \&\& false {/' ./internal/engine RefusedForward
