verdict: a short task on a slow minion is a straggler's

Cause: a task that is short by itself takes less than twice the tail of the other minions' runs even when its minion is ten times slower, so the judge called it the minion's run. Change: such a run is held against the runs that shared time with it on its own minion.

--- a/internal/verdict/judge_test.go
+++ b/internal/verdict/judge_test.go
@@ -89,3 +89,23 @@
 	v := judge(m, job.Breakdown{Total: 190 * ms, Trip: 190 * ms, Run: 100 * ms, Own: 100 * ms, Minion: "far"})
 	must.Eq(t, job.PartNetwork, v.Part)
 }
+
+// A task that is short by itself takes less than twice the others' tail on a
+// slow minion; the minion's other runs at the time tell that it is a straggler.
+func TestShortTaskOnSlowMinion(t *testing.T) {
+	m := learned()
+	for i := range 20 { // of very different lengths elsewhere
+		at := begin.Add(3*time.Second + time.Duration(i)*20*ms)
+		m.Observe("s", "m1", job.TaskID{Index: 200 + i}, job.Outcome{Run: 250 * ms, Own: 250 * ms, Trip: 251 * ms, SentAt: at})
+	}
+	now := begin.Add(4 * time.Second)
+	for i := range 8 {
+		m.Started(now.Add(-900*ms), "s", "m0", job.TaskID{Index: 300 + i})
+	}
+	for i := range 4 {
+		m.Started(now.Add(-250*ms), "s", "m2", job.TaskID{Index: 400 + i})
+	}
+	b := job.Breakdown{Total: 451 * ms, Trip: 450 * ms, Run: 449 * ms, Own: 449 * ms, Minion: "m0"}
+	m.Judge(Case{Service: "s", Team: "t", Now: now, Accepted: now.Add(-451 * ms), Breakdown: &b})
+	must.Eq(t, job.PartStraggler, b.Verdict.Part)
+}
--- a/internal/verdict/model.go
+++ b/internal/verdict/model.go
@@ -241,21 +241,32 @@
 		return max(0, took-usual), false
 	}
 	tail := quantile(others, stragglerTail)
-	if same := s.during(now.Add(-took), now, minion); same.weight() >= minShared*took {
-		tail = same.quantile(stragglerTail)
+	elsewhere, here := s.during(now.Add(-took), now, minion)
+	if elsewhere.weight() >= minShared*took {
+		tail = elsewhere.quantile(stragglerTail)
 	}
-	return max(0, took-usual), took > stragglerFactor*tail
+	if took > stragglerFactor*tail {
+		return max(0, took-usual), true
+	}
+	// A short task on a slow minion can end inside the tail of the others; the
+	// minion's other runs at the time show that it was slow.
+	slowHere := here.weight() >= minShared*took && here.quantile(0.5) > stragglerFactor*tail
+	return max(0, took-usual), slowHere
 }
 
-// during returns the runs on other minions while one lasted, each weighted by
-// the time they had in common. They tell a slow minion from a service that was
-// slow everywhere for a while: short runs are many, but take little time.
-func (s *service) during(from, to time.Time, minion string) weightedRuns {
-	var out weightedRuns
+// during returns the runs that lasted at the same time as one on the named
+// minion, those on other minions and those on its own, each weighted by the
+// time in common. They tell a slow minion from a service that was slow
+// everywhere for a while: short runs are many, but take little time.
+func (s *service) during(from, to time.Time, minion string) (elsewhere, here weightedRuns) {
 	add := func(other string, began time.Time, took time.Duration) {
 		shared := overlap(began, began.Add(took), from, to)
-		if other != minion && shared > 0 {
-			out = append(out, weightedRun{took, shared})
+		switch {
+		case shared <= 0:
+		case other == minion:
+			here = append(here, weightedRun{took, shared})
+		default:
+			elsewhere = append(elsewhere, weightedRun{took, shared})
 		}
 	}
 	for i := range s.runs {
@@ -264,7 +275,7 @@
 	for _, r := range s.running {
 		add(r.minion, r.at, to.Sub(r.at))
 	}
-	return out
+	return elsewhere, here
 }
 
 // unreportedExcess returns what a trip without the minion's own time took
