--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 test: lint unit race
 
 lint:
-	@unformatted=$$(gofmt -l cmd internal test); \
+	@unformatted=$$(gofmt -l cmd internal platform test); \
 	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -29,6 +29,8 @@
 	MaxBackoff   time.Duration
 	Recover      time.Duration // age at which an undecided value is completed
 	Admit        time.Duration // wait for the hosts that a group change needs
+	Read         time.Duration // bound on one read
+	Silence      time.Duration // without a report, after which a member may be replaced
 }
 
 // DefaultTiming returns the intervals for links of up to 100 ms one way.
@@ -40,6 +42,8 @@
 		MaxBackoff:   500 * time.Millisecond,
 		Recover:      2 * time.Second,
 		Admit:        time.Second,
+		Read:         800 * time.Millisecond,
+		Silence:      1500 * time.Millisecond,
 	}
 }
 
@@ -53,6 +57,9 @@
 	Relays      int      // hosts per failure domain that a chosen version is pushed to
 	Seed        uint64   // of the random pauses and of the choice of relays
 	Timing      Timing
+	// GroupSize, where positive, lets a host with a disk ask by itself to be
+	// admitted to a group that has fewer members, or in place of a silent one.
+	GroupSize int
 }
 
 // Outgoing is a message to a host, possibly to the own one.
@@ -73,6 +80,7 @@
 	Messages  []Outgoing
 	Chosen    *peer.ConfigRecord // newly known, to be put in force
 	Decisions []Decision
+	Reads     []ReadResult
 }
 
 // Machine is the part of one host in agreeing on versions.
@@ -98,6 +106,9 @@
 	valueAt   time.Time       // when the undecided value was first seen by Tick
 	fetchedAt time.Time
 	pushed    uint64 // latest version that was pushed within the failure domain
+	nonce     uint64 // of the newest query
+	reads     []*read
+	admission admission
 	ready     Ready
 }
 
@@ -179,6 +190,9 @@
 		m.onFetch(from, msg)
 	case *peer.ControlReport:
 		m.onReport(now, from, msg)
+		m.onAnswer(now, from, msg)
+	case *peer.ControlQuery:
+		m.onQuery(from, msg)
 	}
 	m.advance(now)
 }
@@ -187,6 +201,8 @@
 func (m *Machine) Tick(now time.Time) {
 	m.tickRecovery(now)
 	m.tickAttempt(now)
+	m.tickReads(now)
+	m.tickAdmission(now)
 	m.advance(now)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/link"
+	"github.com/laburnumwalk/laburnumwalk/internal/register"
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
 	"github.com/laburnumwalk/laburnumwalk/internal/telemetry"
 )
@@ -34,7 +35,7 @@
 	proposer  proposer
 	operators *operators
 	api       *api.API
-	control   *controller
+	control   *register.Controller
 	servers   []*server.Hertz
 	listeners listeners
 	wg        sync.WaitGroup
@@ -78,7 +79,7 @@
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.wg.Go(func() { d.core.run(duties) })
-	d.wg.Go(func() { d.control.run(duties) })
+	d.wg.Go(func() { d.control.Run(duties) })
 	d.wg.Go(func() { d.mesh.Run(duties) })
 	if err := d.startServers(duties); err != nil {
 		d.shutdown(stop)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -165,7 +165,7 @@
 // longer, from the latest configuration versions. unknown is the answer when
 // none of them was chosen for the command.
 func (d *Daemon) confirmChosen(ctx context.Context, r api.ConfirmRequest, unknown *result.Error) (api.ConfirmResponse, *result.Error) {
-	latest := d.control.view.Load().Record
+	latest := d.control.View().Record
 	if unknown.Code != result.UnknownPlan || latest == nil {
 		return api.ConfirmResponse{}, unknown
 	}
--- a/internal/daemon/operators_test.go
+++ b/internal/daemon/operators_test.go
@@ -21,9 +21,9 @@
 	"github.com/shoenig/test/wait"
 )
 
-// register is a fake proposer: one write-once register per version, shared by
+// fakeRegister is a fake proposer: one write-once fakeRegister per version, shared by
 // the daemons of a test, which have each change in force at once.
-type register struct {
+type fakeRegister struct {
 	mu        sync.Mutex
 	version   uint64
 	winner    string
@@ -35,7 +35,7 @@
 	daemons   []*Daemon
 }
 
-func (r *register) Propose(ctx context.Context, p control.Proposal) control.Outcome {
+func (r *fakeRegister) Propose(ctx context.Context, p control.Proposal) control.Outcome {
 	if r.entered != nil {
 		r.entered <- struct{}{}
 	}
@@ -65,7 +65,7 @@
 	return o
 }
 
-func (r *register) apply(text []byte) {
+func (r *fakeRegister) apply(text []byte) {
 	doc, err := config.Parse("proposal", text)
 	if err != nil {
 		panic(err)
@@ -78,7 +78,7 @@
 }
 
 // newDaemon returns a daemon on free ports whose decision duty runs.
-func newDaemon(t *testing.T, name string, r *register) *Daemon {
+func newDaemon(t *testing.T, name string, r *fakeRegister) *Daemon {
 	t.Helper()
 	d := idleDaemon(t, name, r)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -91,7 +91,7 @@
 	return d
 }
 
-func idleDaemon(t *testing.T, name string, r *register) *Daemon {
+func idleDaemon(t *testing.T, name string, r *fakeRegister) *Daemon {
 	t.Helper()
 	s := settings.Defaults()
 	s.Host, s.FailureDomain, s.Region = name, "a", "r"
@@ -103,7 +103,7 @@
 	return d
 }
 
-func newRegister() *register { return &register{first: make(map[string]control.Outcome)} }
+func newRegister() *fakeRegister { return &fakeRegister{first: make(map[string]control.Outcome)} }
 
 const testDocument = `{
   "services": [{"name": "despacho"}],
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -116,7 +116,7 @@
 	var s api.StatusResponse
 	err := d.query(func(e *engine.Engine, now time.Time) { s = status(e, now, d.startedAt) })
 	s.ConfigAgeMS = d.core.inForce.age(time.Now()).Milliseconds()
-	v := d.control.view.Load()
+	v := d.control.View()
 	s.Disk, s.Voting = v.Disk, v.Voting
 	return s, err
 }
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -10,7 +10,6 @@
 	"github.com/google/uuid"
 	"github.com/laburnumwalk/laburnumwalk/internal/api"
 	"github.com/laburnumwalk/laburnumwalk/internal/backend"
-	"github.com/laburnumwalk/laburnumwalk/internal/config"
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
 	"github.com/laburnumwalk/laburnumwalk/internal/engine"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
@@ -18,6 +17,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/link"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/register"
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
 	"github.com/laburnumwalk/laburnumwalk/internal/settings"
 	"github.com/laburnumwalk/laburnumwalk/internal/store"
@@ -72,14 +72,14 @@
 // wireControl opens the data folder, puts the version that it holds in force
 // and prepares the controller.
 func (d *Daemon) wireControl(cfg engine.Config) error {
-	s, state, err := openStore(store.OS{}, d.settings.DataFolder, d.log)
+	s, state, err := register.OpenStore(store.OS{}, d.settings.DataFolder, d.log)
 	if err != nil {
 		return err
 	}
 	timing := control.DefaultTiming()
 	timing.Propose = settings.Millis(d.settings.Timing.ProposeMS)
-	c := &controller{
-		machine: control.New(control.Config{
+	c := register.New(register.Options{
+		Machine: control.Config{
 			Self:        cfg.Host,
 			Incarnation: cfg.Incarnation,
 			Peers:       cfg.Peers,
@@ -88,25 +88,19 @@
 			Relays:      controlRelays,
 			Seed:        rand.Uint64(),
 			Timing:      timing,
-		}),
-		store:   s,
-		inputs:  ring.New[controlInput](controlRing),
-		mesh:    d.mesh,
-		apply:   d.applyConfig,
-		waiters: make(map[uint64]chan control.Outcome),
-		self:    cfg.Host.Name,
-		log:     d.log,
-		done:    make(chan struct{}),
-		timeout: timing.Propose,
-		members: len(d.settings.Control.Members),
-	}
-	c.publish()
+		},
+		Store:   s,
+		Mesh:    d.mesh,
+		Apply:   d.applyRecord,
+		GroupOf: groupOf,
+		Log:     d.log,
+	})
 	d.control = c
-	d.core.hostsChanged = c.setPeers
+	d.core.hostsChanged = c.SetPeers
 	d.proposer = c
 	if s != nil {
 		event.Log(context.Background(), d.log, event.DiskOpened, slog.String("disk", state.Disk),
-			slog.Uint64("version", state.Version()), slog.Bool("voting", c.machine.Voting()))
+			slog.Uint64("version", state.Version()), slog.Bool("voting", c.View().Voting))
 	}
 	if state.Chosen != nil {
 		d.applyFirst(state.Chosen)
@@ -124,8 +118,14 @@
 	d.core.engine.Apply(d.startedAt, r.Version, doc)
 }
 
-// applyConfig hands a version to the decision duty.
-func (d *Daemon) applyConfig(version uint64, doc *config.Document) {
+// applyRecord hands a version to the decision duty.
+func (d *Daemon) applyRecord(r *peer.ConfigRecord) {
+	version := r.Version
+	doc, err := decodeRecord(r)
+	if err != nil {
+		event.Log(context.Background(), d.log, event.ConfigUnreadable, slog.Uint64("version", version), slog.String("error", err.Error()))
+		return
+	}
 	k := &call{f: func(e *engine.Engine, now time.Time) { e.Apply(now, version, doc) }, out: make(chan struct{})}
 	d.core.requests.Push(k, d.core.done)
 }
@@ -172,11 +172,11 @@
 
 func (d *Daemon) receive(from string, inc membership.Incarnation, b peer.Body) {
 	if peer.IsControl(b.Kind()) {
-		d.control.receive(from, b)
+		d.control.Receive(from, b)
 		return
 	}
 	if h, ok := b.(*peer.Heartbeat); ok {
-		d.control.hint(from, h.Config)
+		d.control.Hint(from, h.Config)
 	}
 	d.core.messages.push(&message{from: from, inc: inc, body: b})
 }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,355 @@
+// Package entry holds the jobs of the callers that are connected to one host,
+// and chooses the dispatcher that each is offered to.
+//
+// A Table is a pure state machine: every method takes the current time; it does
+// no I/O, starts no goroutine and reads no clock. A job that may have run with
+// the dispatcher of a failure domain stays in that domain: only its next
+// dispatcher can tell what runs there.
+package entry
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+const (
+	// offerResend is the interval of offers without an answer.
+	offerResend = 150 * time.Millisecond
+	// silence is for how long a dispatcher may leave an offer unanswered
+	// before it counts as gone.
+	silence = 600 * time.Millisecond
+	// maxOffers bounds the dispatchers that a job is offered to: each may
+	// refuse for want of room.
+	maxOffers = 3
+	// cancelResends is how often a cancellation is sent.
+	cancelResends = 3
+)
+
+// Outcome is what a caller is told.
+type Outcome struct {
+	Outcome peer.JobOutcome
+	RetryMS int64
+	Reason  string
+}
+
+// Answer ends a caller's wait.
+type Answer struct {
+	Job    string
+	Waiter uint64
+	Outcome
+}
+
+// Message goes to a dispatcher, possibly on the own host.
+type Message struct {
+	To   string
+	Body peer.Body
+}
+
+// Dispatcher is a host that dispatches on minions, as last heard.
+type Dispatcher struct {
+	Host          string
+	FailureDomain string
+	Load          peer.PoolLoad
+	HeardAt       time.Time
+	LoadAt        time.Time // when Load was told
+}
+
+// Ready is what follows from the inputs since the last call.
+type Ready struct {
+	Messages []Message
+	Answers  []Answer
+}
+
+// open is a job without an answer.
+type open struct {
+	offer    peer.JobOffer
+	arrived  time.Time
+	deadline time.Time
+	waiters  []uint64
+	to       string // dispatcher; empty: none yet
+	domain   string // of the dispatcher
+	sentAt   time.Time
+	heardAt  time.Time // from the dispatcher, about this offer; zero: not yet
+	refused  []string  // dispatchers that had no room
+	retryMS  int64     // shortest of their hints
+	tied     bool      // may have run in domain
+}
+
+type cancellation struct {
+	to     string
+	body   peer.JobCancel
+	sentAt time.Time
+	left   int
+}
+
+// Table holds the open jobs of one host.
+type Table struct {
+	self        string
+	domain      string
+	note        func(event.ID, ...slog.Attr)
+	jobs        map[string]*open
+	dispatchers []Dispatcher
+	sent        map[string]*sentWork
+	cancels     []*cancellation
+	offers      uint64
+	ready       Ready
+}
+
+// New returns the table of a host.
+func New(self, domain string, offers uint64, note func(event.ID, ...slog.Attr)) *Table {
+	return &Table{
+		self: self, domain: domain, offers: offers, note: note,
+		jobs: make(map[string]*open), sent: make(map[string]*sentWork),
+	}
+}
+
+// Ready returns and clears what is to be done.
+func (t *Table) Ready() Ready {
+	r := t.ready
+	t.ready = Ready{}
+	return r
+}
+
+// Open returns the number of jobs without an answer.
+func (t *Table) Open() int { return len(t.jobs) }
+
+// Hosts returns the dispatchers of open jobs.
+func (t *Table) Hosts() []string {
+	var out []string
+	for _, j := range t.jobs {
+		if j.to != "" && !slices.Contains(out, j.to) {
+			out = append(out, j.to)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Submit takes a caller's job. A job that is open already gets one more waiter.
+func (t *Table) Submit(now time.Time, o peer.JobOffer, deadline time.Time, waiter uint64) {
+	if j := t.jobs[o.Job]; j != nil {
+		j.waiters = append(j.waiters, waiter)
+		return
+	}
+	j := &open{offer: o, arrived: now, deadline: deadline, waiters: []uint64{waiter}}
+	t.jobs[o.Job] = j
+	t.place(now, j)
+}
+
+// Leave ends the wait of a caller whose connection is gone.
+func (t *Table) Leave(now time.Time, id string, waiter uint64) {
+	j := t.jobs[id]
+	if j == nil {
+		return
+	}
+	j.waiters = slices.DeleteFunc(j.waiters, func(w uint64) bool { return w == waiter })
+	if len(j.waiters) > 0 {
+		return
+	}
+	t.cancel(now, j)
+	delete(t.jobs, id)
+}
+
+func (t *Table) cancel(now time.Time, j *open) {
+	if j.to == "" {
+		return
+	}
+	c := &cancellation{to: j.to, body: peer.JobCancel{Job: j.offer.Job, Offer: j.offer.Offer}, sentAt: now, left: cancelResends}
+	t.cancels = append(t.cancels, c)
+	t.sendCancel(now, c)
+}
+
+func (t *Table) sendCancel(now time.Time, c *cancellation) {
+	c.sentAt = now
+	c.left--
+	t.send(c.to, &c.body)
+}
+
+func (t *Table) send(to string, b peer.Body) {
+	t.ready.Messages = append(t.ready.Messages, Message{to, b})
+}
+
+// answer ends a job for all its waiters.
+func (t *Table) answer(now time.Time, j *open, o Outcome) {
+	delete(t.jobs, j.offer.Job)
+	for _, w := range j.waiters {
+		t.ready.Answers = append(t.ready.Answers, Answer{Job: j.offer.Job, Waiter: w, Outcome: o})
+	}
+	if o.Outcome == peer.JobComplete {
+		return
+	}
+	t.note(event.EntryJobAnswered, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.Int("outcome", int(o.Outcome)),
+		slog.String("reason", o.Reason), slog.String("dispatcher", j.to), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
+		slog.Int64("retry_ms", o.RetryMS), slog.Bool("may_have_run", j.tied))
+}
+
+// offer sends the job to a dispatcher.
+func (t *Table) offer(now time.Time, j *open, d *Dispatcher) {
+	t.offers++
+	j.offer.Offer = t.offers
+	j.to, j.domain = d.Host, d.FailureDomain
+	j.heardAt = time.Time{}
+	j.offer.MayHaveRun = j.tied
+	t.count(now, d, j)
+	t.note(event.EntryJobForwarded, slog.String("job", j.offer.Job), slog.String("dispatcher", d.Host))
+	t.sendOffer(now, j)
+	if j.sentAt.IsZero() {
+		j.sentAt = now
+	}
+}
+
+func (t *Table) sendOffer(now time.Time, j *open) {
+	j.sentAt = now
+	o := j.offer
+	o.AgeMS = now.Sub(j.arrived).Milliseconds()
+	o.LeftMS = j.deadline.Sub(now).Milliseconds()
+	t.send(j.to, &o)
+}
+
+// Ack takes a dispatcher's word that it has the offer.
+func (t *Table) Ack(now time.Time, from string, a *peer.JobAck) {
+	if j := t.jobs[a.Job]; j != nil && j.to == from && j.offer.Offer == a.Offer {
+		j.heardAt = now
+	}
+}
+
+// Result takes the end of an offer.
+func (t *Table) Result(now time.Time, from string, r *peer.JobResult) {
+	t.send(from, &peer.JobResultAck{Job: r.Job, Offer: r.Offer})
+	t.cancels = slices.DeleteFunc(t.cancels, func(c *cancellation) bool { return c.body.Job == r.Job && c.body.Offer == r.Offer })
+	j := t.jobs[r.Job]
+	if j == nil || j.to != from || j.offer.Offer != r.Offer {
+		return
+	}
+	switch r.Outcome {
+	case peer.JobRefused:
+		t.refused(now, j, r)
+	case peer.JobMoved:
+		j.offer.Done = r.Done
+		j.tied = !r.Clean
+		j.to = ""
+		t.place(now, j)
+	default:
+		t.answer(now, j, Outcome{Outcome: r.Outcome, Reason: r.Reason})
+	}
+}
+
+// refused offers the job to another dispatcher, or tells the caller.
+func (t *Table) refused(now time.Time, j *open, r *peer.JobResult) {
+	j.refused = append(j.refused, j.to)
+	if j.retryMS == 0 || r.RetryMS < j.retryMS {
+		j.retryMS = r.RetryMS
+	}
+	j.to = ""
+	if len(j.refused) < maxOffers {
+		if d := t.choose(now, j); d != nil {
+			t.offer(now, j, d)
+			return
+		}
+	}
+	t.answer(now, j, Outcome{Outcome: peer.JobRefused, RetryMS: j.retryMS, Reason: r.Reason})
+}
+
+// place offers a job to the best dispatcher, or leaves it waiting for one.
+func (t *Table) place(now time.Time, j *open) {
+	if d := t.choose(now, j); d != nil {
+		t.offer(now, j, d)
+		return
+	}
+	if !j.tied {
+		t.answer(now, j, Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"})
+	}
+}
+
+// noDispatcherRetry is what a caller is told when no dispatcher is known: a
+// takeover lasts about as long.
+const noDispatcherRetry = time.Second
+
+// Dispatchers replaces what is known of the dispatchers. Jobs with one that is
+// gone are offered to the next of its failure domain.
+func (t *Table) Dispatchers(now time.Time, list []Dispatcher) {
+	t.dispatchers = list
+	for _, j := range t.sorted() {
+		if j.to == "" {
+			t.place(now, j)
+			continue
+		}
+		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.Host == j.to }) {
+			t.reoffer(now, j, "dispatcher is gone")
+		}
+	}
+}
+
+// reoffer gives a job whose dispatcher is gone to the next one.
+func (t *Table) reoffer(now time.Time, j *open, reason string) {
+	t.note(event.EntryJobReoffered, slog.String("job", j.offer.Job), slog.String("from", j.to), slog.String("reason", reason))
+	j.tied = true
+	j.to = ""
+	t.place(now, j)
+}
+
+// HostRestarted tells that a dispatcher has lost its memory.
+func (t *Table) HostRestarted(now time.Time, host string) {
+	for _, j := range t.sorted() {
+		if j.to == host {
+			t.reoffer(now, j, "dispatcher restarted")
+		}
+	}
+}
+
+// Abandon answers every open job as unknown: the host stood still, and
+// callers may have gone to others meanwhile.
+func (t *Table) Abandon(now time.Time, reason string) {
+	for _, j := range t.sorted() {
+		t.cancel(now, j)
+		t.answer(now, j, Outcome{Outcome: peer.JobUnknown, Reason: reason})
+	}
+}
+
+// Tick repeats what has no answer and ends what is late.
+func (t *Table) Tick(now time.Time) {
+	for _, j := range t.sorted() {
+		t.tickJob(now, j)
+	}
+	open := t.cancels[:0]
+	for _, c := range t.cancels {
+		if now.Sub(c.sentAt) >= offerResend {
+			t.sendCancel(now, c)
+		}
+		if c.left > 0 {
+			open = append(open, c)
+		}
+	}
+	t.cancels = open
+}
+
+func (t *Table) tickJob(now time.Time, j *open) {
+	if !now.Before(j.deadline) {
+		t.cancel(now, j)
+		o := Outcome{Outcome: peer.JobUnknown, Reason: "deadline passed"}
+		if j.to == "" && !j.tied {
+			o = Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
+		}
+		t.answer(now, j, o)
+		return
+	}
+	if j.to != "" && j.heardAt.IsZero() && now.Sub(j.sentAt) >= offerResend {
+		t.sendOffer(now, j)
+	}
+}
+
+func (t *Table) sorted() []*open {
+	out := make([]*open, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *open) int {
+		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.offer.Job, b.offer.Job))
+	})
+	return out
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -36,10 +36,33 @@
 	MinionEjected   ID = 3004
 	MinionRestored  ID = 3005
 
-	PeerUp       ID = 4001
-	PeerDown     ID = 4002
-	PeerRejected ID = 4003
-	HostsChanged ID = 4004
+	PoolJobEnded       ID = 2101
+	PoolStartUnknown   ID = 2102
+	PoolStartRefused   ID = 2103
+	PoolRunMoved       ID = 2104
+	EntryJobAnswered   ID = 2111
+	EntryJobForwarded  ID = 2112
+	EntryJobReoffered  ID = 2113
+	EntryRequestBad    ID = 2114
+	PoolMinionDraining ID = 3101
+	PoolMinionReborn   ID = 3102
+	PoolMinionLost     ID = 3103
+	PoolMinionHeld     ID = 3104
+	PoolLeaseLapsed    ID = 3105
+	PoolMinionBad      ID = 3106
+	PoolMinionGood     ID = 3107
+	PoolDeposed        ID = 3108
+	ClaimTaken         ID = 3111
+	ClaimReleased      ID = 3112
+	MinionRecorded     ID = 3113
+	AnnouncementBad    ID = 3114
+	MinionAnswerBad    ID = 3115
+
+	PeerUp         ID = 4001
+	PeerDown       ID = 4002
+	PeerRejected   ID = 4003
+	HostsChanged   ID = 4004
+	HostStoodStill ID = 4005
 
 	ConfigApplied    ID = 5001
 	StoreCorrupt     ID = 5002
@@ -49,6 +72,8 @@
 	PlanConfirmed    ID = 5006
 	DiskOpened       ID = 5007
 	ConfigUnreadable ID = 5008
+	DocumentRefused  ID = 5009
+	DocumentUnsure   ID = 5010
 
 	RequestPanicked   ID = 6001
 	ServerFailed      ID = 6002
@@ -84,10 +109,32 @@
 	{MinionExpired, slog.LevelWarn, "minion lease expired", "Check the minion's process and its network."},
 	{MinionEjected, slog.LevelWarn, "minion ejected for failures or slowness", "Check the minion; it is probed with single tasks."},
 	{MinionRestored, slog.LevelInfo, "ejected minion restored", "None."},
+	{PoolJobEnded, slog.LevelInfo, "dispatched job ended late or without success", "The reason names the cause; see OPERATIONS.md for the way from a job to it."},
+	{PoolStartUnknown, slog.LevelWarn, "start without an answer", "None; a listing under a newer token tells whether it was carried out."},
+	{PoolStartRefused, slog.LevelInfo, "minion refused a start", "Check the named minion if it goes on."},
+	{PoolRunMoved, slog.LevelInfo, "stuck or slow run stopped, to run elsewhere", "Check the named minion if it goes on."},
+	{EntryJobAnswered, slog.LevelInfo, "job answered without success", "The reason names the cause."},
+	{EntryJobForwarded, slog.LevelDebug, "job offered to a dispatcher", "None."},
+	{EntryJobReoffered, slog.LevelInfo, "job offered to another dispatcher", "None."},
+	{EntryRequestBad, slog.LevelInfo, "caller's request refused as unreadable", "Tell the caller's team."},
+	{PoolMinionDraining, slog.LevelInfo, "minion drains", "None."},
+	{PoolMinionReborn, slog.LevelInfo, "minion started again", "None."},
+	{PoolMinionLost, slog.LevelWarn, "minion out of reach", "Check the minion's process and its network."},
+	{PoolMinionHeld, slog.LevelInfo, "minion held", "None."},
+	{PoolLeaseLapsed, slog.LevelWarn, "lease lapsed on a minion out of reach", "None; its tasks run elsewhere."},
+	{PoolMinionBad, slog.LevelInfo, "minion put on trial", "Check the minion if it goes on."},
+	{PoolMinionGood, slog.LevelInfo, "minion passed its trial", "None."},
+	{PoolDeposed, slog.LevelWarn, "minion obeys a newer token", "None; another host has taken it over."},
+	{ClaimTaken, slog.LevelInfo, "minions taken over", "None."},
+	{ClaimReleased, slog.LevelInfo, "minions handed over", "None."},
+	{MinionRecorded, slog.LevelInfo, "minion's announcement changed", "None."},
+	{AnnouncementBad, slog.LevelWarn, "announcement refused as unreadable", "Check the sender."},
+	{MinionAnswerBad, slog.LevelWarn, "minion's answer unreadable", "Check the minion's release."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
 	{HostsChanged, slog.LevelInfo, "list of hosts changed", "None."},
+	{HostStoodStill, slog.LevelWarn, "host stood still", "Check the machine; its jobs were given up and its minions taken over."},
 	{ConfigApplied, slog.LevelInfo, "configuration version in force", "None."},
 	{StoreCorrupt, slog.LevelError, "durable file corrupt", "Replace the disk or clear the data folder, then admit the control host again."},
 	{StoreWriteError, slog.LevelError, "durable write failed", "Check the disk's space and health."},
@@ -96,6 +143,8 @@
 	{PlanConfirmed, slog.LevelInfo, "plan confirmed", "None."},
 	{DiskOpened, slog.LevelInfo, "data folder opened", "None; a new disk votes once a configuration change has admitted its identity."},
 	{ConfigUnreadable, slog.LevelError, "configuration version unreadable", "Bring the host to the release of the others; the version before stays in force."},
+	{DocumentRefused, slog.LevelInfo, "operator's document refused", "Mend what the error names and send it again."},
+	{DocumentUnsure, slog.LevelWarn, "no majority of the control hosts answered in time", "Check the control hosts and the network between them."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
 	{ConnectionRefused, slog.LevelWarn, "connection refused at the listener's bound", "Find who holds so many connections, or raise max_connections."},
--- /dev/null
+++ b/internal/fleet/serve.go
@@ -0,0 +1,166 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/laburnumwalk/laburnumwalk/internal/control"
+	"github.com/laburnumwalk/laburnumwalk/internal/entry"
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/queue"
+	"github.com/laburnumwalk/laburnumwalk/internal/result"
+	"github.com/pkg/errors"
+)
+
+// ErrNotSure is returned when no majority of the control hosts could tell or
+// choose the newest document in time.
+var ErrNotSure = errors.New("no majority of the control hosts answered in time")
+
+// Ready reports whether the host should get callers.
+func (h *Host) Ready() bool { return h.ready.Load() }
+
+// Leaving reports whether the host shuts down.
+func (h *Host) Leaving() bool { return h.leaving.Load() }
+
+// Document returns the document in force, or nil.
+func (h *Host) Document() *queue.Document { return h.document.Load() }
+
+// Job is one job of a caller.
+type Job struct {
+	ID       string
+	Queue    *queue.Queue
+	Payload  string
+	Steps    []peer.TaskStep
+	Deadline time.Time // when the caller stops waiting
+}
+
+// Submit runs a job and waits for its end. When ctx ends before, the caller is
+// gone: the job is stopped.
+func (h *Host) Submit(ctx context.Context, j *Job) entry.Outcome {
+	o := peer.JobOffer{
+		Job: j.ID, Queue: j.Queue.Name, Service: j.Queue.Service, Payload: j.Payload, Steps: j.Steps,
+		Priority: j.Queue.Priority, Attempts: j.Queue.Attempts, StretchPct: j.Queue.StretchPct, AddMS: j.Queue.AddMS,
+	}
+	out := make(chan entry.Outcome, 1)
+	var waiter uint64
+	ok := h.push(func(now time.Time) {
+		h.decisions.nextID++
+		waiter = h.decisions.nextID
+		h.decisions.waiters[waiter] = out
+		h.decisions.table.Submit(now, o, j.Deadline, waiter)
+	})
+	if !ok {
+		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "ring of the decisions is full"}
+	}
+	select {
+	case r := <-out:
+		return r
+	case <-ctx.Done():
+	case <-h.done:
+	}
+	h.push(func(now time.Time) {
+		delete(h.decisions.waiters, waiter)
+		h.decisions.table.Leave(now, j.ID, waiter)
+	})
+	return entry.Outcome{Outcome: peer.JobUnknown, Reason: "caller is gone"}
+}
+
+// busyRetry is what a caller is told when the host is out of room for inputs.
+const busyRetry = 500 * time.Millisecond
+
+// Announce takes a minion's announcement.
+func (h *Host) Announce(m peer.MinionRecord) {
+	h.push(func(now time.Time) {
+		if h.decisions.roster.Announce(m) {
+			h.note(event.MinionRecorded, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Gone), slog.Uint64("seq", m.Seq))
+			h.decisions.minionChanged(now, m)
+		}
+	})
+}
+
+// Gone takes a minion's word that it ends.
+func (h *Host) Gone(id string) {
+	h.push(func(now time.Time) {
+		m, ok := h.decisions.roster.Minion(id)
+		if !ok {
+			return
+		}
+		m.Gone = true
+		m.Seq++
+		if h.decisions.roster.Announce(m) {
+			h.note(event.MinionRecorded, slog.String("minion", id), slog.Bool("gone", true))
+			h.decisions.minionChanged(now, m)
+		}
+	})
+}
+
+// Newest returns a document that was certainly the newest at some moment since
+// the call; nil: none was declared yet. The error is ErrNotSure.
+func (h *Host) Newest(ctx context.Context) (*queue.Document, error) {
+	v, ok := h.control.Newest(ctx)
+	if !ok {
+		return nil, ErrNotSure
+	}
+	if v.Record == nil {
+		return nil, nil
+	}
+	return queue.Decode(v.Record)
+}
+
+// Declare gets a document accepted. One that is not newer than the document in
+// force changes nothing. The error is ErrNotSure when it may be chosen or not.
+func (h *Host) Declare(ctx context.Context, d *queue.Document) error {
+	encoded, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		v := h.control.View()
+		if v.Record != nil {
+			held, err := queue.Decode(v.Record)
+			if err != nil {
+				return err
+			}
+			if held.Version >= d.Version {
+				_, err := h.Newest(ctx)
+				return err
+			}
+		}
+		o := h.control.Propose(ctx, control.Proposal{Command: uuid.NewString(), Operator: h.self.Name, Base: v.Version, Document: encoded})
+		switch o.Code {
+		case result.OK:
+			return nil
+		case result.VersionTaken, result.PlanStale:
+			continue // others were first; the newest decides again
+		default:
+			return errors.WithMessage(ErrNotSure, o.Detail)
+		}
+	}
+	return ErrNotSure
+}
+
+// Leave begins the shutdown: another host takes the minions over, and callers
+// go elsewhere.
+func (h *Host) Leave() {
+	h.leaving.Store(true)
+	h.ready.Store(false)
+	h.note(event.StopRequested, slog.String("host", h.self.Name))
+	h.push(func(now time.Time) {
+		h.decisions.beatSoon = true
+		if len(h.decisions.candidates(now)) > 0 {
+			h.decisions.pool.Freeze()
+		}
+	})
+}
+
+// SettingsRefused logs a settings file that was not taken over.
+func (h *Host) SettingsRefused(err error) {
+	h.note(event.SettingsRefused, slog.String("error", err.Error()))
+}
+
+// Pending returns the number of a queue's open jobs here for which no task has
+// started.
+func (h *Host) Pending(string) int { return int(h.waiting.Load()) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -41,6 +41,8 @@
 	reject   Rejecter
 	listener net.Listener
 
+	open *OpenOptions // nil: only the configured peers
+
 	mu      sync.Mutex
 	ctx     context.Context // nil until Run
 	peers   map[string]*outbound
@@ -54,6 +56,7 @@
 	host   membership.Host
 	ring   *ring.Ring[peer.Body]
 	cancel context.CancelFunc // nil until the connection's goroutine runs
+	beat   unanswered
 }
 
 // New returns a Mesh on an open listener.
@@ -112,7 +115,7 @@
 
 // Run accepts and dials until ctx ends, then closes every connection.
 func (m *Mesh) Run(ctx context.Context) {
-	m.open(ctx)
+	m.start(ctx)
 	m.wg.Go(func() { m.accept(ctx) })
 	<-ctx.Done()
 	m.listener.Close()
@@ -120,7 +123,7 @@
 	m.wg.Wait()
 }
 
-func (m *Mesh) open(ctx context.Context) {
+func (m *Mesh) start(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ctx = ctx
@@ -133,6 +136,9 @@
 func (m *Mesh) Send(to string, b peer.Body) bool {
 	m.mu.Lock()
 	o := m.peers[to]
+	if o == nil && m.open != nil {
+		o = m.reach(to)
+	}
 	m.mu.Unlock()
 	return o != nil && o.ring.TryPush(b)
 }
@@ -162,7 +168,7 @@
 			if lost {
 				dropLeases(out)
 			}
-			m.sendLoop(ctx, conn, out)
+			m.sendLoop(ctx, conn, out, nil, nil)
 			conn.Close()
 			if time.Since(begin) > maxRedial {
 				delay.Reset() // it was not rejected at once
@@ -199,25 +205,34 @@
 	return false
 }
 
-func (m *Mesh) sendLoop(ctx context.Context, conn net.Conn, out *ring.Ring[peer.Body]) {
+// sendLoop sends until the connection ends. Where beat is set, it also ends
+// when beats stay without an answer; where idle is set, when nothing was sent
+// for a while, and returns true.
+func (m *Mesh) sendLoop(ctx context.Context, conn net.Conn, out *ring.Ring[peer.Body], beat *unanswered, idle *idleTimer) (wasIdle bool) {
 	if err := write(conn, &m.hello); err != nil {
-		return
+		return false
 	}
-	closed := watch(conn)
+	closed := watch(conn, beat)
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-closed:
-			return
+			return false
+		case <-idle.c():
+			return true
 		case b := <-out.C():
+			idle.touch()
+			if beat != nil && answered(b) && beat.sent(time.Now()) > m.open.AnswerTimeout {
+				return false
+			}
 			err := write(conn, b)
 			if errors.Is(err, peer.ErrTooLarge) {
 				m.countDropped() // nothing was written; the connection is whole
 				continue
 			}
 			if err != nil {
-				return
+				return false
 			}
 		}
 	}
@@ -225,12 +240,19 @@
 
 // watch returns a channel that is closed when the other end closes the
 // connection. Without it the first message after that would be written into
-// the void. Nothing is ever received on an outbound connection.
-func watch(conn net.Conn) <-chan struct{} {
+// the void. Nothing but answers to beats is received on an outbound connection.
+func watch(conn net.Conn, beat *unanswered) <-chan struct{} {
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		_, _ = conn.Read(make([]byte, 1)) // returns at the latest when conn is closed
+		answers := make([]byte, 64)
+		for {
+			// The read returns at the latest when conn is closed.
+			if _, err := conn.Read(answers); err != nil || beat == nil {
+				return
+			}
+			beat.answered()
+		}
 	}()
 	return closed
 }
@@ -274,11 +296,17 @@
 		m.reject(conn.RemoteAddr().String(), err)
 		return
 	}
+	defer m.ended(ctx, hello)
 	for ctx.Err() == nil {
 		b, err := read(conn)
 		if err != nil {
 			return
 		}
+		if m.open != nil && answered(b) {
+			if _, err := conn.Write(answer); err != nil {
+				return
+			}
+		}
 		m.receive(hello.Host, hello.Incarnation, b)
 	}
 }
@@ -295,7 +323,7 @@
 	if h.Version != peer.Version {
 		return nil, errors.Errorf("link: protocol version %d, want %d", h.Version, peer.Version)
 	}
-	if !m.knows(h) {
+	if m.open == nil && !m.knows(h) {
 		return nil, errors.Errorf("link: unknown host %q of failure domain %q", h.Host, h.FailureDomain)
 	}
 	return h, nil
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -13,11 +13,12 @@
 	KindControlChosen
 	KindControlFetch
 	KindControlReport
+	KindControlQuery
 )
 
 // IsControl reports whether a message is about agreeing on configuration
 // versions.
-func IsControl(k Kind) bool { return k >= KindControlPrepare && k <= KindControlReport }
+func IsControl(k Kind) bool { return k >= KindControlPrepare && k <= KindControlQuery }
 
 // Ballot orders the attempts to choose one version. The zero value is lower
 // than every attempt.
@@ -116,7 +117,15 @@
 type ControlReport struct {
 	Disk    string `msgpack:"d"`
 	Version uint64 `msgpack:"v"`
-	Failed  bool   `msgpack:"f"` // its store failed; it does not vote
+	Failed  bool   `msgpack:"f"`           // its store failed; it does not vote
+	Nonce   uint64 `msgpack:"n,omitempty"` // of the query that it answers
+	Pending bool   `msgpack:"u,omitempty"` // it accepted a value for the next version, which may be chosen
+}
+
+// ControlQuery asks a control host for a report.
+type ControlQuery struct {
+	Nonce   uint64 `msgpack:"n"`
+	Version uint64 `msgpack:"v"` // the asker's version
 }
 
 // Kind implements Body.
@@ -142,3 +151,6 @@
 
 // Kind implements Body.
 func (*ControlReport) Kind() Kind { return KindControlReport }
+
+// Kind implements Body.
+func (*ControlQuery) Kind() Kind { return KindControlQuery }
--- /dev/null
+++ b/internal/peer/fleet.go
@@ -0,0 +1,169 @@
+package peer
+
+import "github.com/laburnumwalk/laburnumwalk/internal/membership"
+
+// Kinds of the messages between hosts that find each other and share leased
+// minions.
+const (
+	KindBeat Kind = iota + 80
+	KindRoster
+	KindJobOffer
+	KindJobAck
+	KindJobResult
+	KindJobResultAck
+	KindJobCancel
+)
+
+// HostRecord is what hosts tell each other about one host.
+type HostRecord struct {
+	Name          string                 `msgpack:"n"` // IP address
+	FailureDomain string                 `msgpack:"d"`
+	Region        string                 `msgpack:"r"`
+	Incarnation   membership.Incarnation `msgpack:"i"`
+	Entry         bool                   `msgpack:"e,omitempty"` // takes callers' requests and dispatches
+	Control       bool                   `msgpack:"c,omitempty"` // takes minions' announcements and operators' orders
+}
+
+// MinionRecord is the newest announcement of one minion that a host knows.
+type MinionRecord struct {
+	ID            string   `msgpack:"i"`
+	Born          int64    `msgpack:"b"` // Unix milliseconds of its process start
+	Seq           uint64   `msgpack:"q"` // of the announcement within that life
+	Service       string   `msgpack:"s"`
+	Address       string   `msgpack:"a"`
+	FailureDomain string   `msgpack:"d"`
+	Draining      bool     `msgpack:"g,omitempty"`
+	Gone          bool     `msgpack:"x,omitempty"` // it said that it ends
+	CPU           int64    `msgpack:"c"`           // thousandths of a processor
+	MemoryMB      int64    `msgpack:"m"`
+	Accelerators  int64    `msgpack:"p,omitempty"`
+	Labels        []string `msgpack:"l,omitempty"`
+}
+
+// Claim says that the sender dispatches on the minions of one shard.
+type Claim struct {
+	Shard int    `msgpack:"s"`
+	Token uint64 `msgpack:"t"` // fencing token of the claim
+}
+
+// PoolLoad is the state of the sender's queue and minions.
+type PoolLoad struct {
+	Capacity int64 `msgpack:"c"` // thousandths of a processor on minions that take work
+	Free     int64 `msgpack:"f"` // of these, not in use
+	Queued   int64 `msgpack:"q"` // processor-milliseconds (thousandths of a processor times ms) of tasks that wait
+	Running  int64 `msgpack:"r"` // the same, left of tasks that run
+}
+
+// Beat tells that the sender lives. It is sent at a fixed interval to the
+// hosts that the sender works with.
+type Beat struct {
+	From    HostRecord             `msgpack:"h"`
+	Config  uint64                 `msgpack:"c"` // register version in force
+	Leaving bool                   `msgpack:"l,omitempty"`
+	Claims  []Claim                `msgpack:"m,omitempty"`
+	Load    *PoolLoad              `msgpack:"p,omitempty"` // of a host with claims
+	Log     uint64                 `msgpack:"g"`           // how much of the receiver's roster log the sender has
+	LogOf   membership.Incarnation `msgpack:"o"`           // whose log that is
+}
+
+// Roster carries the records of the sender's log after the receiver's place.
+type Roster struct {
+	Of      membership.Incarnation `msgpack:"o"`
+	Log     uint64                 `msgpack:"g"`
+	Hosts   []HostRecord           `msgpack:"h,omitempty"`
+	Minions []MinionRecord         `msgpack:"m,omitempty"`
+}
+
+// TaskStep is a set of equal tasks of a job.
+type TaskStep struct {
+	Count        int    `msgpack:"n"`
+	CPU          int64  `msgpack:"c"` // thousandths of a processor, each
+	MemoryMB     int64  `msgpack:"m,omitempty"`
+	Accelerators int64  `msgpack:"p,omitempty"`
+	EstimateMS   int64  `msgpack:"e"` // declared run time
+	After        []int  `msgpack:"a,omitempty"`
+	Label        string `msgpack:"l,omitempty"` // that the minion must have
+	Rack         string `msgpack:"r,omitempty"` // near the data
+	MaxPerMinion int    `msgpack:"x,omitempty"` // 0: no bound
+}
+
+// JobOffer hands a job to the host that dispatches it. It is repeated until it
+// is answered.
+type JobOffer struct {
+	Job        string     `msgpack:"j"`
+	Offer      uint64     `msgpack:"o"` // number of the offer, chosen by its sender
+	Queue      string     `msgpack:"q"` // route, for learning run times
+	Service    string     `msgpack:"s"`
+	Payload    string     `msgpack:"p"` // given to each task
+	Steps      []TaskStep `msgpack:"t"`
+	Priority   int        `msgpack:"y"`           // 0 comes first
+	Attempts   int        `msgpack:"a"`           // failed runs of a task after which the job fails
+	StretchPct int64      `msgpack:"g"`           // objective, in hundredths of the longest chain of work
+	AddMS      int64      `msgpack:"b"`           // and milliseconds beside that
+	AgeMS      int64      `msgpack:"w"`           // since the caller's request arrived
+	LeftMS     int64      `msgpack:"l"`           // until the caller stops waiting
+	MayHaveRun bool       `msgpack:"u,omitempty"` // it was with another dispatcher of the failure domain
+	Done       []int      `msgpack:"d,omitempty"` // tasks, numbered over all steps, that are known to have ended
+}
+
+// JobAck says that the offer was taken.
+type JobAck struct {
+	Job   string `msgpack:"j"`
+	Offer uint64 `msgpack:"o"`
+}
+
+// JobOutcome is what became of an offered job.
+type JobOutcome uint8
+
+// Outcomes of an offer.
+const (
+	JobComplete JobOutcome = iota + 1
+	JobFailed              // a task failed too often, or can never run
+	JobRefused             // nothing of it has run, or ever will by this offer
+	JobMoved               // the dispatcher hands over; offer it to the next one
+	JobUnknown             // it was given up, and parts of it may have run
+)
+
+// JobResult ends an offer. It is repeated until it is acknowledged.
+type JobResult struct {
+	Job     string     `msgpack:"j"`
+	Offer   uint64     `msgpack:"f"`
+	Outcome JobOutcome `msgpack:"o"`
+	RetryMS int64      `msgpack:"r,omitempty"` // of JobRefused: when there should be room
+	Done    []int      `msgpack:"d,omitempty"` // of JobMoved
+	Clean   bool       `msgpack:"c,omitempty"` // of JobMoved: nothing of it has run
+	Reason  string     `msgpack:"n,omitempty"`
+}
+
+// JobResultAck says that the result has arrived.
+type JobResultAck struct {
+	Job   string `msgpack:"j"`
+	Offer uint64 `msgpack:"o"`
+}
+
+// JobCancel gives up an offered job: its caller is gone.
+type JobCancel struct {
+	Job   string `msgpack:"j"`
+	Offer uint64 `msgpack:"o"`
+}
+
+// Kind implements Body.
+func (*Beat) Kind() Kind { return KindBeat }
+
+// Kind implements Body.
+func (*Roster) Kind() Kind { return KindRoster }
+
+// Kind implements Body.
+func (*JobOffer) Kind() Kind { return KindJobOffer }
+
+// Kind implements Body.
+func (*JobAck) Kind() Kind { return KindJobAck }
+
+// Kind implements Body.
+func (*JobResult) Kind() Kind { return KindJobResult }
+
+// Kind implements Body.
+func (*JobResultAck) Kind() Kind { return KindJobResultAck }
+
+// Kind implements Body.
+func (*JobCancel) Kind() Kind { return KindJobCancel }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -105,6 +105,14 @@
 	KindJobAnswer:    func() Body { return &JobAnswer{} },
 	KindForward:      func() Body { return &Forward{} },
 
+	KindBeat:         func() Body { return &Beat{} },
+	KindRoster:       func() Body { return &Roster{} },
+	KindJobOffer:     func() Body { return &JobOffer{} },
+	KindJobAck:       func() Body { return &JobAck{} },
+	KindJobResult:    func() Body { return &JobResult{} },
+	KindJobResultAck: func() Body { return &JobResultAck{} },
+	KindJobCancel:    func() Body { return &JobCancel{} },
+
 	KindControlPrepare:  func() Body { return &ControlPrepare{} },
 	KindControlPromise:  func() Body { return &ControlPromise{} },
 	KindControlAccept:   func() Body { return &ControlAccept{} },
@@ -113,6 +121,7 @@
 	KindControlChosen:   func() Body { return &ControlChosen{} },
 	KindControlFetch:    func() Body { return &ControlFetch{} },
 	KindControlReport:   func() Body { return &ControlReport{} },
+	KindControlQuery:    func() Body { return &ControlQuery{} },
 }
 
 func newBody(k Kind) (Body, error) {
--- /dev/null
+++ b/internal/pool/admit.go
@@ -0,0 +1,130 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+const (
+	// answerTime is what a result needs from its last task to the caller.
+	answerTime = 10 * time.Millisecond
+	// minRetry is the shortest time after which a refused caller is told to
+	// come back: a queue shorter than that admits jobs again by then.
+	minRetry = 200 * time.Millisecond
+)
+
+// admit decides whether a new job is taken. It refuses what the backlog keeps
+// from ending before its deadline, and fails what no minion can ever run.
+func (p *Pool) admit(now time.Time, j *job) *peer.JobResult {
+	if len(j.tasks) == 0 {
+		return &peer.JobResult{Outcome: peer.JobComplete}
+	}
+	if j.offer.MayHaveRun {
+		return nil
+	}
+	if reason := p.neverFits(j); reason != "" {
+		return &peer.JobResult{Outcome: peer.JobFailed, Reason: reason}
+	}
+	capacity := p.capacity(j.offer.Service)
+	if capacity == 0 {
+		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: minRetry.Milliseconds(), Reason: "no minion takes work"}
+	}
+	delay := p.delay(now, j, capacity)
+	if now.Add(delay + j.chain() + answerTime).After(j.deadline) {
+		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: max(minRetry, delay).Milliseconds(), Reason: "the backlog is longer than the caller waits"}
+	}
+	return nil
+}
+
+// neverFits returns why no minion of the service could run a step, or "".
+func (p *Pool) neverFits(j *job) string {
+	for i := range j.offer.Steps {
+		s := &j.offer.Steps[i]
+		fits, known := false, false
+		for _, m := range p.ordered {
+			if m.Service != j.offer.Service {
+				continue
+			}
+			known = true
+			fits = fits || m.couldRun(s)
+		}
+		if known && !fits {
+			return "no minion is large enough, or has the label"
+		}
+	}
+	return ""
+}
+
+// capacity returns the processors, in thousandths, of a service's minions that
+// take work.
+func (p *Pool) capacity(service string) int64 {
+	var sum int64
+	for _, m := range p.ordered {
+		if m.Service == service && m.takesWork() {
+			sum += m.CPU
+		}
+	}
+	return sum
+}
+
+// delay estimates how long the job waits until its last task starts: the work
+// that goes before it, over the capacity.
+func (p *Pool) delay(now time.Time, j *job, capacity int64) time.Duration {
+	own := p.rankOf(now, j)
+	ahead := own.work
+	for _, o := range p.jobs {
+		if o.offer.Service == j.offer.Service && o.waits() && compareRanks(p.rankOf(now, o), own) < 0 {
+			ahead += o.work()
+		}
+	}
+	ahead -= p.free(j.offer.Service) * j.chain().Milliseconds()
+	return time.Duration(max(0, ahead)/capacity) * time.Millisecond
+}
+
+// expire returns the result of a job that can no longer end before its
+// deadline, or nil.
+func (p *Pool) expire(now time.Time, j *job) *peer.JobResult {
+	if !j.touched {
+		if now.Add(j.chain() + answerTime).Before(j.deadline) {
+			return nil
+		}
+		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: minRetry.Milliseconds(), Reason: "the queue did not empty before the caller's deadline"}
+	}
+	if now.Before(j.deadline) {
+		return nil
+	}
+	return &peer.JobResult{Outcome: peer.JobUnknown, Reason: "deadline passed"}
+}
+
+// Load returns the state that other hosts choose by.
+func (p *Pool) Load(now time.Time) peer.PoolLoad {
+	var l peer.PoolLoad
+	for _, m := range p.ordered {
+		if m.takesWork() {
+			l.Capacity += m.CPU
+			l.Free += max(0, m.CPU-m.usedCPU)
+		}
+		for _, x := range m.runs {
+			if x.step != nil {
+				l.Running += x.step.CPU * x.left(now).Milliseconds()
+			}
+		}
+	}
+	for _, j := range p.jobs {
+		l.Queued += j.work()
+	}
+	return l
+}
+
+// free returns the processors, in thousandths, that are not in use on a
+// service's minions.
+func (p *Pool) free(service string) int64 {
+	var sum int64
+	for _, m := range p.ordered {
+		if m.Service == service && m.takesWork() {
+			sum += max(0, m.CPU-m.usedCPU)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/pool/learn.go
@@ -0,0 +1,58 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+const (
+	learnRate = 0.02 // weight of a new run in a kind's averages
+	minRuns   = 20   // fewer say nothing about a kind
+)
+
+// kind is what was learned of the run times of one queue.
+type kind struct {
+	runs     int
+	logTime  float64 // mean logarithm of the run time in milliseconds
+	logRatio float64 // mean logarithm of the run time over the declared one
+}
+
+func (p *Pool) kind(queue string) *kind {
+	k := p.kinds[queue]
+	if k == nil {
+		k = &kind{}
+		p.kinds[queue] = k
+	}
+	return k
+}
+
+// factor returns the expected run time over the declared one. The declared
+// time and the kind's usual time are both off by about as much, so their
+// geometric mean is taken.
+func (k *kind) factor(steps []peer.TaskStep) float64 {
+	if k.runs < minRuns || len(steps) == 0 {
+		return 1
+	}
+	var logDeclared float64
+	for i := range steps {
+		logDeclared += math.Log(float64(max(1, steps[i].EstimateMS)))
+	}
+	logDeclared /= float64(len(steps))
+	return math.Exp((k.logTime-(logDeclared+k.logRatio))/2 + k.logRatio)
+}
+
+// observe learns from a run that ended as done, at the speed of its minion.
+func (k *kind) observe(took time.Duration, speed float64, declaredMS int64) {
+	ms := math.Max(1, float64(took)/float64(time.Millisecond)/speed)
+	logTime := math.Log(ms)
+	logRatio := math.Log(ms / float64(max(1, declaredMS)))
+	if k.runs == 0 {
+		k.logTime, k.logRatio = logTime, logRatio
+	}
+	rate := math.Max(learnRate, 1/float64(k.runs+1))
+	k.logTime += rate * (logTime - k.logTime)
+	k.logRatio += rate * (logRatio - k.logRatio)
+	k.runs++
+}
--- /dev/null
+++ b/internal/pool/minion.go
@@ -0,0 +1,475 @@
+package pool
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+const (
+	firstHoldPause = 30 * time.Millisecond // after a failed hold, doubled each time
+	maxHoldPause   = 500 * time.Millisecond
+	stopResend     = 80 * time.Millisecond // of a stop without an answer
+	// unstoppedGrace is how long a lease is still renewed while a stop is not
+	// confirmed; then the lease lapses and ends the run.
+	unstoppedGrace = 150 * time.Millisecond
+	holdGrace      = 300 * time.Millisecond // beyond its wait, after which a hold counts as lost
+)
+
+// run is one run that is, or may be, on a minion.
+type run struct {
+	task     TaskRef
+	number   int
+	owner    *job           // nil: no job here wants it
+	step     *peer.TaskStep // nil: what it needs is not known
+	token    uint64         // of its start
+	started  bool           // the minion has it
+	sentAt   time.Time
+	ackAt    time.Time // when its start was confirmed
+	ackClock int64     // on the minion's clock
+	expected time.Duration
+	percent  float64
+	seenAt   time.Time // of the newest listing with it
+	movedAt  time.Time // when percent last rose
+	stopping bool
+	stopAt   time.Time // when the stop was sent last
+	stopOK   time.Time // when it was confirmed; zero: not yet
+	moving   bool      // it is stopped to run elsewhere
+}
+
+// left returns how much longer the run should take.
+func (x *run) left(now time.Time) time.Duration {
+	if !x.started {
+		return x.expected
+	}
+	elapsed := now.Sub(x.ackAt)
+	if x.percent > 0 {
+		seen := x.seenAt.Sub(x.ackAt)
+		return max(0, time.Duration(float64(seen)*100/x.percent)-elapsed)
+	}
+	return max(x.expected/10, x.expected-elapsed)
+}
+
+// holdCall is a Hold without an answer.
+type holdCall struct {
+	token  uint64
+	sentAt time.Time
+	until  time.Time // when it counts as lost
+	urgent bool      // beside the regular one
+}
+
+type minion struct {
+	peer.MinionRecord
+	token     uint64
+	runs      map[TaskRef]*run
+	usedCPU   int64
+	usedMem   int64
+	usedAcc   int64
+	lastSeen  uint64
+	listed    bool // under a token of the present claim
+	reachable bool
+	otherLife bool // the address answers as another process
+	clock     int64
+	clockAt   time.Time // when the minion's clock was at least clock
+	listClock int64     // of the newest listing
+	maxUntil  int64     // latest end of a lease that was asked for
+	calls     map[uint64]*holdCall
+	failures  int
+	nextHold  time.Time
+	health    health
+}
+
+// Minion takes the newest record of a minion that the pool owns.
+func (p *Pool) Minion(now time.Time, r peer.MinionRecord) {
+	m := p.minions[r.ID]
+	if m == nil {
+		if r.Gone {
+			return
+		}
+		m = &minion{MinionRecord: r, runs: make(map[TaskRef]*run), calls: make(map[uint64]*holdCall)}
+		p.minions[r.ID] = m
+		p.ordered = append(p.ordered, m)
+		slices.SortFunc(p.ordered, func(a, b *minion) int { return cmp.Compare(a.ID, b.ID) })
+		p.renew(now, m)
+		return
+	}
+	if r.Born != m.Born && r.Born > m.Born {
+		p.newLife(now, m, r.Born)
+	}
+	if r.Draining && !m.Draining {
+		p.cfg.Note(event.PoolMinionDraining, slog.String("minion", r.ID), slog.Int("runs", len(m.runs)))
+	}
+	born := m.Born
+	m.MinionRecord = r
+	m.Born = max(born, r.Born)
+	if r.Gone && len(m.runs) == 0 {
+		p.drop(m)
+	}
+}
+
+func (p *Pool) drop(m *minion) {
+	delete(p.minions, m.ID)
+	p.ordered = slices.DeleteFunc(p.ordered, func(x *minion) bool { return x == m })
+}
+
+// newLife forgets what an earlier process of the minion ran: it ended with it.
+func (p *Pool) newLife(now time.Time, m *minion, born int64) {
+	p.cfg.Note(event.PoolMinionReborn, slog.String("minion", m.ID), slog.Int64("born", born), slog.Int("runs", len(m.runs)))
+	m.Born = born
+	m.otherLife = false
+	m.lastSeen, m.listClock, m.maxUntil, m.clock = 0, 0, 0, 0
+	m.health = health{}
+	p.endAll(now, m)
+	p.renew(now, m)
+}
+
+// endAll ends every run of a minion whose runs are certainly over.
+func (p *Pool) endAll(now time.Time, m *minion) {
+	for _, x := range m.sortedRuns() {
+		p.endRun(now, m, x, EndLapsed)
+	}
+}
+
+func (m *minion) sortedRuns() []*run {
+	out := make([]*run, 0, len(m.runs))
+	for _, x := range m.runs {
+		out = append(out, x)
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Step, b.task.Step), cmp.Compare(a.task.Index, b.task.Index))
+	})
+	return out
+}
+
+// renew gives the minion a new token: orders under earlier ones that have not
+// arrived yet will do nothing. The next listing tells what is there.
+func (p *Pool) renew(now time.Time, m *minion) {
+	m.token = p.tokens.next()
+	p.hold(now, m, 0, true)
+}
+
+// hold asks for a listing and renews the lease, where that is safe.
+func (p *Pool) hold(now time.Time, m *minion, wait time.Duration, urgent bool) {
+	p.serial++
+	h := Hold{Minion: m.ID, Address: m.Address, Token: m.token, Serial: p.serial, LastSeen: m.lastSeen, Wait: wait}
+	if m.clock > 0 && len(m.runs) > 0 && m.renewable(now) {
+		h.UntilMS = m.until(now, p.cfg.Timing.Lease)
+	}
+	m.calls[h.Serial] = &holdCall{token: m.token, sentAt: now, until: now.Add(wait + holdGrace), urgent: urgent}
+	p.ready.Holds = append(p.ready.Holds, h)
+}
+
+// until returns the end of a lease on the minion's clock, and remembers it.
+func (m *minion) until(now time.Time, lease time.Duration) int64 {
+	u := m.clockMS(now) + lease.Milliseconds()
+	m.maxUntil = max(m.maxUntil, u)
+	return u
+}
+
+// clockMS returns what the minion's clock shows at least.
+func (m *minion) clockMS(now time.Time) int64 {
+	return m.clock + int64(float64(now.Sub(m.clockAt).Milliseconds())*clockError)
+}
+
+func (m *minion) tick(now time.Time, clock int64) {
+	if m.clock == 0 || clock > m.clockMS(now) {
+		m.clock, m.clockAt = clock, now
+	}
+}
+
+// renewable reports whether every run on the minion may go on: a run that
+// nobody wants ends with the lease when its stop cannot be confirmed.
+func (m *minion) renewable(now time.Time) bool {
+	for _, x := range m.runs {
+		switch {
+		case x.owner != nil && !x.stopping:
+		case !x.stopOK.IsZero():
+		case x.stopping && now.Sub(x.stopAt) < unstoppedGrace && x.owner != nil:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// dirty reports whether a run that nobody wants is not known to be stopped.
+func (m *minion) dirty() bool {
+	for _, x := range m.runs {
+		if x.owner == nil && x.stopOK.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// lapsed reports whether every lease that was asked for has certainly ended.
+func (m *minion) lapsed(now time.Time) bool {
+	return m.clock > 0 && m.clockMS(now) > m.maxUntil
+}
+
+// Held takes the answer to a Hold.
+func (p *Pool) Held(now time.Time, id string, serial uint64, a Answer, l *Listing) {
+	m := p.minions[id]
+	if m == nil {
+		return
+	}
+	call := m.calls[serial]
+	if call == nil {
+		return // counted as lost, or of another life
+	}
+	delete(m.calls, serial)
+	switch a {
+	case AnswerOK:
+		p.listing(now, m, call, l)
+	case AnswerFenced:
+		if call.token == m.token {
+			p.depose(m)
+		}
+	case AnswerOtherLife:
+		p.lifeEnded(now, m)
+	default:
+		p.holdFailed(now, m)
+	}
+	p.dispatch(now)
+}
+
+func (p *Pool) depose(m *minion) {
+	p.cfg.Note(event.PoolDeposed, slog.String("minion", m.ID), slog.Uint64("token", m.token))
+	p.ready.Deposed = true
+	m.listed = false
+}
+
+// lifeEnded handles an address that answers as another process: the one that
+// was meant is gone, and its runs with it.
+func (p *Pool) lifeEnded(now time.Time, m *minion) {
+	if !m.otherLife {
+		p.cfg.Note(event.PoolMinionLost, slog.String("minion", m.ID), slog.String("reason", "another process answers"))
+	}
+	m.otherLife = true
+	m.reachable = false
+	m.nextHold = now.Add(maxHoldPause)
+	p.endAll(now, m)
+}
+
+func (p *Pool) holdFailed(now time.Time, m *minion) {
+	if m.reachable {
+		p.cfg.Note(event.PoolMinionLost, slog.String("minion", m.ID), slog.String("reason", "no answer"), slog.Int("runs", len(m.runs)))
+	}
+	m.reachable = false
+	pause := firstHoldPause << min(m.failures, 5)
+	m.failures++
+	m.nextHold = now.Add(min(pause, maxHoldPause))
+}
+
+// listing takes what a minion says of its runs.
+func (p *Pool) listing(now time.Time, m *minion, call *holdCall, l *Listing) {
+	if l.Born != 0 && m.Born != 0 && l.Born > m.Born {
+		p.newLife(now, m, l.Born)
+		return
+	}
+	m.tick(now, l.ClockMS)
+	m.failures = 0
+	m.nextHold = now
+	if !m.reachable {
+		m.reachable = true
+		p.cfg.Note(event.PoolMinionHeld, slog.String("minion", m.ID), slog.Uint64("token", m.token), slog.Int("running", len(l.Running)))
+	}
+	for i := range l.Ended {
+		p.ended(now, m, &l.Ended[i])
+	}
+	if l.ClockMS < m.listClock {
+		return // overtaken by a newer listing
+	}
+	m.listClock = l.ClockMS
+	present := make(map[TaskRef]bool, len(l.Running))
+	for i := range l.Running {
+		present[l.Running[i].Task] = true
+		p.running(now, m, &l.Running[i])
+	}
+	for _, x := range m.sortedRuns() {
+		if !present[x.task] && x.absent(call, l) {
+			p.endRun(now, m, x, EndLapsed)
+		}
+	}
+	if call.token == m.token && !m.listed {
+		m.listed = true
+		// What an earlier owner granted may last this long.
+		m.maxUntil = max(m.maxUntil, l.ClockMS+p.cfg.Timing.MaxLease.Milliseconds())
+	}
+}
+
+// absent reports whether a run that a listing does not show is certainly not
+// there, nor will be.
+func (x *run) absent(call *holdCall, l *Listing) bool {
+	switch {
+	case x.started:
+		return call.sentAt.After(x.ackAt) && l.ClockMS > x.ackClock
+	case !x.stopOK.IsZero():
+		return call.sentAt.After(x.stopOK)
+	}
+	return call.token > x.token
+}
+
+// ended takes one end that a minion lists.
+func (p *Pool) ended(now time.Time, m *minion, e *Ended) {
+	if e.Number <= m.lastSeen {
+		return
+	}
+	m.lastSeen = e.Number
+	x := m.runs[e.Task]
+	if x == nil || x.number != e.Run {
+		if x == nil || x.number < e.Run {
+			p.ends[e.Task] = pastEnd{now, e.Run, e.How}
+		}
+		return
+	}
+	if x.owner == nil {
+		p.ends[e.Task] = pastEnd{now, e.Run, e.How}
+	}
+	p.judge(now, m, x, e.How)
+	p.endRun(now, m, x, e.How)
+}
+
+// running takes one run that a minion lists.
+func (p *Pool) running(now time.Time, m *minion, r *Running) {
+	x := m.runs[r.Task]
+	if x == nil || x.number < r.Run {
+		if x != nil {
+			p.endRun(now, m, x, EndLapsed)
+		}
+		x = &run{task: r.Task, number: r.Run, sentAt: now}
+		m.runs[r.Task] = x
+	} else if x.number > r.Run {
+		return
+	}
+	if !x.started {
+		x.started, x.ackAt, x.ackClock, x.movedAt = true, now, m.listClock, now
+		if x.owner != nil && !x.sentAt.IsZero() {
+			x.ackAt = x.sentAt
+		}
+	}
+	if r.Percent > x.percent {
+		x.movedAt = now
+	}
+	x.percent, x.seenAt = r.Percent, now
+	if x.owner != nil {
+		return
+	}
+	if j := p.jobs[x.task.Job]; j != nil && !x.stopping {
+		if t := j.task(x.task); t != nil && t.run == nil && t.state != taskDone && p.adoptRun(now, j, t) {
+			return
+		}
+	}
+	if now.Sub(p.tookAt) >= p.cfg.Timing.Adopt {
+		p.stop(now, m, x)
+	}
+}
+
+// endRun removes a run that is over, or will never be.
+func (p *Pool) endRun(now time.Time, m *minion, x *run, how End) {
+	delete(m.runs, x.task)
+	m.release(x)
+	j := x.owner
+	if j == nil || p.jobs[j.id] != j {
+		return
+	}
+	if t := j.task(x.task); t != nil && t.run == x {
+		p.runEnded(now, j, t, how)
+	}
+}
+
+// account reserves what a run needs.
+func (m *minion) account(x *run) {
+	m.usedCPU += x.step.CPU
+	m.usedMem += x.step.MemoryMB
+	m.usedAcc += x.step.Accelerators
+}
+
+func (m *minion) release(x *run) {
+	if x.step == nil {
+		return
+	}
+	m.usedCPU -= x.step.CPU
+	m.usedMem -= x.step.MemoryMB
+	m.usedAcc -= x.step.Accelerators
+}
+
+// stop tells the minion to end a run.
+func (p *Pool) stop(now time.Time, m *minion, x *run) {
+	if x.stopping && (!x.stopOK.IsZero() || now.Sub(x.stopAt) < stopResend) {
+		return
+	}
+	x.stopping = true
+	x.stopAt = now
+	p.ready.Stops = append(p.ready.Stops, Stop{Minion: m.ID, Address: m.Address, Task: x.task, Run: x.number, Token: m.token})
+}
+
+// Stopped takes the answer to a Stop.
+func (p *Pool) Stopped(now time.Time, s Stop, a Answer) {
+	m := p.minions[s.Minion]
+	if m == nil {
+		return
+	}
+	x := m.runs[s.Task]
+	if x == nil || x.number != s.Run {
+		return
+	}
+	switch a {
+	case AnswerOK:
+		x.stopOK = now
+		if !x.started {
+			p.hold(now, m, 0, true) // its absence now is final
+		}
+	case AnswerFenced:
+		if s.Token == m.token {
+			p.depose(m)
+		}
+	case AnswerOtherLife:
+		p.lifeEnded(now, m)
+	}
+}
+
+// tickMinion keeps the minion held, repeats stops, and ends what has lapsed.
+func (p *Pool) tickMinion(now time.Time, m *minion) {
+	regular := false
+	for serial, c := range m.calls {
+		if now.After(c.until) {
+			delete(m.calls, serial)
+			p.holdFailed(now, m)
+			continue
+		}
+		regular = regular || !c.urgent
+	}
+	if !regular && !now.Before(m.nextHold) {
+		p.hold(now, m, p.waitOf(m), false)
+	}
+	if !m.reachable && m.lapsed(now) && len(m.runs) > 0 {
+		p.cfg.Note(event.PoolLeaseLapsed, slog.String("minion", m.ID), slog.Int("runs", len(m.runs)))
+		p.endAll(now, m)
+		m.token = p.tokens.next()
+	}
+	for _, x := range m.sortedRuns() {
+		if x.stopping || x.owner == nil && now.Sub(p.tookAt) >= p.cfg.Timing.Adopt {
+			p.stop(now, m, x)
+			continue
+		}
+		p.checkProgress(now, m, x)
+	}
+	if m.Gone && len(m.runs) == 0 {
+		p.drop(m)
+	}
+}
+
+func (p *Pool) waitOf(m *minion) time.Duration {
+	if !m.reachable {
+		return 0
+	}
+	if len(m.runs) == 0 {
+		return p.cfg.Timing.IdleWait
+	}
+	return p.cfg.Timing.BusyWait
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,196 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+// Pool is the queue and the minions of one owner.
+type Pool struct {
+	cfg     Config
+	minions map[string]*minion
+	ordered []*minion // by ID
+	jobs    map[string]*job
+	kinds   map[string]*kind
+	frozen  bool // no new starts: the owner hands over
+	tokens  tokenSource
+	serial  uint64
+	tookAt  time.Time // when the pool began to take minions over
+	ends    map[TaskRef]pastEnd
+	ready   Ready
+}
+
+// pastEnd is an end that was listed before its job was offered here.
+type pastEnd struct {
+	at  time.Time
+	run int
+	how End
+}
+
+// New returns a pool without minions.
+func New(cfg Config) *Pool {
+	return &Pool{
+		cfg: cfg, minions: make(map[string]*minion), jobs: make(map[string]*job), kinds: make(map[string]*kind),
+		ends: make(map[TaskRef]pastEnd),
+	}
+}
+
+// Ready returns and clears what is to be done.
+func (p *Pool) Ready() Ready {
+	r := p.ready
+	p.ready = Ready{}
+	return r
+}
+
+// Claim sets the token under which the pool owns its minions. Those that it
+// has are held again under the new one.
+func (p *Pool) Claim(now time.Time, token uint64) {
+	p.tokens.raise(token)
+	p.tookAt = now
+	p.frozen = false
+	for _, m := range p.ordered {
+		p.renew(now, m)
+	}
+}
+
+// Token returns the highest token that the pool has used.
+func (p *Pool) Token() uint64 { return p.tokens.last }
+
+// Freeze ends new starts, before the minions are handed over.
+func (p *Pool) Freeze() { p.frozen = true }
+
+// Release gives up all minions and jobs: every job is moved, with the tasks
+// that are known to be done.
+func (p *Pool) Release(now time.Time) {
+	for _, j := range p.sortedJobs() {
+		p.finish(now, j, peer.JobResult{Outcome: peer.JobMoved, Done: j.done(), Clean: !j.touched, Reason: "dispatcher hands over"})
+	}
+	clear(p.minions)
+	p.ordered = nil
+	clear(p.ends)
+}
+
+// Offer takes a job for an attachment. A job that is here already gets one
+// more attachment. It reports whether the offer is new to the pool.
+func (p *Pool) Offer(now time.Time, from string, o *peer.JobOffer) bool {
+	a := Attachment{Host: from, Offer: o.Offer}
+	if j := p.jobs[o.Job]; j != nil {
+		if !slices.Contains(j.attached, a) {
+			// A newer offer of the same host replaces its older one.
+			j.attached = slices.DeleteFunc(j.attached, func(x Attachment) bool { return x.Host == from })
+			j.attached = append(j.attached, a)
+		}
+		return false
+	}
+	j := p.newJob(now, o)
+	j.attached = []Attachment{a}
+	if refusal := p.admit(now, j); refusal != nil {
+		p.finish(now, j, *refusal)
+		return true
+	}
+	p.jobs[j.id] = j
+	p.adopt(now, j)
+	p.dispatch(now)
+	return true
+}
+
+// Cancel detaches an offer. A job that nobody waits for is stopped.
+func (p *Pool) Cancel(now time.Time, from string, c *peer.JobCancel) {
+	j := p.jobs[c.Job]
+	if j == nil {
+		return
+	}
+	p.detach(now, j, func(a Attachment) bool { return a.Host == from && a.Offer == c.Offer })
+}
+
+// HostLost detaches every offer of a host.
+func (p *Pool) HostLost(now time.Time, host string) {
+	for _, j := range p.sortedJobs() {
+		p.detach(now, j, func(a Attachment) bool { return a.Host == host })
+	}
+}
+
+func (p *Pool) detach(now time.Time, j *job, gone func(Attachment) bool) {
+	before := len(j.attached)
+	j.attached = slices.DeleteFunc(j.attached, gone)
+	if len(j.attached) == before || len(j.attached) > 0 {
+		return
+	}
+	p.finish(now, j, peer.JobResult{Outcome: peer.JobUnknown, Reason: "caller is gone"})
+	p.dispatch(now)
+}
+
+// finish ends a job: results for its attachments, stops for its runs.
+func (p *Pool) finish(now time.Time, j *job, r peer.JobResult) {
+	delete(p.jobs, j.id)
+	r.Job = j.id
+	for _, a := range j.attached {
+		r.Offer = a.Offer
+		p.ready.Results = append(p.ready.Results, Result{To: a.Host, Body: r})
+	}
+	p.noteEnd(now, j, &r)
+	if r.Outcome == peer.JobMoved {
+		return // its runs go on under the next owner
+	}
+	for _, m := range p.ordered {
+		for _, x := range m.sortedRuns() {
+			if x.task.Job == j.id {
+				x.owner = nil
+				p.stop(now, m, x)
+			}
+		}
+	}
+}
+
+// Tick advances time.
+func (p *Pool) Tick(now time.Time) {
+	for _, m := range p.ordered {
+		p.tickMinion(now, m)
+	}
+	for _, j := range p.sortedJobs() {
+		p.tickJob(now, j)
+	}
+	for ref, e := range p.ends {
+		if now.Sub(e.at) > keepEnds {
+			delete(p.ends, ref)
+		}
+	}
+	p.dispatch(now)
+}
+
+// keepEnds is how long an end without a job is remembered: an entry host
+// offers its jobs to a new owner within a second.
+const keepEnds = 2 * time.Second
+
+func (p *Pool) sortedJobs() []*job {
+	out := make([]*job, 0, len(p.jobs))
+	for _, j := range p.jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, byArrival)
+	return out
+}
+
+// Jobs returns how many jobs are in progress, and how many of them wait for
+// their first start.
+func (p *Pool) Jobs() (all, waiting int) {
+	for _, j := range p.jobs {
+		if !j.touched {
+			waiting++
+		}
+	}
+	return len(p.jobs), waiting
+}
+
+// tokenSource gives rising fencing tokens.
+type tokenSource struct{ last uint64 }
+
+func (t *tokenSource) raise(to uint64) { t.last = max(t.last, to) }
+
+func (t *tokenSource) next() uint64 {
+	t.last = claim.Next(t.last)
+	return t.last
+}
--- a/internal/daemon/controller.go
+++ b/internal/register/controller.go
@@ -1,15 +1,15 @@
-package daemon
+// Package register runs the control.Machine of one host: it keeps the state on
+// the disk, carries messages, and hands chosen versions and outcomes over.
+package register
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/laburnumwalk/laburnumwalk/internal/config"
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
@@ -31,27 +31,71 @@
 	controlRing = 1024
 )
 
-// controller is the duty that agrees on configuration versions, keeps them
+// Messenger sends messages to peers.
+type Messenger interface {
+	Send(to string, b peer.Body) bool
+}
+
+// Options are the parts of a Controller.
+type Options struct {
+	Machine control.Config
+	Store   *store.Store // nil: the host has no disk
+	Mesh    Messenger
+	// Apply takes each version as it becomes known, in ascending order.
+	Apply func(*peer.ConfigRecord)
+	// GroupOf returns the control hosts that a proposed document names; nil:
+	// documents name none.
+	GroupOf func(document []byte) ([]peer.ControlMember, error)
+	Log     *slog.Logger
+}
+
+// Controller is the duty that agrees on configuration versions, keeps them
 // on the disk and spreads them. It is the only goroutine that touches the
 // machine and the store.
-type controller struct {
-	machine *control.Machine
-	store   *store.Store // nil: the host has no disk
-	inputs  *ring.Ring[controlInput]
-	mesh    messenger
-	apply   func(version uint64, d *config.Document)
-	waiters map[uint64]chan control.Outcome // by ticket
-	self    string
-	log     *slog.Logger
-	view    atomic.Pointer[controlView]
-	hosts   atomic.Pointer[[]membership.Host] // new list of peers, until it is taken over
-	done    chan struct{}
-	timeout time.Duration // bound on a proposal
-	members int           // hosts that choose version 1
+type Controller struct {
+	machine     *control.Machine
+	store       *store.Store
+	inputs      *ring.Ring[controlInput]
+	mesh        Messenger
+	apply       func(*peer.ConfigRecord)
+	groupOf     func(document []byte) ([]peer.ControlMember, error)
+	waiters     map[uint64]chan control.Outcome // by ticket
+	readers     map[uint64]chan bool            // by ticket
+	self        string
+	log         *slog.Logger
+	view        atomic.Pointer[View]
+	hosts       atomic.Pointer[[]membership.Host] // new list of peers, until it is taken over
+	done        chan struct{}
+	timeout     time.Duration // bound on a proposal
+	readTimeout time.Duration
+	members     int // hosts that choose version 1
+}
+
+// New returns a Controller that continues from the machine's state; Run
+// starts it.
+func New(o Options) *Controller {
+	c := &Controller{
+		machine:     control.New(o.Machine),
+		store:       o.Store,
+		inputs:      ring.New[controlInput](controlRing),
+		mesh:        o.Mesh,
+		apply:       o.Apply,
+		groupOf:     o.GroupOf,
+		waiters:     make(map[uint64]chan control.Outcome),
+		readers:     make(map[uint64]chan bool),
+		self:        o.Machine.Self.Name,
+		log:         o.Log,
+		done:        make(chan struct{}),
+		timeout:     o.Machine.Timing.Propose,
+		readTimeout: 2 * o.Machine.Timing.Read,
+		members:     len(o.Machine.Bootstrap),
+	}
+	c.publish()
+	return c
 }
 
-// controlView is what other duties may know of the controller.
-type controlView struct {
+// View is what other duties may know of the controller.
+type View struct {
 	Version uint64
 	Disk    string // identity of the host's disk, or empty
 	Voting  bool
@@ -59,13 +103,16 @@
 	Record  *peer.ConfigRecord // of Version; nil at 0; never changed
 }
 
+// View returns what the controller knew after its last input.
+func (c *Controller) View() *View { return c.view.Load() }
+
 // controlInput is one event for the controller.
-type controlInput func(c *controller, now time.Time)
+type controlInput func(c *Controller, now time.Time)
 
-// openStore opens the data folder and returns the state that it holds. A host
+// OpenStore opens the data folder and returns the state that it holds. A host
 // whose state cannot be trusted goes on without a disk: it serves and learns,
 // and does not vote.
-func openStore(fs store.FS, folder string, log *slog.Logger) (*store.Store, control.State, error) {
+func OpenStore(fs store.FS, folder string, log *slog.Logger) (*store.Store, control.State, error) {
 	if folder == "" {
 		return nil, control.State{}, nil
 	}
@@ -114,8 +161,8 @@
 	return s.Save(controlFile, payload)
 }
 
-// run handles inputs until ctx ends.
-func (c *controller) run(ctx context.Context) {
+// Run handles inputs until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
@@ -139,19 +186,22 @@
 }
 
 // flush carries out what the machine decided, in the order of its contract.
-func (c *controller) flush(ctx context.Context) {
+func (c *Controller) flush(ctx context.Context) {
 	for {
 		r := c.machine.Ready()
 		if r.Save != nil && !c.save(ctx, r.Save) {
 			r.Messages = nil
 		}
 		if r.Chosen != nil {
-			c.putInForce(ctx, r.Chosen)
+			c.apply(r.Chosen)
 		}
 		for _, d := range r.Decisions {
 			c.decided(ctx, d)
 		}
 		c.publish()
+		for _, x := range r.Reads {
+			c.readEnded(x)
+		}
 		if !c.send(r.Messages) {
 			return
 		}
@@ -159,7 +209,7 @@
 }
 
 // send hands messages over and reports whether the own machine got one.
-func (c *controller) send(messages []control.Outgoing) (own bool) {
+func (c *Controller) send(messages []control.Outgoing) (own bool) {
 	for _, m := range messages {
 		if m.To == c.self {
 			c.machine.Receive(time.Now(), c.self, m.Body)
@@ -171,7 +221,7 @@
 	return own
 }
 
-func (c *controller) save(ctx context.Context, state *control.State) bool {
+func (c *Controller) save(ctx context.Context, state *control.State) bool {
 	err := saveState(c.store, state)
 	if err == nil {
 		return true
@@ -182,34 +232,7 @@
 	return false
 }
 
-func (c *controller) putInForce(ctx context.Context, r *peer.ConfigRecord) {
-	d, err := decodeRecord(r)
-	if err != nil {
-		event.Log(ctx, c.log, event.ConfigUnreadable, slog.Uint64("version", r.Version), slog.String("error", err.Error()))
-		return
-	}
-	c.apply(r.Version, d)
-}
-
-// decodeRecord returns the document of a version, with the control hosts that
-// choose the next one.
-func decodeRecord(r *peer.ConfigRecord) (*config.Document, error) {
-	document, err := control.Document(r)
-	if err != nil {
-		return nil, err
-	}
-	var d config.Document
-	if err := json.Unmarshal(document, &d); err != nil {
-		return nil, errors.WithStack(err)
-	}
-	d.ControlHosts = make([]config.ControlHost, len(r.Group))
-	for i, g := range r.Group {
-		d.ControlHosts[i] = config.ControlHost(g)
-	}
-	return &d, nil
-}
-
-func (c *controller) decided(ctx context.Context, d control.Decision) {
+func (c *Controller) decided(ctx context.Context, d control.Decision) {
 	if d.Outcome.Code == result.OK {
 		event.Log(ctx, c.log, event.ChangeAccepted, slog.Uint64("version", d.Outcome.Version), slog.String("command", d.Outcome.Command))
 	}
@@ -219,8 +242,8 @@
 	}
 }
 
-func (c *controller) publish() {
-	v := controlView{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), Since: time.Now(), Record: c.machine.Record()}
+func (c *Controller) publish() {
+	v := View{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), Since: time.Now(), Record: c.machine.Record()}
 	old := c.view.Load()
 	if old != nil && old.Version == v.Version {
 		v.Since = old.Since
@@ -230,35 +253,69 @@
 	}
 }
 
-// receive takes a peer's control message; false: the ring is full.
-func (c *controller) receive(from string, b peer.Body) bool {
-	return c.inputs.TryPush(func(c *controller, now time.Time) { c.machine.Receive(now, from, b) })
+func (c *Controller) readEnded(r control.ReadResult) {
+	if w, ok := c.readers[r.Ticket]; ok {
+		w <- r.Certain // has room for its one outcome
+		delete(c.readers, r.Ticket)
+	}
+}
+
+// Newest returns a view that was certainly the newest at some moment since the
+// call; false: no majority of the control hosts could tell in time.
+func (c *Controller) Newest(ctx context.Context) (*View, bool) {
+	out := make(chan bool, 1)
+	ok := c.inputs.TryPush(func(c *Controller, now time.Time) {
+		c.readers[c.machine.Read(now)] = out
+	})
+	if !ok {
+		return nil, false
+	}
+	bound := time.NewTimer(c.readTimeout) // a disk that hangs stops the controller's timers
+	defer bound.Stop()
+	select {
+	case certain := <-out:
+		return c.View(), certain
+	case <-ctx.Done():
+	case <-c.done:
+	case <-bound.C:
+	}
+	return nil, false
+}
+
+// Receive takes a peer's control message; false: the ring is full.
+func (c *Controller) Receive(from string, b peer.Body) bool {
+	return c.inputs.TryPush(func(c *Controller, now time.Time) { c.machine.Receive(now, from, b) })
 }
 
-// hint takes the version that a peer's heartbeat reports.
-func (c *controller) hint(from string, version uint64) {
+// Hint takes the version that a peer's heartbeat reports.
+func (c *Controller) Hint(from string, version uint64) {
 	if version > c.view.Load().Version {
-		c.inputs.TryPush(func(c *controller, now time.Time) { c.machine.Hint(now, from, version) })
+		c.inputs.TryPush(func(c *Controller, now time.Time) { c.machine.Hint(now, from, version) })
 	}
 }
 
-// setPeers takes the hosts that the configuration lists. It never waits: the
+// SetPeers takes the hosts that the configuration lists. It never waits: the
 // caller is the duty that the controller itself waits for.
-func (c *controller) setPeers(hosts []membership.Host) { c.hosts.Store(&hosts) }
+func (c *Controller) SetPeers(hosts []membership.Host) { c.hosts.Store(&hosts) }
 
-// Propose implements proposer. A document without control hosts keeps those
+// NoControlHosts is the detail of a refusal by a system without control hosts.
+const NoControlHosts = "no control hosts are configured"
+
+// Propose gets a change chosen, in bounded time. A document without control hosts keeps those
 // of its base.
-func (c *controller) Propose(ctx context.Context, p control.Proposal) control.Outcome {
+func (c *Controller) Propose(ctx context.Context, p control.Proposal) control.Outcome {
 	if c.members == 0 && c.view.Load().Version == 0 {
-		return noControl{}.Propose(ctx, p)
+		return control.Outcome{Command: p.Command, Code: result.NoMajority, Detail: NoControlHosts}
 	}
-	group, err := groupOf(p.Document)
-	if err != nil {
-		return control.Outcome{Command: p.Command, Code: result.PlanRefused, Detail: err.Error()}
+	if c.groupOf != nil {
+		group, err := c.groupOf(p.Document)
+		if err != nil {
+			return control.Outcome{Command: p.Command, Code: result.PlanRefused, Detail: err.Error()}
+		}
+		p.Group = group
 	}
-	p.Group = group
 	out := make(chan control.Outcome, 1)
-	ok := c.inputs.TryPush(func(c *controller, now time.Time) {
+	ok := c.inputs.TryPush(func(c *Controller, now time.Time) {
 		c.waiters[c.machine.Propose(now, p)] = out
 	})
 	if !ok {
@@ -267,7 +324,7 @@
 	return c.await(ctx, p.Command, out)
 }
 
-func (c *controller) await(ctx context.Context, command string, out chan control.Outcome) control.Outcome {
+func (c *Controller) await(ctx context.Context, command string, out chan control.Outcome) control.Outcome {
 	open := control.Outcome{Command: command, Code: result.NoMajority, Detail: "the change may still be chosen; resend the command to learn its outcome"}
 	bound := time.NewTimer(2 * c.timeout) // a disk that hangs stops the controller's timers
 	defer bound.Stop()
@@ -280,16 +337,3 @@
 	}
 	return open
 }
-
-// groupOf returns the control hosts that a document names, or nil.
-func groupOf(document []byte) ([]peer.ControlMember, error) {
-	var d config.Document
-	if err := json.Unmarshal(document, &d); err != nil {
-		return nil, errors.Wrap(err, "document")
-	}
-	var group []peer.ControlMember
-	for _, h := range d.ControlHosts {
-		group = append(group, peer.ControlMember(h))
-	}
-	return group, nil
-}
--- a/internal/daemon/controller_test.go
+++ b/internal/register/controller_test.go
@@ -1,4 +1,4 @@
-package daemon
+package register
 
 import (
 	"context"
@@ -8,12 +8,10 @@
 	"testing"
 	"time"
 
-	"github.com/laburnumwalk/laburnumwalk/internal/config"
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
-	"github.com/laburnumwalk/laburnumwalk/internal/ring"
 	"github.com/laburnumwalk/laburnumwalk/internal/store"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
@@ -46,24 +44,21 @@
 }
 
 // startController runs the controller of the only control host on a folder.
-func startController(t *testing.T, folder string, fs store.FS) (*controller, func()) {
+func startController(t *testing.T, folder string, fs store.FS) (*Controller, func()) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
-	s, state, err := openStore(fs, folder, log)
+	s, state, err := OpenStore(fs, folder, log)
 	must.NoError(t, err)
-	c := &controller{
-		machine: control.New(control.Config{
+	c := New(Options{
+		Machine: control.Config{
 			Self: membership.Host{Name: "h"}, Incarnation: "i", Bootstrap: []string{"h"},
 			State: state, Timing: control.DefaultTiming(),
-		}),
-		store: s, inputs: ring.New[controlInput](controlRing), mesh: &sent{},
-		apply:   func(uint64, *config.Document) {},
-		waiters: make(map[uint64]chan control.Outcome),
-		self:    "h", log: log, done: make(chan struct{}), timeout: time.Minute, members: 1,
-	}
-	c.publish()
+		},
+		Store: s, Mesh: &sent{}, Apply: func(*peer.ConfigRecord) {}, Log: log,
+	})
+	c.timeout = time.Minute
 	ctx, cancel := context.WithCancel(context.Background())
-	go c.run(ctx)
+	go c.Run(ctx)
 	return c, func() {
 		cancel()
 		<-c.done
@@ -118,9 +113,9 @@
 	c, stop := startController(t, t.TempDir(), fs)
 	defer stop()
 	fs.broken = true
-	c.receive("p", &peer.ControlPrepare{Version: 1, Ballot: peer.Ballot{Round: 1, Proposer: "p"}})
+	c.Receive("p", &peer.ControlPrepare{Version: 1, Ballot: peer.Ballot{Round: 1, Proposer: "p"}})
 	eventuallyTrue(t, func() bool { return !c.view.Load().Voting })
-	c.receive("p", &peer.ControlPrepare{Version: 1, Ballot: peer.Ballot{Round: 1, Proposer: "p"}})
+	c.Receive("p", &peer.ControlPrepare{Version: 1, Ballot: peer.Ballot{Round: 1, Proposer: "p"}})
 	out := c.mesh.(*sent)
 	eventuallyTrue(t, func() bool { return out.has(peer.KindControlReport) })
 	must.False(t, out.has(peer.KindControlPromise))
@@ -160,7 +155,7 @@
 	c.members = 0
 	p = control.Proposal{Command: "c2", Operator: "o", Base: 1, Document: []byte("{}")}
 	must.Eq(t, result.OK, c.Propose(context.Background(), p).Code)
-	fresh := &controller{}
-	fresh.view.Store(&controlView{})
+	fresh := &Controller{}
+	fresh.view.Store(&View{})
 	must.StrContains(t, fresh.Propose(context.Background(), p).Detail, "no control hosts are configured")
 }
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,224 @@
+// Package roster keeps what one host knows of the other hosts and of the
+// minions. There is no list to read: control hosts hear of minions by their
+// announcements, hosts hear of each other by beats, and each tells the next
+// from a log of what changed.
+//
+// A Roster is pure: every method takes the current time; it does no I/O,
+// starts no goroutine and reads no clock.
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+// ForgetAfter is the silence after which another host is no longer listed.
+const ForgetAfter = 10 * time.Second
+
+// Host is another host as it is known here.
+type Host struct {
+	peer.HostRecord
+	Beat    *peer.Beat // newest; nil: only heard of
+	HeardAt time.Time  // zero: only heard of
+	ToldAt  time.Time  // when another host last told of it
+	Closed  time.Time  // when its connection ended, without a beat since
+	at      uint64     // place in the log
+}
+
+type minionEntry struct {
+	peer.MinionRecord
+	at uint64
+}
+
+// Roster is what one host knows.
+type Roster struct {
+	self    peer.HostRecord
+	hosts   map[string]*Host
+	minions map[string]*minionEntry
+	log     uint64
+	places  map[string]place // of other hosts' logs
+}
+
+// place is how far another host's log was read.
+type place struct {
+	of  membership.Incarnation
+	log uint64
+}
+
+// New returns the roster of a host that knows nobody.
+func New(self peer.HostRecord) *Roster {
+	return &Roster{self: self, hosts: make(map[string]*Host), minions: make(map[string]*minionEntry), places: make(map[string]place)}
+}
+
+// Log returns the number of the newest change.
+func (r *Roster) Log() uint64 { return r.log }
+
+// Place returns how far the log of a host was read.
+func (r *Roster) Place(host string) (of membership.Incarnation, log uint64) {
+	p := r.places[host]
+	return p.of, p.log
+}
+
+func (r *Roster) next() uint64 {
+	r.log++
+	return r.log
+}
+
+// Heard takes a beat and reports whether its sender has started anew since the
+// last one.
+func (r *Roster) Heard(now time.Time, b *peer.Beat) (restarted bool) {
+	if b.From.Name == r.self.Name {
+		return false
+	}
+	h := r.hosts[b.From.Name]
+	if h == nil {
+		h = &Host{}
+		r.hosts[b.From.Name] = h
+	}
+	restarted = h.Beat != nil && h.Incarnation != b.From.Incarnation
+	if h.HostRecord != b.From || h.at == 0 {
+		h.HostRecord = b.From
+		h.at = r.next()
+	}
+	h.Beat, h.HeardAt, h.Closed = b, now, time.Time{}
+	return restarted
+}
+
+// ConnectionClosed notes that a host's connection has ended.
+func (r *Roster) ConnectionClosed(now time.Time, host string, inc membership.Incarnation) {
+	if h := r.hosts[host]; h != nil && h.Incarnation == inc {
+		h.Closed = now
+	}
+}
+
+// Merge takes the records of another host's log and returns the minions that
+// changed.
+func (r *Roster) Merge(now time.Time, from string, m *peer.Roster) []peer.MinionRecord {
+	if p := r.places[from]; p.of != m.Of || p.log < m.Log {
+		r.places[from] = place{m.Of, m.Log}
+	}
+	for _, rec := range m.Hosts {
+		r.told(now, rec)
+	}
+	var changed []peer.MinionRecord
+	for _, rec := range m.Minions {
+		if r.Announce(rec) {
+			changed = append(changed, rec)
+		}
+	}
+	return changed
+}
+
+// told takes a record from another host. What was heard directly goes first.
+func (r *Roster) told(now time.Time, rec peer.HostRecord) {
+	if rec.Name == r.self.Name {
+		return
+	}
+	h := r.hosts[rec.Name]
+	if h == nil {
+		h = &Host{HostRecord: rec, at: r.next()}
+		r.hosts[rec.Name] = h
+	}
+	h.ToldAt = now
+	if h.HeardAt.IsZero() && h.HostRecord != rec {
+		h.HostRecord = rec
+		h.at = r.next()
+	}
+}
+
+// Announce takes a minion's record and reports whether it tells something new.
+// Announcements of an earlier life, or overtaken ones, tell nothing.
+func (r *Roster) Announce(rec peer.MinionRecord) bool {
+	m := r.minions[rec.ID]
+	if m == nil {
+		r.minions[rec.ID] = &minionEntry{MinionRecord: rec, at: r.next()}
+		return true
+	}
+	if c := cmp.Or(cmp.Compare(rec.Born, m.Born), cmp.Compare(rec.Seq, m.Seq)); c <= 0 {
+		return false
+	}
+	same := m.MinionRecord
+	same.Seq = rec.Seq
+	if equal(same, rec) {
+		m.Seq = rec.Seq
+		return false
+	}
+	m.MinionRecord = rec
+	m.at = r.next()
+	return true
+}
+
+func equal(a, b peer.MinionRecord) bool {
+	if !slices.Equal(a.Labels, b.Labels) {
+		return false
+	}
+	a.Labels, b.Labels = nil, nil
+	return a.ID == b.ID && a.Born == b.Born && a.Seq == b.Seq && a.Service == b.Service && a.Address == b.Address &&
+		a.FailureDomain == b.FailureDomain && a.Draining == b.Draining && a.Gone == b.Gone && a.CPU == b.CPU &&
+		a.MemoryMB == b.MemoryMB && a.Accelerators == b.Accelerators
+}
+
+// Minion returns the record of a minion.
+func (r *Roster) Minion(id string) (peer.MinionRecord, bool) {
+	m := r.minions[id]
+	if m == nil {
+		return peer.MinionRecord{}, false
+	}
+	return m.MinionRecord, true
+}
+
+// Minions returns the minions of a failure domain that have not gone, by ID.
+func (r *Roster) Minions(domain string) []peer.MinionRecord {
+	var out []peer.MinionRecord
+	for _, m := range r.minions {
+		if m.FailureDomain == domain && !m.Gone {
+			out = append(out, m.MinionRecord)
+		}
+	}
+	slices.SortFunc(out, func(a, b peer.MinionRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Hosts returns the other hosts, by name.
+func (r *Roster) Hosts() []*Host {
+	return slices.SortedFunc(maps.Values(r.hosts), func(a, b *Host) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Host returns another host, or nil.
+func (r *Roster) Host(name string) *Host { return r.hosts[name] }
+
+// Delta returns what changed after a place in the log, for a host of the given
+// failure domain, or for all of them when it is empty; nil: nothing.
+func (r *Roster) Delta(after uint64, domain string) *peer.Roster {
+	if after >= r.log {
+		return nil
+	}
+	d := &peer.Roster{Of: r.self.Incarnation, Log: r.log}
+	for _, h := range r.Hosts() {
+		if h.at > after {
+			d.Hosts = append(d.Hosts, h.HostRecord)
+		}
+	}
+	for _, m := range r.minions {
+		if m.at > after && (domain == "" || m.FailureDomain == domain) {
+			d.Minions = append(d.Minions, m.MinionRecord)
+		}
+	}
+	slices.SortFunc(d.Minions, func(a, b peer.MinionRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return d
+}
+
+// Tick forgets hosts that have been silent for long.
+func (r *Roster) Tick(now time.Time) {
+	for name, h := range r.hosts {
+		if now.Sub(h.HeardAt) > ForgetAfter && now.Sub(h.ToldAt) > ForgetAfter {
+			delete(r.hosts, name)
+			delete(r.places, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Fleet configures a host whose minions run tasks under leases. All keys are
+// documented in docs/SETTINGS.md.
+type Fleet struct {
+	Name          string   `json:"name" validate:"required,max=64"`
+	IP            string   `json:"ip" validate:"required,ip"`
+	FailureDomain string   `json:"failure_domain" validate:"required,max=64"`
+	Region        string   `json:"region" validate:"required,max=64"`
+	Entry         bool     `json:"entry"`   // takes callers' jobs
+	Control       bool     `json:"control"` // takes announcements and documents
+	CallerAddress string   `json:"caller_address"`
+	ReadyAddress  string   `json:"ready_address"`
+	ControlAddr   string   `json:"control_address"`
+	PeerPort      string   `json:"peer_port" validate:"required,numeric"`
+	MetricsPort   int      `json:"metrics_port" validate:"min=0,max=65535"` // 0: none
+	Seeds         []string `json:"seeds" validate:"dive,hostname_port"`
+	FirstStart    bool     `json:"first_start"` // of the whole system
+	DataFolder    string   `json:"data_folder"` // empty: no disk
+	ControlGroup  int      `json:"control_group" validate:"min=1,max=7"`
+	Log           Log      `json:"log"`
+}
+
+// FleetDefaults returns the settings of every key that has a default.
+func FleetDefaults() Fleet {
+	return Fleet{ControlGroup: 3, Log: Log{Level: "info"}}
+}
+
+// LoadFleet reads, decodes and checks a settings file. The error names the
+// file, and the line and key of each problem.
+func LoadFleet(path string) (Fleet, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Fleet{}, errors.Wrap(err, "settings")
+	}
+	s := FleetDefaults()
+	if err := Decode(path, text, &s); err != nil {
+		return Fleet{}, err
+	}
+	if s.Entry && (s.CallerAddress == "" || s.ReadyAddress == "") {
+		return Fleet{}, At(path, text, "entry", "an entry host needs caller_address and ready_address")
+	}
+	if s.Control && s.ControlAddr == "" {
+		return Fleet{}, At(path, text, "control", "a control host needs control_address")
+	}
+	return s, nil
+}
