pool: a leftover run blocks its minion until its end is listed

Found by its test beside: a minion out of reach was renewed with each hold, so that its lease never came to an end.

--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -156,7 +156,8 @@
 func (p *Pool) hold(now time.Time, m *minion, wait time.Duration, urgent bool) {
 	p.serial++
 	h := Hold{Minion: m.ID, Address: m.Address, Token: m.token, Serial: p.serial, LastSeen: m.lastSeen, Wait: wait}
-	if m.clock > 0 && len(m.runs) > 0 && m.renewable(now) {
+	// A minion out of reach is not renewed: its lease must come to an end.
+	if m.reachable && m.clock > 0 && len(m.runs) > 0 && m.renewable(now) {
 		h.UntilMS = m.until(now, p.cfg.Timing.Lease)
 	}
 	m.calls[h.Serial] = &holdCall{token: m.token, sentAt: now, until: now.Add(wait + holdGrace), urgent: urgent}
@@ -196,10 +197,11 @@
 	return true
 }
 
-// dirty reports whether a run that nobody wants is not known to be stopped.
+// dirty reports whether a run that nobody wants is not known to be stopped, or
+// uses an unknown part of the minion until its end is listed.
 func (m *minion) dirty() bool {
 	for _, x := range m.runs {
-		if x.owner == nil && x.stopOK.IsZero() {
+		if x.owner == nil && (x.stopOK.IsZero() || x.step == nil) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,179 @@
+package pool
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/shoenig/test/must"
+)
+
+const ms = time.Millisecond
+
+var begin = time.Unix(1_700_000_000, 0)
+
+// script feeds a pool by hand.
+type script struct {
+	t   *testing.T
+	p   *Pool
+	now time.Time
+	out Ready
+}
+
+func newScript(t *testing.T) *script {
+	s := &script{t: t, now: begin, p: New(Config{Timing: DefaultTiming(), Note: func(event.ID, ...slog.Attr) {}})}
+	s.p.Claim(s.now, 1<<30)
+	return s
+}
+
+func (s *script) pass(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.p.Tick(s.now)
+	s.take()
+}
+
+// take adds what the pool asks for to out.
+func (s *script) take() {
+	r := s.p.Ready()
+	s.out.Starts = append(s.out.Starts, r.Starts...)
+	s.out.Stops = append(s.out.Stops, r.Stops...)
+	s.out.Holds = append(s.out.Holds, r.Holds...)
+	s.out.Results = append(s.out.Results, r.Results...)
+	s.out.Deposed = s.out.Deposed || r.Deposed
+}
+
+// clock is what the minions' clocks show.
+func (s *script) clock() int64 { return 1000 + s.now.Sub(begin).Milliseconds() }
+
+// minion adds a minion and answers its first hold with the runs.
+func (s *script) minion(id string, cpu int64, running ...Running) {
+	s.p.Minion(s.now, peer.MinionRecord{ID: id, Service: "s", FailureDomain: "z", CPU: cpu, MemoryMB: 1000, Seq: 1})
+	s.take()
+	s.held(id, &Listing{Running: running})
+}
+
+// held answers the newest hold of a minion.
+func (s *script) held(id string, l *Listing) {
+	s.t.Helper()
+	h := s.lastHold(id)
+	l.ClockMS = s.clock()
+	s.p.Held(s.now, id, h.Serial, AnswerOK, l)
+	s.take()
+}
+
+func (s *script) lastHold(id string) Hold {
+	s.t.Helper()
+	for i := len(s.out.Holds) - 1; i >= 0; i-- {
+		if s.out.Holds[i].Minion == id {
+			return s.out.Holds[i]
+		}
+	}
+	s.t.Fatalf("no hold of %s", id)
+	return Hold{}
+}
+
+// offer hands a job of equal tasks in.
+func (s *script) offer(id string, count int, cpu, estimate int64) *peer.JobOffer {
+	o := &peer.JobOffer{
+		Job: id, Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, LeftMS: 5000,
+		Steps: []peer.TaskStep{{Count: count, CPU: cpu, MemoryMB: 1, EstimateMS: estimate}},
+	}
+	s.p.Offer(s.now, "entry", o)
+	s.take()
+	return o
+}
+
+// started takes the starts that are asked for and answers them.
+func (s *script) started(a Answer) []Start {
+	starts := s.out.Starts
+	s.out.Starts = nil
+	for _, x := range starts {
+		s.p.Started(s.now, x, a, s.clock())
+	}
+	s.take()
+	return starts
+}
+
+// A run that an earlier owner left, and that no job here wants, keeps the
+// minion's room until it is listed as ended: what it uses is not known.
+func TestLeftoverRunBlocksItsMinion(t *testing.T) {
+	s := newScript(t)
+	left := Running{Task: TaskRef{"old", 0, 0}, Run: 3, Percent: 10}
+	s.minion("m", 64_000, left)
+	s.offer("new", 1, 27_000, 100)
+	must.Len(t, 0, s.out.Starts)
+	s.pass(DefaultTiming().Adopt + ms)
+	must.Len(t, 1, s.out.Stops)
+	s.p.Stopped(s.now, s.out.Stops[0], AnswerOK)
+	s.take()
+	s.pass(20 * ms)
+	must.Len(t, 0, s.out.Starts, must.Sprint("the stop is confirmed, the end is not listed"))
+	s.held("m", &Listing{Ended: []Ended{{Number: 1, Task: left.Task, Run: 3, How: EndStopped}}})
+	must.Len(t, 1, s.out.Starts)
+}
+
+// A new owner takes over what runs for a job that is offered again, and counts
+// what it needs.
+func TestRunsAreAdopted(t *testing.T) {
+	s := newScript(t)
+	s.minion("m", 64_000, Running{Task: TaskRef{"j", 0, 1}, Run: 2, Percent: 50})
+	s.p.Offer(s.now, "entry", &peer.JobOffer{
+		Job: "j", Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, LeftMS: 5000, MayHaveRun: true, Done: []int{2},
+		Steps: []peer.TaskStep{{Count: 3, CPU: 40_000, EstimateMS: 100}},
+	})
+	s.take()
+	must.Len(t, 0, s.out.Starts, must.Sprint("40 of 64 processors are in use"))
+	s.pass(20 * ms)
+	s.held("m", &Listing{Ended: []Ended{{Number: 1, Task: TaskRef{"j", 0, 1}, Run: 2, How: EndDone}}})
+	starts := s.started(AnswerOK)
+	must.Len(t, 1, starts)
+	must.Eq(t, TaskRef{"j", 0, 0}, starts[0].Task)
+	s.pass(20 * ms)
+	s.held("m", &Listing{Ended: []Ended{{Number: 2, Task: starts[0].Task, Run: starts[0].Run, How: EndDone}}})
+	must.Len(t, 1, s.out.Results)
+	must.Eq(t, peer.JobComplete, s.out.Results[0].Body.Outcome)
+}
+
+// A start without an answer is repeated elsewhere only when a listing under a
+// newer token shows that it was not carried out.
+func TestUnansweredStartIsDisproved(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.offer("j", 1, 27_000, 100)
+	first := s.out.Starts[0]
+	s.started(AnswerUnknown)
+	s.minion("b", 64_000)
+	s.pass(20 * ms)
+	must.Len(t, 0, s.out.Starts)
+	h := s.lastHold("a")
+	must.Greater(t, first.Token, h.Token)
+	s.held("a", &Listing{})
+	must.Len(t, 1, s.out.Starts)
+	must.Greater(t, first.Run, s.out.Starts[0].Run)
+}
+
+// The tasks of a minion that is out of reach run elsewhere when its lease has
+// certainly lapsed, and not before.
+func TestLostMinionsTasksWaitForTheLease(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.offer("j", 1, 27_000, 100)
+	s.started(AnswerOK)
+	s.minion("b", 64_000)
+	lease := DefaultTiming().Lease
+	for range 40 {
+		s.pass(20 * ms)
+		s.held("b", &Listing{})
+		if s.now.Sub(begin) < lease-20*ms {
+			must.Len(t, 0, s.out.Starts)
+		}
+	}
+	for range 40 {
+		s.pass(20 * ms)
+		s.held("b", &Listing{})
+	}
+	must.Len(t, 1, s.out.Starts)
+	must.Eq(t, "b", s.out.Starts[0].Minion)
+}
