--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -44,6 +44,9 @@
 		Job: j.ID, Queue: j.Queue.Name, Service: j.Queue.Service, Payload: j.Payload, Steps: j.Steps,
 		Priority: j.Queue.Priority, Attempts: j.Queue.Attempts, StretchPct: j.Queue.StretchPct, AddMS: j.Queue.AddMS,
 	}
+	if h.refusing.Load() {
+		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the host shuts down"}
+	}
 	out := make(chan entry.Outcome, 1)
 	var waiter uint64
 	ok := h.push(func(now time.Time) {
@@ -164,3 +167,32 @@
 // Pending returns the number of a queue's open jobs here for which no task has
 // started.
 func (h *Host) Pending(string) int { return int(h.waiting.Load()) }
+
+// RefuseJobs refuses new jobs, in the last part of a shutdown.
+func (h *Host) RefuseJobs() { h.refusing.Store(true) }
+
+// jobsPoll is how often a shutdown looks for jobs in progress.
+const jobsPoll = 20 * time.Millisecond
+
+// WaitForJobs returns when no caller waits here, at the latest after a bound.
+func (h *Host) WaitForJobs(bound time.Duration) {
+	for until := time.Now().Add(bound); h.open.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(jobsPoll)
+	}
+}
+
+// AbandonJobs answers the callers that still wait, at the end of a shutdown.
+func (h *Host) AbandonJobs() {
+	done := make(chan struct{})
+	ok := h.push(func(now time.Time) {
+		h.decisions.table.Abandon(now, "the host shut down")
+		close(done)
+	})
+	if !ok {
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(jobsPoll):
+	}
+}
