fleet: hosts that were told of stay listed; a lost dispatcher's jobs go on

Cause: hosts of other failure domains were forgotten 10 s after they were told of, so dispatchers stopped their beats to them and the hosts lost all dispatchers outside their own domain; jobs that might have run then waited for their deadline. Entry hosts that fell silent kept their jobs running. A slow job was taken for a slow minion, and its minion put on trial. Change: a host is listed while a host that is heard lists it, and leaves the log by a record of its own; jobs are placed anew when their last dispatcher has certainly ended them, and are then never answered as not run; silent hosts' jobs are stopped; a run is slow only against its job's other tasks or its minion's other runs. Ruled out: a shorter beat (the hosts were not listed at all).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,9 +20,14 @@
 const (
 	// offerResend is the interval of offers without an answer.
 	offerResend = 150 * time.Millisecond
-	// silence is for how long a dispatcher may leave an offer unanswered
-	// before it counts as gone.
-	silence = 600 * time.Millisecond
+	// forgotten is how long after its dispatcher was lost a job has certainly
+	// ended there: the dispatcher misses this host within 0.6 s and stops what
+	// it can; what it cannot stop ends with a lease of at most 1 s on a clock
+	// that may be 2% slow.
+	forgotten = 1700 * time.Millisecond
+	// lastWord is how long before the caller's deadline an answer is sent that
+	// says that there will be no other.
+	lastWord = 15 * time.Millisecond
 	// maxOffers bounds the dispatchers that a job is offered to: each may
 	// refuse for want of room.
 	maxOffers = 3
@@ -78,6 +83,8 @@
 	refused  []string  // dispatchers that had no room
 	retryMS  int64     // shortest of their hints
 	tied     bool      // may have run in domain
+	touched  bool      // may have run anywhere: never answered as not run
+	lostAt   time.Time // when its last dispatcher was lost
 }
 
 type cancellation struct {
@@ -177,6 +184,9 @@
 // answer ends a job for all its waiters.
 func (t *Table) answer(now time.Time, j *open, o Outcome) {
 	delete(t.jobs, j.offer.Job)
+	if o.Outcome == peer.JobRefused && j.touched {
+		o.Outcome = peer.JobUnknown
+	}
 	for _, w := range j.waiters {
 		t.ready.Answers = append(t.ready.Answers, Answer{Job: j.offer.Job, Waiter: w, Outcome: o})
 	}
@@ -185,7 +195,7 @@
 	}
 	t.note(event.EntryJobAnswered, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.Int("outcome", int(o.Outcome)),
 		slog.String("reason", o.Reason), slog.String("dispatcher", j.to), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
-		slog.Int64("retry_ms", o.RetryMS), slog.Bool("may_have_run", j.tied))
+		slog.Int64("retry_ms", o.RetryMS), slog.Bool("may_have_run", j.touched))
 }
 
 // offer sends the job to a dispatcher.
@@ -232,7 +242,9 @@
 	case peer.JobMoved:
 		j.offer.Done = r.Done
 		j.tied = !r.Clean
+		j.touched = j.touched || j.tied
 		j.to = ""
+		j.lostAt = now
 		t.place(now, j)
 	default:
 		t.answer(now, j, Outcome{Outcome: r.Outcome, Reason: r.Reason})
@@ -288,8 +300,9 @@
 // reoffer gives a job whose dispatcher is gone to the next one.
 func (t *Table) reoffer(now time.Time, j *open, reason string) {
 	t.note(event.EntryJobReoffered, slog.String("job", j.offer.Job), slog.String("from", j.to), slog.String("reason", reason))
-	j.tied = true
+	j.tied, j.touched = true, true
 	j.to = ""
+	j.lostAt = now
 	t.place(now, j)
 }
 
@@ -329,7 +342,13 @@
 }
 
 func (t *Table) tickJob(now time.Time, j *open) {
-	if !now.Before(j.deadline) {
+	if j.to == "" && j.tied && now.Sub(j.lostAt) >= forgotten {
+		j.tied = false
+		j.offer.Done = nil
+		t.place(now, j)
+		return
+	}
+	if !now.Before(j.deadline.Add(-lastWord)) {
 		t.cancel(now, j)
 		o := Outcome{Outcome: peer.JobUnknown, Reason: "deadline passed"}
 		if j.to == "" && !j.tied {
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -40,7 +40,8 @@
 	waiters map[uint64]chan entry.Outcome
 	nextID  uint64
 	results map[resultKey]*pendingResult
-	sentLog map[string]uint64 // by host: how much of the roster log was sent
+	sentLog map[string]uint64    // by host: how much of the roster log was sent
+	heardAt map[string]time.Time // by host that offers jobs: its newest message
 
 	startedAt time.Time
 	deposedAt time.Time
@@ -70,7 +71,7 @@
 		host: h, roster: roster.New(h.self), table: h.newTable(),
 		pool:    pool.New(pool.Config{Timing: pool.DefaultTiming(), Note: h.note}),
 		waiters: make(map[uint64]chan entry.Outcome), results: make(map[resultKey]*pendingResult),
-		sentLog: make(map[string]uint64), startedAt: time.Now(),
+		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), startedAt: time.Now(),
 	}
 }
 
@@ -120,8 +121,14 @@
 	}
 	d.lastBoot = boot
 	d.roster.Tick(now)
+	for name, at := range d.heardAt {
+		if now.Sub(at) > roster.ForgetAfter {
+			delete(d.heardAt, name)
+		}
+	}
 	if d.host.self.Entry {
 		d.tickClaims(now)
+		d.dropLost(now)
 		d.table.Tick(now)
 		d.pool.Tick(now)
 		d.tickResults(now)
@@ -144,6 +151,7 @@
 
 // receive takes a message of another host, or of the own one.
 func (d *decisions) receive(now time.Time, from string, b peer.Body) {
+	d.heardAt[from] = now
 	switch m := b.(type) {
 	case *peer.Beat:
 		d.beat(now, m)
@@ -162,6 +170,20 @@
 	}
 }
 
+// dropLost gives up the jobs of entry hosts that have fallen silent: their
+// callers' connections may be gone, and the jobs may come again elsewhere.
+func (d *decisions) dropLost(now time.Time) {
+	for _, name := range d.pool.Waiting() {
+		if name == d.host.self.Name {
+			continue
+		}
+		if now.Sub(d.heardAt[name]) > claim.Timeout {
+			d.host.note(event.PeerDown, slog.String("host", name))
+			d.pool.HostLost(now, name)
+		}
+	}
+}
+
 // offered takes a job for dispatch.
 func (d *decisions) offered(now time.Time, from string, o *peer.JobOffer) {
 	key := resultKey{from, o.Job, o.Offer}
@@ -508,7 +530,7 @@
 // merge takes a part of another host's roster.
 func (d *decisions) merge(now time.Time, from string, r *peer.Roster) {
 	before := len(d.roster.Hosts())
-	for _, m := range d.roster.Merge(now, from, r) {
+	for _, m := range d.roster.Merge(from, r) {
 		d.minionChanged(now, m)
 	}
 	if len(d.roster.Hosts()) != before {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,9 +69,9 @@
 	seeds     atomic.Pointer[[]string]
 	ready     atomic.Bool
 	leaving   atomic.Bool
-	refusing  atomic.Bool  // in the last part of a shutdown
-	waiting   atomic.Int64 // jobs dispatched here without a start
-	open      atomic.Int64 // callers' jobs here without an answer
+	closesAt  atomic.Pointer[time.Time] // end of a shutdown; nil: none has begun
+	waiting   atomic.Int64              // jobs dispatched here without a start
+	open      atomic.Int64              // callers' jobs here without an answer
 	done      chan struct{}
 	wg        sync.WaitGroup
 }
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -44,8 +44,9 @@
 		Job: j.ID, Queue: j.Queue.Name, Service: j.Queue.Service, Payload: j.Payload, Steps: j.Steps,
 		Priority: j.Queue.Priority, Attempts: j.Queue.Attempts, StretchPct: j.Queue.StretchPct, AddMS: j.Queue.AddMS,
 	}
-	if h.refusing.Load() {
-		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the host shuts down"}
+	deadline := j.Deadline
+	if end := h.closesAt.Load(); end != nil && end.Before(deadline) {
+		deadline = *end // jobs that would take longer are refused
 	}
 	out := make(chan entry.Outcome, 1)
 	var waiter uint64
@@ -53,7 +54,7 @@
 		h.decisions.nextID++
 		waiter = h.decisions.nextID
 		h.decisions.waiters[waiter] = out
-		h.decisions.table.Submit(now, o, j.Deadline, waiter)
+		h.decisions.table.Submit(now, o, deadline, waiter)
 	})
 	if !ok {
 		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "ring of the decisions is full"}
@@ -146,8 +147,10 @@
 }
 
 // Leave begins the shutdown: another host takes the minions over, and callers
-// go elsewhere.
-func (h *Host) Leave() {
+// go elsewhere. Jobs that would not end within the bound are refused.
+func (h *Host) Leave(bound time.Duration) {
+	end := time.Now().Add(bound)
+	h.closesAt.Store(&end)
 	h.leaving.Store(true)
 	h.ready.Store(false)
 	h.note(event.StopRequested, slog.String("host", h.self.Name))
@@ -168,9 +171,6 @@
 // started.
 func (h *Host) Pending(string) int { return int(h.waiting.Load()) }
 
-// RefuseJobs refuses new jobs, in the last part of a shutdown.
-func (h *Host) RefuseJobs() { h.refusing.Store(true) }
-
 // jobsPoll is how often a shutdown looks for jobs in progress.
 const jobsPoll = 20 * time.Millisecond
 
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -22,6 +22,7 @@
 	Incarnation   membership.Incarnation `msgpack:"i"`
 	Entry         bool                   `msgpack:"e,omitempty"` // takes callers' requests and dispatches
 	Control       bool                   `msgpack:"c,omitempty"` // takes minions' announcements and operators' orders
+	Gone          bool                   `msgpack:"x,omitempty"` // no longer heard of by the teller
 }
 
 // MinionRecord is the newest announcement of one minion that a host knows.
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -57,6 +57,9 @@
 			return
 		}
 		took := now.Sub(x.ackAt)
+		if t := x.owner.task(x.task); t != nil {
+			t.took = took
+		}
 		speed := m.health.speed()
 		x.owner.kind.observe(took, speed, x.step.EstimateMS)
 		usual := float64(x.owner.expected(x.step))
@@ -74,7 +77,7 @@
 		return
 	}
 	stuck := x.seenAt.Sub(x.movedAt) >= max(stall, x.expected/8)
-	if !stuck && !p.slower(now, x) {
+	if !stuck && !p.slower(now, m, x) {
 		return
 	}
 	t := x.owner.task(x.task)
@@ -93,17 +96,58 @@
 }
 
 // slower reports whether the run, at its rate of progress, ends later than a
-// new one elsewhere would.
-func (p *Pool) slower(now time.Time, x *run) bool {
+// new one elsewhere would. What is usual for the job is told by its other tasks
+// too: when all of them take long, the declared time was wrong.
+func (p *Pool) slower(now time.Time, m *minion, x *run) bool {
 	elapsed := now.Sub(x.ackAt)
 	if x.percent <= 0 || elapsed < stall {
 		return false
 	}
 	left := x.left(now)
-	usual := x.owner.expected(x.step)
+	usual, siblings := x.owner.projected(m)
+	if siblings == 0 && !p.slowHere(m, x) {
+		return false
+	}
+	usual = max(usual, x.owner.expected(x.step))
 	return float64(elapsed+left) > slowFactor*float64(usual) && left > 3*(usual+moveCost)/2
 }
 
+// projected returns the longest time that the job's tasks on other minions
+// took, or will take at their rates, and how many there are.
+func (j *job) projected(not *minion) (longest time.Duration, n int) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.lastOn == not.ID {
+			continue
+		}
+		switch {
+		case t.state == taskDone:
+			longest = max(longest, t.took)
+			n++
+		case t.run != nil && t.run.percent > 0:
+			longest = max(longest, time.Duration(float64(t.run.seenAt.Sub(t.run.ackAt))*100/t.run.percent))
+			n++
+		}
+	}
+	return longest, n
+}
+
+// slowHere reports whether the minion's other runs, of other jobs, are as late.
+func (p *Pool) slowHere(m *minion, x *run) bool {
+	if m.health.speed() > slowFactor/2 {
+		return true
+	}
+	for _, o := range m.runs {
+		if o.owner == nil || o.owner == x.owner || o.percent <= 0 {
+			continue
+		}
+		if total := float64(o.seenAt.Sub(o.ackAt)) * 100 / o.percent; total > slowFactor*float64(o.owner.expected(o.step)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) roomElsewhere(m *minion, x *run) bool {
 	for _, o := range p.ordered {
 		if o != m && o.Service == m.Service && o.takesWork() && o.couldRun(x.step) && o.hasRoom(x.step) {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -27,7 +27,8 @@
 	failures int
 	moves    int // restarts because of a slow or stuck run
 	run      *run
-	lastOn   string // minion of the last run
+	lastOn   string        // minion of the last run
+	took     time.Duration // of the run that was done
 }
 
 type job struct {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -97,6 +97,20 @@
 	return true
 }
 
+// Waiting returns the hosts that wait for results, by name.
+func (p *Pool) Waiting() []string {
+	var out []string
+	for _, j := range p.jobs {
+		for _, a := range j.attached {
+			if !slices.Contains(out, a.Host) {
+				out = append(out, a.Host)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Cancel detaches an offer. A job that nobody waits for is stopped.
 func (p *Pool) Cancel(now time.Time, from string, c *peer.JobCancel) {
 	j := p.jobs[c.Job]
@@ -106,9 +120,16 @@
 	p.detach(now, j, func(a Attachment) bool { return a.Host == from && a.Offer == c.Offer })
 }
 
-// HostLost detaches every offer of a host.
+// HostLost detaches every offer of a host. It is told, in case it lives.
 func (p *Pool) HostLost(now time.Time, host string) {
 	for _, j := range p.sortedJobs() {
+		for _, a := range j.attached {
+			if a.Host == host {
+				p.ready.Results = append(p.ready.Results, Result{To: host, Body: peer.JobResult{
+					Job: j.id, Offer: a.Offer, Outcome: peer.JobUnknown, Reason: "the dispatcher did not hear of the host",
+				}})
+			}
+		}
 		p.detach(now, j, func(a Attachment) bool { return a.Host == host })
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,11 +23,12 @@
 // Host is another host as it is known here.
 type Host struct {
 	peer.HostRecord
-	Beat    *peer.Beat // newest; nil: only heard of
-	HeardAt time.Time  // zero: only heard of
-	ToldAt  time.Time  // when another host last told of it
-	Closed  time.Time  // when its connection ended, without a beat since
-	at      uint64     // place in the log
+	Beat    *peer.Beat      // newest; nil: only heard of
+	HeardAt time.Time       // zero: only heard of
+	Closed  time.Time       // when its connection ended, without a beat since
+	tellers map[string]bool // hosts that list it
+	gone    bool            // was heard of, and is not any more
+	at      uint64          // place in the log
 }
 
 type minionEntry struct {
@@ -77,15 +78,15 @@
 	}
 	h := r.hosts[b.From.Name]
 	if h == nil {
-		h = &Host{}
+		h = &Host{tellers: make(map[string]bool)}
 		r.hosts[b.From.Name] = h
 	}
 	restarted = h.Beat != nil && h.Incarnation != b.From.Incarnation
-	if h.HostRecord != b.From || h.at == 0 {
+	if h.HostRecord != b.From || h.HeardAt.IsZero() || h.gone {
 		h.HostRecord = b.From
 		h.at = r.next()
 	}
-	h.Beat, h.HeardAt, h.Closed = b, now, time.Time{}
+	h.Beat, h.HeardAt, h.Closed, h.gone = b, now, time.Time{}, false
 	return restarted
 }
 
@@ -98,12 +99,18 @@
 
 // Merge takes the records of another host's log and returns the minions that
 // changed.
-func (r *Roster) Merge(now time.Time, from string, m *peer.Roster) []peer.MinionRecord {
-	if p := r.places[from]; p.of != m.Of || p.log < m.Log {
+func (r *Roster) Merge(from string, m *peer.Roster) []peer.MinionRecord {
+	p := r.places[from]
+	if p.of != m.Of {
+		for _, h := range r.hosts {
+			delete(h.tellers, from) // a new process lists anew
+		}
+	}
+	if p.of != m.Of || p.log < m.Log {
 		r.places[from] = place{m.Of, m.Log}
 	}
 	for _, rec := range m.Hosts {
-		r.told(now, rec)
+		r.told(from, rec)
 	}
 	var changed []peer.MinionRecord
 	for _, rec := range m.Minions {
@@ -115,19 +122,24 @@
 }
 
 // told takes a record from another host. What was heard directly goes first.
-func (r *Roster) told(now time.Time, rec peer.HostRecord) {
+func (r *Roster) told(from string, rec peer.HostRecord) {
 	if rec.Name == r.self.Name {
 		return
 	}
 	h := r.hosts[rec.Name]
+	if rec.Gone {
+		if h != nil {
+			delete(h.tellers, from)
+		}
+		return
+	}
 	if h == nil {
-		h = &Host{HostRecord: rec, at: r.next()}
+		h = &Host{HostRecord: rec, tellers: make(map[string]bool)}
 		r.hosts[rec.Name] = h
 	}
-	h.ToldAt = now
-	if h.HeardAt.IsZero() && h.HostRecord != rec {
+	h.tellers[from] = true
+	if h.HeardAt.IsZero() {
 		h.HostRecord = rec
-		h.at = r.next()
 	}
 }
 
@@ -184,8 +196,12 @@
 	return out
 }
 
-// Hosts returns the other hosts, by name.
+// Hosts returns the other hosts that are listed, by name.
 func (r *Roster) Hosts() []*Host {
+	return slices.DeleteFunc(r.ordered(), func(h *Host) bool { return h.gone && len(h.tellers) == 0 })
+}
+
+func (r *Roster) ordered() []*Host {
 	return slices.SortedFunc(maps.Values(r.hosts), func(a, b *Host) int { return cmp.Compare(a.Name, b.Name) })
 }
 
@@ -199,9 +215,11 @@
 		return nil
 	}
 	d := &peer.Roster{Of: r.self.Incarnation, Log: r.log}
-	for _, h := range r.Hosts() {
-		if h.at > after {
-			d.Hosts = append(d.Hosts, h.HostRecord)
+	for _, h := range r.ordered() {
+		if h.at > after { // only what was heard directly is in the log
+			rec := h.HostRecord
+			rec.Gone = h.gone
+			d.Hosts = append(d.Hosts, rec)
 		}
 	}
 	for _, m := range r.minions {
@@ -213,10 +231,28 @@
 	return d
 }
 
-// Tick forgets hosts that have been silent for long.
+// keepGone is how long a host that is gone stays in the log, so that all who
+// read it learn.
+const keepGone = 6 * ForgetAfter
+
+// Tick forgets hosts that neither this host nor one that it hears of has heard
+// lately.
 func (r *Roster) Tick(now time.Time) {
 	for name, h := range r.hosts {
-		if now.Sub(h.HeardAt) > ForgetAfter && now.Sub(h.ToldAt) > ForgetAfter {
+		silent := now.Sub(h.HeardAt)
+		if silent <= ForgetAfter {
+			continue
+		}
+		if !h.HeardAt.IsZero() && !h.gone {
+			h.gone = true
+			h.at = r.next()
+		}
+		for t := range h.tellers {
+			if teller := r.hosts[t]; teller == nil || now.Sub(teller.HeardAt) > ForgetAfter {
+				delete(h.tellers, t)
+			}
+		}
+		if len(h.tellers) == 0 && (h.HeardAt.IsZero() || silent > keepGone) {
 			delete(r.hosts, name)
 			delete(r.places, name)
 		}
