--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -69,17 +69,62 @@
 }
 
 // delay estimates how long the job waits until its last task starts: the work
-// that goes before it, over the capacity.
+// that goes before it, over the capacity that is left by jobs that will still
+// arrive and go before it too.
 func (p *Pool) delay(now time.Time, j *job, capacity int64) time.Duration {
 	own := p.rankOf(now, j)
-	ahead := own.work
+	var ahead int64
 	for _, o := range p.jobs {
-		if o.offer.Service == j.offer.Service && o.waits() && compareRanks(p.rankOf(now, o), own) < 0 {
+		if o != j && o.offer.Service == j.offer.Service && o.waits() && p.order(p.rankOf(now, o), own) < 0 {
 			ahead += o.work()
 		}
 	}
-	ahead -= p.free(j.offer.Service) * j.chain().Milliseconds()
-	return time.Duration(max(0, ahead)/capacity) * time.Millisecond
+	return p.wait(own, ahead, capacity)
+}
+
+// wait returns the delay of a job behind the given work.
+func (p *Pool) wait(own rank, ahead, capacity int64) time.Duration {
+	ahead += own.job.work() - p.free(own.job.offer.Service)*own.job.chain().Milliseconds()
+	if ahead <= 0 {
+		return 0
+	}
+	left := max(minLeft, 1-p.preempting(own, capacity))
+	return time.Duration(float64(ahead)/(left*float64(capacity))) * time.Millisecond
+}
+
+// shed refuses jobs of which nothing has run and that, by the backlog as it is
+// now, will not end before their deadline: their callers need not wait for it.
+func (p *Pool) shed(now time.Time) {
+	ahead := make(map[string]int64)
+	for _, r := range p.queue(now) {
+		service := r.job.offer.Service
+		if capacity := p.capacity(service); !r.job.touched && capacity > 0 {
+			if wait := p.wait(r, ahead[service], capacity); now.Add(wait + r.job.chain() + answerTime).After(r.job.deadline) {
+				p.finish(now, r.job, peer.JobResult{
+					Outcome: peer.JobRefused, RetryMS: max(minRetry, wait).Milliseconds(), Reason: "the backlog has become longer than the caller waits",
+				})
+				continue
+			}
+		}
+		ahead[service] += r.job.work()
+	}
+}
+
+// minLeft bounds the share of the capacity that is taken for left to a job:
+// the load may fall again.
+const minLeft = 0.1
+
+// preempting returns the share of the capacity that jobs of the kinds that
+// usually go before this one need.
+func (p *Pool) preempting(own rank, capacity int64) float64 {
+	var work float64
+	for _, k := range p.kinds {
+		if k == own.job.kind || k.meanWork <= 0 || worthInTime/(k.rate*k.meanWork) <= own.value {
+			continue
+		}
+		work += k.rate * k.meanWork / 1000
+	}
+	return work / float64(capacity)
 }
 
 // expire returns the result of a job that can no longer end before its
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -42,6 +42,7 @@
 	arrived  time.Time
 	goal     time.Time // of its latency objective
 	deadline time.Time
+	total    int64   // work of all tasks
 	factor   float64 // expected run time over the declared one
 }
 
@@ -62,6 +63,8 @@
 	}
 	j.open = len(j.tasks)
 	j.factor = j.kind.factor(o.Steps)
+	j.total = j.work()
+	j.kind.arrived(now, j.total)
 	chain := float64(j.chain()) * float64(o.StretchPct) / 100
 	j.goal = j.arrived.Add(time.Duration(chain) + time.Duration(o.AddMS)*time.Millisecond)
 	return j
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -14,6 +14,9 @@
 
 // kind is what was learned of the run times of one queue.
 type kind struct {
+	rate     float64 // jobs that arrive in a second
+	meanWork float64 // of a job, as job.work gives it
+	lastAt   time.Time
 	runs     int
 	logTime  float64 // mean logarithm of the run time in milliseconds
 	logRatio float64 // mean logarithm of the run time over the declared one
@@ -56,3 +59,22 @@
 	k.logRatio += rate * (logRatio - k.logRatio)
 	k.runs++
 }
+
+const (
+	arrivalRate  = 0.02 // weight of a new job in a kind's rate and work
+	firstRate    = 10.0 // jobs in a second, until they were counted
+	shortestGap  = 1e-4 // seconds between two jobs that counts
+	longestQuiet = 5.0  // seconds; a longer pause says nothing about the rate
+)
+
+// arrived counts a job, to learn the kind's rate and usual work.
+func (k *kind) arrived(now time.Time, work int64) {
+	if k.lastAt.IsZero() {
+		k.rate, k.meanWork = firstRate, float64(work)
+	} else {
+		gap := min(longestQuiet, max(shortestGap, now.Sub(k.lastAt).Seconds()))
+		k.rate = 1 / ((1-arrivalRate)/k.rate + arrivalRate*gap)
+		k.meanWork += arrivalRate * (float64(work) - k.meanWork)
+	}
+	k.lastAt = now
+}
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -6,34 +6,49 @@
 	"time"
 )
 
-// urgency groups jobs that wait by what can still be had for them.
-type urgency uint8
-
+// What an answer is worth to its caller (the users' tables of kinds).
 const (
-	inTime urgency = iota // the objective can still be met
-	late                  // only the deadline can
+	worthInTime = 1.0
+	worthLate   = 0.2  // after the objective
+	worthServed = 0.05 // after lateFactor times the objective
+	lateFactor  = 3
+	// Of a job's worth, fixedShare is the same for every job of its queue; the
+	// rest grows with its work, up to maxWorth.
+	fixedShare = 0.3
+	maxWorth   = 4
 )
 
-// rank orders the queue. It answers loads beyond the capacity: of the jobs that
-// can meet their objective, those with the least work left go first, so that
-// the most callers are served; a job that was begun has less left than the
-// like, and is finished before others begin. Late ones follow.
+// rank orders the queue. It answers loads beyond the capacity: the job goes
+// first that is worth the most for the work that it still needs. All queues
+// count alike, whatever their numbers of jobs, so a queue of few large jobs is
+// not starved by one of many small ones; a job that was begun needs less work
+// than the like and is finished before others begin; one that can no longer
+// meet its objective gives way to those that can.
 type rank struct {
-	job  *job
-	when urgency
-	work int64
+	job   *job
+	value float64
 }
 
 func (p *Pool) rankOf(now time.Time, j *job) rank {
-	r := rank{job: j, work: j.work()}
-	if now.Add(j.left(now)).After(j.goal) {
-		r.when = late
+	return rank{job: j, value: j.worth(now) / float64(max(1, j.work()))}
+}
+
+// worth returns what an answer is worth, if all that can start starts now.
+func (j *job) worth(now time.Time) float64 {
+	share := fixedShare + (1-fixedShare)*float64(j.total)/max(1, j.kind.meanWork)
+	worth := min(share, maxWorth) / j.kind.rate
+	end := now.Add(j.left(now))
+	switch {
+	case !end.After(j.goal):
+		return worth * worthInTime
+	case !end.After(j.arrived.Add(lateFactor * j.goal.Sub(j.arrived))):
+		return worth * worthLate
 	}
-	return r
+	return worth * worthServed
 }
 
 func compareRanks(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.when, b.when), cmp.Compare(a.work, b.work), byArrival(a.job, b.job))
+	return cmp.Or(cmp.Compare(b.value, a.value), byArrival(a.job, b.job))
 }
 
 // queue returns the jobs with tasks that wait, in the order of service.
@@ -44,7 +59,7 @@
 			out = append(out, p.rankOf(now, j))
 		}
 	}
-	slices.SortFunc(out, compareRanks)
+	slices.SortFunc(out, p.order)
 	return out
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,6 +15,7 @@
 	ordered []*minion // by ID
 	jobs    map[string]*job
 	kinds   map[string]*kind
+	order   func(a, b rank) int
 	frozen  bool // no new starts: the owner hands over
 	tokens  tokenSource
 	serial  uint64
@@ -34,7 +35,7 @@
 func New(cfg Config) *Pool {
 	return &Pool{
 		cfg: cfg, minions: make(map[string]*minion), jobs: make(map[string]*job), kinds: make(map[string]*kind),
-		ends: make(map[TaskRef]pastEnd),
+		ends: make(map[TaskRef]pastEnd), order: compareRanks,
 	}
 }
 
@@ -174,6 +175,7 @@
 	for _, j := range p.sortedJobs() {
 		p.tickJob(now, j)
 	}
+	p.shed(now)
 	for ref, e := range p.ends {
 		if now.Sub(e.at) > keepEnds {
 			delete(p.ends, ref)
