--- a/internal/control/sim_checks_test.go
+++ b/internal/control/sim_checks_test.go
@@ -84,10 +84,37 @@
 			return s.commands[i]
 		}
 	}
+	if s.managed { // a host asked by itself to be admitted
+		if s.own[command] == nil {
+			s.own[command] = &simCommand{Proposal: Proposal{Command: command}}
+		}
+		return s.own[command]
+	}
 	s.fail("unknown command %q", command)
 	return nil
 }
 
+// checkRead holds a certain read against what operators had been told before
+// it began.
+func (s *simulation) checkRead(h *simHost, r ReadResult) {
+	key := simTicket{h.Name, h.starts, r.Ticket}
+	told, ok := s.reads[key]
+	if !ok {
+		s.fail("%s answers an unknown read", h.Name)
+	}
+	delete(s.reads, key)
+	if !r.Certain {
+		return
+	}
+	s.readsDone++
+	if r.Version < told {
+		s.fail("%s reads version %d as the newest, but operators were told of %d", h.Name, r.Version, told)
+	}
+	if r.Version != h.m.Version() {
+		s.fail("%s reads version %d and has %d", h.Name, r.Version, h.m.Version())
+	}
+}
+
 // checkChosen holds a host's new version against the disks.
 func (s *simulation) checkChosen(h *simHost, r *peer.ConfigRecord) {
 	old := s.chosen[r.Version]
@@ -103,6 +130,9 @@
 func (s *simulation) decided(h *simHost, d Decision) {
 	key := simTicket{h.Name, h.starts, d.Ticket}
 	c, ok := s.open[key]
+	if !ok && s.managed {
+		return // of a proposal that the host made by itself
+	}
 	if !ok {
 		s.fail("%s decides an unknown ticket", h.Name)
 	}
--- a/internal/control/sim_faults_test.go
+++ b/internal/control/sim_faults_test.go
@@ -129,7 +129,7 @@
 	if s.chance(0.1) {
 		c.Base -= min(c.Base, uint64(s.rng.IntN(3)))
 	}
-	if s.chance(0.3) {
+	if !s.managed && s.chance(0.3) {
 		s.changeGroup(h, c)
 	}
 	s.ask(h, c)
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -15,15 +15,19 @@
 // simulation drives Machines through faults in virtual time and holds what
 // they do against what stands on the disks.
 type simulation struct {
-	seed   uint64
-	rng    *rand.Rand
-	now    time.Time
-	events simEvents
-	seq    uint64
-	steps  int
-	faulty bool
-	late   float64 // share of messages that are much later than others
-	races  float64 // share of changes that are raced by others on the same base
+	seed      uint64
+	rng       *rand.Rand
+	now       time.Time
+	events    simEvents
+	seq       uint64
+	steps     int
+	faulty    bool
+	late      float64                // share of messages that are much later than others
+	managed   bool                   // control hosts admit themselves; no operator repairs
+	reads     map[simTicket]uint64   // version that operators had been told of when the read began
+	own       map[string]*simCommand // of hosts that asked by themselves to be admitted
+	readsDone int
+	races     float64 // share of changes that are raced by others on the same base
 
 	hosts    []*simHost
 	byName   map[string]*simHost
@@ -43,7 +47,7 @@
 }
 
 type simCounts struct {
-	accepted, taken, stale, noMajority, refused, resends, groupChanges, diskLosses, crashes, storeFailures int
+	accepted, taken, stale, noMajority, refused, resends, groupChanges, diskLosses, crashes, storeFailures, reads int
 }
 
 type simHost struct {
@@ -104,8 +108,9 @@
 	simBeat = 20 // ticks between two heartbeats, each to the next host
 )
 
-func newSimulation(seed uint64, control int) *simulation {
+func newSimulation(seed uint64, control int, managed bool) *simulation {
 	s := &simulation{
+		managed: managed, reads: map[simTicket]uint64{}, own: map[string]*simCommand{},
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), faulty: true, late: 0.02, races: 0.3,
 		byName: map[string]*simHost{}, cuts: map[[2]string]bool{}, open: map[simTicket]*simCommand{},
 		chosen: map[uint64]*peer.ConfigRecord{}, accepts: map[simVote]map[string]bool{},
@@ -176,6 +181,9 @@
 		Self: h.Host, Incarnation: membership.Incarnation(fmt.Sprintf("%s#%d", h.Name, h.starts)),
 		Bootstrap: s.members, Relays: 1, Seed: s.seed<<16 + uint64(h.starts), Timing: DefaultTiming(),
 	}
+	if s.managed {
+		cfg.GroupSize = len(s.members)
+	}
 	for _, o := range s.hosts {
 		if o != h {
 			cfg.Peers = append(cfg.Peers, o.Host)
@@ -193,6 +201,9 @@
 		return
 	}
 	h.m.Tick(s.now)
+	if s.chance(0.005) {
+		s.reads[simTicket{h.Name, h.starts, h.m.Read(s.now)}] = s.told
+	}
 	s.flush(h)
 	h.ticks++
 	if h.ticks%simBeat == 0 { // a heartbeat's digest
@@ -241,9 +252,12 @@
 func (s *simulation) flush(h *simHost) {
 	for h.up {
 		r := h.m.Ready()
-		if r.Save == nil && len(r.Messages) == 0 && r.Chosen == nil && len(r.Decisions) == 0 {
+		if r.Save == nil && len(r.Messages) == 0 && r.Chosen == nil && len(r.Decisions) == 0 && len(r.Reads) == 0 {
 			return
 		}
+		for _, x := range r.Reads {
+			s.checkRead(h, x)
+		}
 		if r.Save != nil && h.disk != nil && !s.save(h, r.Save) {
 			r.Messages = nil
 		}
@@ -317,12 +331,35 @@
 	if seed%2 == 1 {
 		control = 5
 	}
-	s := newSimulation(seed, control)
+	return runSimulationOf(newSimulation(seed, control, false), length)
+}
+
+func runSimulationOf(s *simulation, length time.Duration) (steps int, counts simCounts) {
 	s.runFor(length)
 	s.settle()
+	s.counts.reads = s.readsDone
 	return s.steps, s.counts
 }
 
+// TestRandomFaultsOfSelfManagedGroups runs groups whose hosts admit themselves:
+// with a new disk, and in place of a member that has fallen silent.
+func TestRandomFaultsOfSelfManagedGroups(t *testing.T) {
+	const firstSeed, seeds, length = 200000, 40, 40 * time.Second
+	steps := 0
+	var sum simCounts
+	for seed := range uint64(seeds) {
+		n, c := runSimulationOf(newSimulation(firstSeed+seed, 3+2*int(seed%2), true), length)
+		steps += n
+		sum.add(c)
+	}
+	t.Logf("%d seeds, %d steps: %+v", seeds, steps, sum)
+	for _, n := range []int{sum.accepted, sum.groupChanges, sum.diskLosses, sum.reads} {
+		if n == 0 {
+			t.Fatalf("a kind of outcome or fault never occurred: %+v", sum)
+		}
+	}
+}
+
 // TestRandomFaults runs fixed seeds with loss, doubling, reordering, one-way
 // cuts, crashes at every write, failing writes, lost disks, frozen hosts, and
 // racing and resending operators.
@@ -368,4 +405,5 @@
 	c.diskLosses += o.diskLosses
 	c.crashes += o.crashes
 	c.storeFailures += o.storeFailures
+	c.reads += o.reads
 }
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/shoenig/test/must"
+)
+
+const ms = time.Millisecond
+
+var begin = time.Unix(1_700_000_000, 0)
+
+func newTable() *Table {
+	return New("self", "a", 0, func(event.ID, ...slog.Attr) {})
+}
+
+func dispatcherOf(host, domain string, free, queued int64) Dispatcher {
+	return Dispatcher{Host: host, FailureDomain: domain, HeardAt: begin, LoadAt: begin, Load: peer.PoolLoad{Capacity: 100_000, Free: free, Queued: queued}}
+}
+
+func jobOf(id string) peer.JobOffer {
+	return peer.JobOffer{Job: id, Steps: []peer.TaskStep{{Count: 2, CPU: 27_000, EstimateMS: 200}}}
+}
+
+// offers returns the offers among the messages.
+func offers(r Ready) []Message {
+	var out []Message
+	for _, m := range r.Messages {
+		if _, ok := m.Body.(*peer.JobOffer); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func submit(t *Table, id string) { t.Submit(begin, jobOf(id), begin.Add(3*time.Second), 1) }
+
+func TestOwnDomainGoesFirst(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("far", "b", 100_000, 0), dispatcherOf("near", "a", 100_000, 0)})
+	submit(x, "j")
+	must.Eq(t, "near", offers(x.Ready())[0].To)
+}
+
+// A backlog at home sends whole jobs away, and what was sent counts until the
+// other side tells its load again.
+func TestBacklogSendsJobsAway(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("far", "b", 60_000, 0), dispatcherOf("near", "a", 0, 20_000_000)})
+	submit(x, "j1")
+	must.Eq(t, "far", offers(x.Ready())[0].To)
+	submit(x, "j2")
+	must.Eq(t, "far", offers(x.Ready())[0].To)
+	to := map[string]int{}
+	for _, id := range []string{"j3", "j4", "j5", "j6", "j7", "j8"} {
+		submit(x, id)
+	}
+	for _, m := range offers(x.Ready()) {
+		to[m.To]++
+	}
+	must.Positive(t, to["near"], must.Sprint("each job adds 0.1 s to a backlog; at home it was 0.2 s"))
+	must.Positive(t, to["far"])
+}
+
+func TestRefusedJobIsOfferedElsewhereThenRefused(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0), dispatcherOf("far", "b", 100_000, 0)})
+	submit(x, "j")
+	o := offers(x.Ready())[0].Body.(*peer.JobOffer)
+	x.Result(begin, "near", &peer.JobResult{Job: "j", Offer: o.Offer, Outcome: peer.JobRefused, RetryMS: 700})
+	again := offers(x.Ready())[0]
+	must.Eq(t, "far", again.To)
+	x.Result(begin, "far", &peer.JobResult{Job: "j", Offer: again.Body.(*peer.JobOffer).Offer, Outcome: peer.JobRefused, RetryMS: 300})
+	a := x.Ready().Answers
+	must.Len(t, 1, a)
+	must.Eq(t, Outcome{Outcome: peer.JobRefused, RetryMS: 300}, a[0].Outcome)
+}
+
+// A job that may run with a lost dispatcher goes to the next one of the same
+// failure domain only, and is never answered as not run.
+func TestJobOfLostDispatcherStaysInItsDomain(t *testing.T) {
+	x := newTable()
+	near, far := dispatcherOf("near", "a", 100_000, 0), dispatcherOf("far", "b", 100_000, 0)
+	x.Dispatchers(begin, []Dispatcher{near, far})
+	submit(x, "j")
+	x.Ready()
+	x.Dispatchers(begin.Add(ms), []Dispatcher{far})
+	must.Len(t, 0, offers(x.Ready()))
+	x.Tick(begin.Add(forgotten / 2))
+	must.Len(t, 0, offers(x.Ready()))
+	x.Dispatchers(begin.Add(forgotten/2), []Dispatcher{far, dispatcherOf("next", "a", 100_000, 0)})
+	o := offers(x.Ready())
+	must.Eq(t, "next", o[0].To)
+	must.True(t, o[0].Body.(*peer.JobOffer).MayHaveRun)
+	x.Result(begin.Add(forgotten), "next", &peer.JobResult{Job: "j", Offer: o[0].Body.(*peer.JobOffer).Offer, Outcome: peer.JobRefused})
+	r := x.Ready()
+	must.Len(t, 0, offers(r), must.Sprint("the other domain must not run it as well"))
+	must.Eq(t, peer.JobUnknown, r.Answers[0].Outcome.Outcome)
+}
+
+// Once the lost dispatcher's runs have certainly ended the job may run
+// anywhere.
+func TestJobOfLostDomainRunsElsewhereLater(t *testing.T) {
+	x := newTable()
+	far := dispatcherOf("far", "b", 100_000, 0)
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0), far})
+	submit(x, "j")
+	x.Ready()
+	x.Dispatchers(begin, []Dispatcher{far})
+	x.Tick(begin.Add(forgotten - ms))
+	must.Len(t, 0, offers(x.Ready()))
+	x.Tick(begin.Add(forgotten))
+	o := offers(x.Ready())
+	must.Eq(t, "far", o[0].To)
+	must.False(t, o[0].Body.(*peer.JobOffer).MayHaveRun)
+}
+
+func TestMovedJobCarriesWhatIsDone(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	submit(x, "j")
+	o := offers(x.Ready())[0].Body.(*peer.JobOffer)
+	x.Result(begin, "near", &peer.JobResult{Job: "j", Offer: o.Offer, Outcome: peer.JobMoved, Done: []int{1}})
+	again := offers(x.Ready())[0].Body.(*peer.JobOffer)
+	must.Eq(t, []int{1}, again.Done)
+	must.True(t, again.MayHaveRun)
+	must.NotEq(t, o.Offer, again.Offer)
+}
+
+func TestUnansweredOfferIsRepeatedAndOldResultsAreIgnored(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	submit(x, "j")
+	o := offers(x.Ready())[0].Body.(*peer.JobOffer)
+	x.Tick(begin.Add(offerResend))
+	must.Len(t, 1, offers(x.Ready()))
+	x.Result(begin, "near", &peer.JobResult{Job: "j", Offer: o.Offer + 1, Outcome: peer.JobComplete})
+	must.Len(t, 0, x.Ready().Answers)
+	x.Ack(begin, "near", &peer.JobAck{Job: "j", Offer: o.Offer})
+	x.Tick(begin.Add(3 * offerResend))
+	must.Len(t, 0, offers(x.Ready()))
+}
+
+// A caller that leaves stops its job, unless another waits for it too.
+func TestLeave(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	submit(x, "j")
+	x.Submit(begin, jobOf("j"), begin.Add(time.Second), 2)
+	must.Len(t, 1, offers(x.Ready()))
+	x.Leave(begin, "j", 1)
+	must.Len(t, 0, x.Ready().Messages)
+	x.Leave(begin, "j", 2)
+	r := x.Ready()
+	must.Len(t, 1, r.Messages)
+	must.Eq(t, peer.KindJobCancel, r.Messages[0].Body.Kind())
+	must.Eq(t, 0, x.Open())
+}
+
+// A caller hears before its own deadline that there will be no answer.
+func TestDeadline(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	x.Submit(begin, jobOf("j"), begin.Add(time.Second), 7)
+	x.Tick(begin.Add(time.Second - lastWord))
+	a := x.Ready().Answers
+	must.Len(t, 1, a)
+	must.Eq(t, uint64(7), a[0].Waiter)
+	must.Eq(t, peer.JobUnknown, a[0].Outcome.Outcome)
+}
