--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -134,7 +134,6 @@
 		d.tickResults(now)
 		_, waiting := d.pool.Jobs()
 		d.host.waiting.Store(int64(waiting))
-		d.host.open.Store(int64(d.table.Open()))
 	}
 	d.tickBeats(now)
 }
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -48,6 +48,9 @@
 	if end := h.closesAt.Load(); end != nil && end.Before(deadline) {
 		deadline = *end // jobs that would take longer are refused
 	}
+	if !time.Now().Before(deadline) {
+		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the host shuts down"}
+	}
 	out := make(chan entry.Outcome, 1)
 	var waiter uint64
 	ok := h.push(func(now time.Time) {
@@ -171,15 +174,8 @@
 // started.
 func (h *Host) Pending(string) int { return int(h.waiting.Load()) }
 
-// jobsPoll is how often a shutdown looks for jobs in progress.
-const jobsPoll = 20 * time.Millisecond
-
-// WaitForJobs returns when no caller waits here, at the latest after a bound.
-func (h *Host) WaitForJobs(bound time.Duration) {
-	for until := time.Now().Add(bound); h.open.Load() > 0 && time.Now().Before(until); {
-		time.Sleep(jobsPoll)
-	}
-}
+// abandonWait bounds the wait for the decisions at the end of a shutdown.
+const abandonWait = 50 * time.Millisecond
 
 // AbandonJobs answers the callers that still wait, at the end of a shutdown.
 func (h *Host) AbandonJobs() {
@@ -193,6 +189,6 @@
 	}
 	select {
 	case <-done:
-	case <-time.After(jobsPoll):
+	case <-time.After(abandonWait):
 	}
 }
