logs: a line for each decision, bounded and never blocking; metrics

A ring and one writer; each event has a rate of its own, and what was left out is counted and told. Counters of events, answers by queue, outcome and reason, answer times and gauges as expvar on the metrics address.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -191,6 +191,7 @@
 		t.ready.Answers = append(t.ready.Answers, Answer{Job: j.offer.Job, Waiter: w, Outcome: o})
 	}
 	if o.Outcome == peer.JobComplete {
+		t.note(event.EntryJobDone, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()))
 		return
 	}
 	t.note(event.EntryJobAnswered, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.Int("outcome", int(o.Outcome)),
@@ -206,7 +207,9 @@
 	j.heardAt = time.Time{}
 	j.offer.MayHaveRun = j.tied
 	t.count(now, d, j)
-	t.note(event.EntryJobForwarded, slog.String("job", j.offer.Job), slog.String("dispatcher", d.Host))
+	t.note(event.EntryJobForwarded, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.String("dispatcher", d.Host),
+		slog.Int64("load_age_ms", now.Sub(d.LoadAt).Milliseconds()), slog.Int64("free_cpu", d.Load.Free), slog.Int64("queued", d.Load.Queued),
+		slog.Int("dispatchers", len(t.dispatchers)), slog.Bool("may_have_run", j.tied))
 	t.sendOffer(now, j)
 	if j.sentAt.IsZero() {
 		j.sentAt = now
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,6 +22,8 @@
 	RingFull          ID = 1007
 	SpanExportFailed  ID = 1008
 	TraceRecordFailed ID = 1009
+	LinesLeftOut      ID = 1010
+	Reloaded          ID = 1011
 
 	JobRefused        ID = 2001
 	JobEnded          ID = 2002
@@ -40,10 +42,15 @@
 	PoolStartUnknown   ID = 2102
 	PoolStartRefused   ID = 2103
 	PoolRunMoved       ID = 2104
+	PoolJobTaken       ID = 2105
+	PoolTaskStarted    ID = 2106
+	PoolRunAdopted     ID = 2107
+	PoolRunEnded       ID = 2108
 	EntryJobAnswered   ID = 2111
 	EntryJobForwarded  ID = 2112
 	EntryJobReoffered  ID = 2113
 	EntryRequestBad    ID = 2114
+	EntryJobDone       ID = 2115
 	PoolMinionDraining ID = 3101
 	PoolMinionReborn   ID = 3102
 	PoolMinionLost     ID = 3103
@@ -98,6 +105,8 @@
 	{RingFull, slog.LevelWarn, "ring full", "See docs/LIMITS.md for the ring's bound."},
 	{SpanExportFailed, slog.LevelWarn, "span export failed", "Check the collector's address and the span file's disk."},
 	{TraceRecordFailed, slog.LevelWarn, "recording ended", "The file is full or its disk failed; take what was recorded, and name another file."},
+	{LinesLeftOut, slog.LevelWarn, "log lines left out", "None; counters have every event."},
+	{Reloaded, slog.LevelInfo, "settings taken over", "None."},
 	{JobRefused, slog.LevelDebug, "job refused", "See the result code."},
 	{JobEnded, slog.LevelDebug, "job ended", "None."},
 	{TaskStartRefused, slog.LevelDebug, "minion refused a task before its start", "None; the task is retried under the retry budget."},
@@ -109,14 +118,19 @@
 	{MinionExpired, slog.LevelWarn, "minion lease expired", "Check the minion's process and its network."},
 	{MinionEjected, slog.LevelWarn, "minion ejected for failures or slowness", "Check the minion; it is probed with single tasks."},
 	{MinionRestored, slog.LevelInfo, "ejected minion restored", "None."},
-	{PoolJobEnded, slog.LevelInfo, "dispatched job ended late or without success", "The reason names the cause; see OPERATIONS.md for the way from a job to it."},
+	{PoolJobEnded, slog.LevelInfo, "dispatched job ended", "The reason names the cause; see OPERATIONS.md for the way from a job to it."},
 	{PoolStartUnknown, slog.LevelWarn, "start without an answer", "None; a listing under a newer token tells whether it was carried out."},
 	{PoolStartRefused, slog.LevelInfo, "minion refused a start", "Check the named minion if it goes on."},
 	{PoolRunMoved, slog.LevelInfo, "stuck or slow run stopped, to run elsewhere", "Check the named minion if it goes on."},
+	{PoolJobTaken, slog.LevelInfo, "job taken into the queue", "None."},
+	{PoolTaskStarted, slog.LevelInfo, "task sent to a minion", "None."},
+	{PoolRunAdopted, slog.LevelInfo, "run of an earlier dispatcher adopted", "None."},
+	{PoolRunEnded, slog.LevelInfo, "run ended without success", "Check the named minion if it goes on."},
 	{EntryJobAnswered, slog.LevelInfo, "job answered without success", "The reason names the cause."},
-	{EntryJobForwarded, slog.LevelDebug, "job offered to a dispatcher", "None."},
+	{EntryJobForwarded, slog.LevelInfo, "job offered to a dispatcher", "None."},
 	{EntryJobReoffered, slog.LevelInfo, "job offered to another dispatcher", "None."},
 	{EntryRequestBad, slog.LevelInfo, "caller's request refused as unreadable", "Tell the caller's team."},
+	{EntryJobDone, slog.LevelInfo, "job answered with success", "None."},
 	{PoolMinionDraining, slog.LevelInfo, "minion drains", "None."},
 	{PoolMinionReborn, slog.LevelInfo, "minion started again", "None."},
 	{PoolMinionLost, slog.LevelWarn, "minion out of reach", "Check the minion's process and its network."},
@@ -150,6 +164,9 @@
 	{ConnectionRefused, slog.LevelWarn, "connection refused at the listener's bound", "Find who holds so many connections, or raise max_connections."},
 }
 
+// Key is the attribute that holds an event's number; it is a line's first.
+const Key = "event"
+
 var byID = indexTable()
 
 func indexTable() map[ID]*Info {
@@ -174,7 +191,7 @@
 		return
 	}
 	all := make([]slog.Attr, 0, len(attrs)+1)
-	all = append(all, slog.Uint64("event", uint64(id)))
+	all = append(all, slog.Uint64(Key, uint64(id)))
 	all = append(all, attrs...)
 	l.LogAttrs(ctx, info.Level, info.Message, all...)
 }
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -134,10 +134,25 @@
 		d.tickResults(now)
 		_, waiting := d.pool.Jobs()
 		d.host.waiting.Store(int64(waiting))
+		d.gauges(now)
 	}
 	d.tickBeats(now)
 }
 
+// gauges publishes what the decisions hold.
+func (d *decisions) gauges(now time.Time) {
+	m := d.host.metrics
+	all, waiting := d.pool.Jobs()
+	load := d.pool.Load(now)
+	m.openJobs.Set(int64(d.table.Open()))
+	m.dispatched.Set(int64(all))
+	m.queued.Set(int64(waiting))
+	m.claims.Set(int64(len(d.claims)))
+	m.capacity.Set(load.Capacity)
+	m.free.Set(load.Free)
+	m.hosts.Set(int64(len(d.roster.Hosts())))
+}
+
 // stoodStill gives up what others may have taken over meanwhile.
 func (d *decisions) stoodStill(now time.Time, gap time.Duration) {
 	d.host.note(event.HostStoodStill, slog.Int64("gap_ms", gap.Milliseconds()), slog.Int("open_jobs", d.table.Open()), slog.Any("claims", d.claims))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,7 @@
 	self     peer.HostRecord
 	log      *slog.Logger
 	minions  Minions
+	metrics  *metrics
 
 	inputs    *ring.Ring[func(now time.Time)]
 	mesh      *link.Mesh
@@ -84,7 +85,7 @@
 		return nil, errors.Wrap(err, "listen for hosts")
 	}
 	h := &Host{
-		settings: s, log: log, minions: minions, done: make(chan struct{}),
+		settings: s, log: log, minions: minions, metrics: newMetrics(), done: make(chan struct{}),
 		inputs: ring.New[func(time.Time)](inputRing),
 		self: peer.HostRecord{
 			Name: s.IP, FailureDomain: s.FailureDomain, Region: s.Region, Incarnation: membership.Incarnation(uuid.NewString()),
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -62,8 +62,10 @@
 	if !ok {
 		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "ring of the decisions is full"}
 	}
+	begin := time.Now()
 	select {
 	case r := <-out:
+		h.metrics.answered(j.Queue.Name, &r, time.Since(begin))
 		return r
 	case <-ctx.Done():
 	case <-h.done:
@@ -165,6 +167,12 @@
 	})
 }
 
+// Reload takes over what may change in a running process: the seeds.
+func (h *Host) Reload(seeds []string) {
+	h.SetSeeds(seeds)
+	h.note(event.Reloaded, slog.Any("seeds", seeds))
+}
+
 // SettingsRefused logs a settings file that was not taken over.
 func (h *Host) SettingsRefused(err error) {
 	h.note(event.SettingsRefused, slog.String("error", err.Error()))
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -205,6 +205,8 @@
 		x.owner, x.step, x.expected = j, t.step, j.expected(t.step)
 		t.run, t.state, t.nextRun, t.lastOn = x, taskPlaced, x.number+1, m.ID
 		m.account(x)
+		p.cfg.Note(event.PoolRunAdopted, slog.String("job", j.id), slog.Int("task", t.ref.Index), slog.Int("run", x.number), slog.String("minion", m.ID),
+			slog.Uint64("token", m.token))
 		return true
 	}
 	return false
@@ -271,9 +273,6 @@
 }
 
 func (p *Pool) noteEnd(now time.Time, j *job, r *peer.JobResult) {
-	if r.Outcome == peer.JobComplete && now.Before(j.goal) {
-		return // counted, not logged: the usual case
-	}
 	p.cfg.Note(event.PoolJobEnded, slog.String("job", j.id), slog.String("queue", j.offer.Queue), slog.Int("outcome", int(r.Outcome)),
 		slog.String("reason", r.Reason), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
 		slog.Int64("goal_ms", j.goal.Sub(j.arrived).Milliseconds()), slog.Int("open_tasks", j.open), slog.Bool("touched", j.touched))
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -379,6 +379,10 @@
 	if j == nil || p.jobs[j.id] != j {
 		return
 	}
+	if how != EndDone {
+		p.cfg.Note(event.PoolRunEnded, slog.String("job", j.id), slog.Int("task", x.task.Index), slog.Int("run", x.number), slog.String("minion", m.ID),
+			slog.String("how", how.String()), slog.Bool("moving", x.moving), slog.Bool("reachable", m.reachable))
+	}
 	if t := j.task(x.task); t != nil && t.run == x {
 		p.runEnded(now, j, t, how)
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -127,6 +127,8 @@
 	t.run, t.state, t.lastOn = x, taskPlaced, m.ID
 	t.nextRun++
 	j.touched = true
+	p.cfg.Note(event.PoolTaskStarted, slog.String("job", j.id), slog.Int("task", t.ref.Index), slog.Int("run", x.number), slog.String("minion", m.ID),
+		slog.Uint64("token", m.token), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()), slog.Int64("used_cpu", m.usedCPU))
 	p.ready.Starts = append(p.ready.Starts, Start{
 		Minion: m.ID, Address: m.Address, Task: t.ref, Run: x.number, Payload: j.offer.Payload,
 		Token: m.token, UntilMS: m.until(now, p.cfg.Timing.Lease),
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,10 +1,12 @@
 package pool
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
@@ -93,6 +95,9 @@
 		return true
 	}
 	p.jobs[j.id] = j
+	p.cfg.Note(event.PoolJobTaken, slog.String("job", j.id), slog.String("queue", o.Queue), slog.String("from", from), slog.Int("tasks", len(j.tasks)),
+		slog.Int64("age_ms", o.AgeMS), slog.Int64("left_ms", o.LeftMS), slog.Int64("goal_ms", j.goal.Sub(j.arrived).Milliseconds()),
+		slog.Int("jobs_here", len(p.jobs)), slog.Int64("free_cpu", p.free(o.Service)), slog.Bool("may_have_run", o.MayHaveRun))
 	p.adopt(now, j)
 	p.dispatch(now)
 	return true
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -74,6 +74,11 @@
 	EndLapsed
 )
 
+// String returns the end as logs show it.
+func (e End) String() string {
+	return [...]string{"unknown", "done", "failed", "stopped or not started", "lapsed"}[e]
+}
+
 // Running is one run on a minion.
 type Running struct {
 	Task    TaskRef
