entry: a handed-over job waits for the next dispatcher

Change: a dispatcher that handed over is not offered to before it is listed anew; the list is told at once; messages to the own host are bounded.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -54,7 +54,7 @@
 	var bestDelay time.Duration
 	for i := range t.dispatchers {
 		d := &t.dispatchers[i]
-		if slices.Contains(j.refused, d.Host) || j.tied && d.FailureDomain != j.domain {
+		if slices.Contains(j.refused, d.Host) || t.moved[d.Host] || j.tied && d.FailureDomain != j.domain {
 			continue
 		}
 		delay := t.delay(d, j)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,6 +101,7 @@
 	note        func(event.ID, ...slog.Attr)
 	jobs        map[string]*open
 	dispatchers []Dispatcher
+	moved       map[string]bool // dispatchers that handed over since they were listed
 	sent        map[string]*sentWork
 	cancels     []*cancellation
 	offers      uint64
@@ -111,7 +112,7 @@
 func New(self, domain string, offers uint64, note func(event.ID, ...slog.Attr)) *Table {
 	return &Table{
 		self: self, domain: domain, offers: offers, note: note,
-		jobs: make(map[string]*open), sent: make(map[string]*sentWork),
+		jobs: make(map[string]*open), sent: make(map[string]*sentWork), moved: make(map[string]bool),
 	}
 }
 
@@ -248,6 +249,7 @@
 		j.touched = j.touched || j.tied
 		j.to = ""
 		j.lostAt = now
+		t.moved[from] = true
 		t.place(now, j)
 	default:
 		t.answer(now, j, Outcome{Outcome: r.Outcome, Reason: r.Reason})
@@ -276,11 +278,15 @@
 		t.offer(now, j, d)
 		return
 	}
-	if !j.tied {
+	if !j.tied && now.Sub(j.lostAt) >= succession {
 		t.answer(now, j, Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"})
 	}
 }
 
+// succession is for how long a job that was handed over waits for the next
+// dispatcher: it claims the minions within a few beats.
+const succession = 500 * time.Millisecond
+
 // noDispatcherRetry is what a caller is told when no dispatcher is known: a
 // takeover lasts about as long.
 const noDispatcherRetry = time.Second
@@ -289,6 +295,7 @@
 // gone are offered to the next of its failure domain.
 func (t *Table) Dispatchers(now time.Time, list []Dispatcher) {
 	t.dispatchers = list
+	clear(t.moved)
 	for _, j := range t.sorted() {
 		if j.to == "" {
 			t.place(now, j)
@@ -348,6 +355,8 @@
 	if j.to == "" && j.tied && now.Sub(j.lostAt) >= forgotten {
 		j.tied = false
 		j.offer.Done = nil
+	}
+	if j.to == "" && !j.tied {
 		t.place(now, j)
 		return
 	}
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -246,9 +246,13 @@
 	d.host.mesh.Send(to, b)
 }
 
-// flush carries out what the decisions ask for, until nothing is left.
+// maxRounds bounds how often messages to the own host are handled in one go:
+// the ticks must go on whatever the decisions ask of each other.
+const maxRounds = 16
+
+// flush carries out what the decisions ask for.
 func (d *decisions) flush(now time.Time) {
-	for {
+	for range maxRounds {
 		d.flushTable()
 		d.flushPool(now)
 		if len(d.local) == 0 {
@@ -383,6 +387,7 @@
 	d.host.note(event.ClaimReleased, slog.Any("shards", d.claims), slog.String("reason", reason), slog.Int("jobs", all))
 	d.claims = nil
 	d.pool.Release(now)
+	d.tellTable(now, d.candidates(now))
 	d.beatSoon = true
 }
 
