claim: a failure domain's minions are split into shards, each with a pool

Load: 117 minions and 300 jobs a second in a failure domain, on entry hosts of 0.19 processors. Change: as many shards as the minions need (24 each), laid out by the newest claim, spread over the live hosts; a pool a shard; whole jobs go to the dispatcher with room, drawn by its room.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,9 @@
 	ClosedTimeout = 150 * time.Millisecond
 	// Settle is how long a new process listens for claims before it makes one.
 	Settle = 1200 * time.Millisecond
+	// Relayout is for how long a layout must be far from the wanted one before
+	// it is replaced.
+	Relayout = 3 * time.Second
 	// Rebid is how long a host waits before it claims again what was taken
 	// from it while it hears of no other claim.
 	Rebid = time.Second
@@ -36,45 +40,54 @@
 	Claims  []peer.Claim
 }
 
+const (
+	// minionsPerShard is how many minions one host dispatches on: the load of
+	// about 50 tasks at a time takes a tenth of an entry host's processor.
+	minionsPerShard = 24
+	maxShards       = 64
+)
+
+// Wanted returns into how many shards the minions should be split.
+func Wanted(minions, hosts int) int {
+	n := (minions + minionsPerShard - 1) / minionsPerShard
+	return max(1, min(n, hosts, maxShards))
+}
+
+// Far reports whether a layout should be replaced by one of the wanted size.
+// Moving minions costs some time, so small differences are left.
+func Far(of, wanted int) bool { return 2*wanted >= 3*of+1 || 2*wanted <= of }
+
 // Shard returns the shard of a minion.
-func Shard(minion string, shards int) int {
-	return int(xxhash.Sum64String(minion) % uint64(shards))
+func Shard(minion string, of int) int {
+	return int(xxhash.Sum64String(minion) % uint64(of))
 }
 
-// Holder returns the candidate with the highest token for a shard, or nil. A
-// leaving host keeps its claim until another one has made a higher.
-func Holder(candidates []Candidate, shard int) (*Candidate, uint64) {
-	var holder *Candidate
-	var token uint64
+// Layout returns the layout that counts: that of the newest claim; 0: there is
+// no claim.
+func Layout(candidates []Candidate) (of int, layout uint64) {
 	for i := range candidates {
 		for _, c := range candidates[i].Claims {
-			if c.Shard == shard && c.Token > token {
-				holder, token = &candidates[i], c.Token
+			if c.Layout > layout {
+				of, layout = c.Of, c.Layout
 			}
 		}
 	}
-	return holder, token
+	return of, layout
 }
 
-// Successor returns the candidate that claims a shard that nobody holds: the
-// first by a hash of the shard and the host, so that shards spread.
-func Successor(candidates []Candidate, shard int) string {
-	var staying []string
-	for _, c := range candidates {
-		if !c.Leaving {
-			staying = append(staying, c.Host)
+// Holder returns the candidate with the highest token for a shard, or nil. A
+// leaving host keeps its claim until another one has made a higher.
+func Holder(candidates []Candidate, shard, of int) (*Candidate, peer.Claim) {
+	var holder *Candidate
+	var held peer.Claim
+	for i := range candidates {
+		for _, c := range candidates[i].Claims {
+			if c.Shard == shard && c.Of == of && c.Token > held.Token {
+				holder, held = &candidates[i], c
+			}
 		}
 	}
-	if len(staying) == 0 {
-		return ""
-	}
-	return slices.MinFunc(staying, func(a, b string) int {
-		return cmp.Compare(weight(a, shard), weight(b, shard))
-	})
-}
-
-func weight(host string, shard int) uint64 {
-	return xxhash.Sum64String(host + "/" + string(rune('0'+shard)))
+	return holder, held
 }
 
 // Decision is what a host does about one shard.
@@ -87,22 +100,63 @@
 	Release
 )
 
-// Decide returns what the host does about a shard. others are the live hosts
-// of its failure domain, without itself.
-func Decide(self Candidate, others []Candidate, shard int) (Decision, uint64) {
+// Plan returns what the host does about each shard of a layout, and the highest
+// token seen of each. others are the live hosts of its failure domain, without
+// itself.
+func Plan(self Candidate, others []Candidate, of int) ([]Decision, []uint64) {
 	all := append([]Candidate{self}, others...)
-	holder, token := Holder(all, shard)
-	mine := slices.ContainsFunc(self.Claims, func(c peer.Claim) bool { return c.Shard == shard })
-	switch {
-	case holder != nil && holder.Host != self.Host && !holder.Leaving:
-		if mine {
-			return Release, token
+	decisions, tokens := make([]Decision, of), make([]uint64, of)
+	held := make(map[string]int)
+	var free []int
+	for shard := range of {
+		holder, c := Holder(all, shard, of)
+		tokens[shard] = c.Token
+		switch {
+		case holder == nil || holder.Leaving:
+			free = append(free, shard)
+		default:
+			held[holder.Host]++
+			if holder.Host != self.Host && holds(&self, shard, of) {
+				decisions[shard] = Release
+			}
+		}
+	}
+	for _, shard := range free {
+		next := successor(all, held, shard)
+		if next == "" {
+			continue
+		}
+		held[next]++
+		if next == self.Host {
+			decisions[shard] = Take
+		}
+	}
+	return decisions, tokens
+}
+
+func holds(c *Candidate, shard, of int) bool {
+	return slices.ContainsFunc(c.Claims, func(x peer.Claim) bool { return x.Shard == shard && x.Of == of })
+}
+
+// successor returns the host that claims a free shard: of those with the
+// fewest, the first by a hash of the shard and the host.
+func successor(candidates []Candidate, held map[string]int, shard int) string {
+	var staying []string
+	for _, c := range candidates {
+		if !c.Leaving {
+			staying = append(staying, c.Host)
 		}
-	case holder != nil && holder.Host == self.Host && !self.Leaving:
-	case Successor(all, shard) == self.Host:
-		return Take, token
 	}
-	return Keep, token
+	if len(staying) == 0 {
+		return ""
+	}
+	return slices.MinFunc(staying, func(a, b string) int {
+		return cmp.Or(cmp.Compare(held[a], held[b]), cmp.Compare(weight(a, shard), weight(b, shard)))
+	})
+}
+
+func weight(host string, shard int) uint64 {
+	return xxhash.Sum64String(host + "/" + strconv.Itoa(shard))
 }
 
 // Tokens fit into 53 bits: a round of tokenRound in the upper part, and one
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -9,12 +9,60 @@
 )
 
 func holding(host string, token uint64) Candidate {
-	return Candidate{Host: host, Claims: []peer.Claim{{Shard: 0, Token: token}}}
+	return Candidate{Host: host, Claims: []peer.Claim{{Shard: 0, Of: 1, Layout: 1, Token: token}}}
 }
 
 func decide(self Candidate, others ...Candidate) Decision {
-	d, _ := Decide(self, others, 0)
-	return d
+	d, _ := Plan(self, others, 1)
+	return d[0]
+}
+
+// Shards that nobody holds are spread: no host takes a second one while
+// another has none.
+func TestFreeShardsAreSpread(t *testing.T) {
+	var hosts []Candidate
+	for i := range 9 {
+		hosts = append(hosts, Candidate{Host: string(rune('a' + i))})
+	}
+	taken := make(map[int]int)
+	for i, self := range hosts {
+		others := append(append([]Candidate{}, hosts[:i]...), hosts[i+1:]...)
+		plan, _ := Plan(self, others, 6)
+		n := 0
+		for shard, d := range plan {
+			if d == Take {
+				taken[shard]++
+				n++
+			}
+		}
+		must.LessEq(t, 1, n)
+	}
+	for shard := range 6 {
+		must.Eq(t, 1, taken[shard])
+	}
+}
+
+// The newest layout counts; claims of another one hold nothing in it.
+func TestNewestLayoutCounts(t *testing.T) {
+	old := holding("a", 9)
+	next := Candidate{Host: "b", Claims: []peer.Claim{{Shard: 0, Of: 2, Layout: 5, Token: 10}}}
+	of, layout := Layout([]Candidate{old, next})
+	must.Eq(t, 2, of)
+	must.Eq(t, 5, layout)
+	plan, _ := Plan(old, []Candidate{next}, of)
+	must.Eq(t, []Decision{Keep, Take}, plan)
+}
+
+func TestWantedShards(t *testing.T) {
+	must.Eq(t, 1, Wanted(0, 3))
+	must.Eq(t, 1, Wanted(16, 3))
+	must.Eq(t, 5, Wanted(117, 12))
+	must.Eq(t, 3, Wanted(117, 3))
+	must.True(t, Far(1, 5))
+	must.False(t, Far(4, 5))
+	must.True(t, Far(5, 2))
+	must.False(t, Far(1, 1))
+	must.True(t, Far(1, 2))
 }
 
 // Of the live hosts exactly one takes a shard that nobody holds.
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -21,10 +21,10 @@
 
 // count adds a job to what was sent since the dispatcher's last load.
 func (t *Table) count(_ time.Time, d *Dispatcher, j *open) {
-	s := t.sent[d.Host]
+	s := t.sent[d.place()]
 	if s == nil {
 		s = &sentWork{}
-		t.sent[d.Host] = s
+		t.sent[d.place()] = s
 	}
 	if !s.loadAt.Equal(d.LoadAt) {
 		*s = sentWork{loadAt: d.LoadAt}
@@ -46,28 +46,48 @@
 }
 
 // choose returns the dispatcher that is expected to start all of the job the
-// soonest, or nil. It answers loads that exceed what one failure domain can
-// carry while others have room: whole jobs move, so that a job's tasks stay
-// with one dispatcher.
-func (t *Table) choose(now time.Time, j *open) *Dispatcher {
+// soonest, or nil. It answers loads that exceed what one failure domain, or one
+// shard, can carry while others have room: whole jobs move, so that a job's
+// tasks stay with one dispatcher. Of several with room one is drawn, by their
+// room: hosts that all chose the best would meet there.
+func (t *Table) choose(_ time.Time, j *open) *Dispatcher {
 	var best *Dispatcher
 	var bestDelay time.Duration
+	var room float64
 	for i := range t.dispatchers {
 		d := &t.dispatchers[i]
-		if slices.Contains(j.refused, d.Host) || t.moved[d.Host] || j.tied && d.FailureDomain != j.domain {
+		if slices.Contains(j.refused, d.place()) || t.moved[d.place()] {
+			continue
+		}
+		if j.tied && (d.FailureDomain != j.domain || d.Shard != j.offer.Shard || d.Of != j.offer.Of) {
 			continue
 		}
 		delay := t.delay(d, j)
 		if d.FailureDomain != t.domain {
 			delay += awayCost
 		}
-		if best == nil || delay < bestDelay {
-			best, bestDelay = d, delay
+		switch free := t.room(d); {
+		case delay == 0 && bestDelay == 0 && best != nil:
+			room += free
+			if t.rng.Float64()*room < free {
+				best = d
+			}
+		case best == nil || delay < bestDelay:
+			best, bestDelay, room = d, delay, free
 		}
 	}
 	return best
 }
 
+// room returns the processors that are free with a dispatcher.
+func (t *Table) room(d *Dispatcher) float64 {
+	free := d.Load.Free
+	if s := t.sent[d.place()]; s != nil && s.loadAt.Equal(d.LoadAt) {
+		free -= s.cpu
+	}
+	return float64(max(1, free))
+}
+
 // delay estimates how long the job waits with the dispatcher until its last
 // task starts.
 func (t *Table) delay(d *Dispatcher, j *open) time.Duration {
@@ -75,7 +95,7 @@
 		return time.Hour // it knows no minions that take work
 	}
 	free, queued := d.Load.Free, d.Load.Queued
-	if s := t.sent[d.Host]; s != nil && s.loadAt.Equal(d.LoadAt) {
+	if s := t.sent[d.place()]; s != nil && s.loadAt.Equal(d.LoadAt) {
 		free -= s.cpu
 		queued += max(0, s.work*max(0, -free)/max(1, s.cpu))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -55,15 +56,26 @@
 	Body peer.Body
 }
 
-// Dispatcher is a host that dispatches on minions, as last heard.
+// Dispatcher is a host that dispatches on the minions of one shard, as last
+// heard.
 type Dispatcher struct {
 	Host          string
 	FailureDomain string
+	Shard         int
+	Of            int // shards in the failure domain
 	Load          peer.PoolLoad
 	HeardAt       time.Time
 	LoadAt        time.Time // when Load was told
 }
 
+// place names a dispatcher.
+type place struct {
+	host  string
+	shard int
+}
+
+func (d *Dispatcher) place() place { return place{d.Host, d.Shard} }
+
 // Ready is what follows from the inputs since the last call.
 type Ready struct {
 	Messages []Message
@@ -76,13 +88,13 @@
 	arrived  time.Time
 	deadline time.Time
 	waiters  []uint64
-	to       string // dispatcher; empty: none yet
+	to       place  // dispatcher; zero: none yet
 	domain   string // of the dispatcher
 	sentAt   time.Time
 	heardAt  time.Time // from the dispatcher, about this offer; zero: not yet
-	refused  []string  // dispatchers that had no room
+	refused  []place   // dispatchers that had no room
 	retryMS  int64     // shortest of their hints
-	tied     bool      // may have run in domain
+	tied     bool      // may have run on the minions of its shard
 	touched  bool      // may have run anywhere: never answered as not run
 	lostAt   time.Time // when its last dispatcher was lost
 }
@@ -101,18 +113,19 @@
 	note        func(event.ID, ...slog.Attr)
 	jobs        map[string]*open
 	dispatchers []Dispatcher
-	moved       map[string]bool // dispatchers that handed over since they were listed
-	sent        map[string]*sentWork
+	moved       map[place]bool // dispatchers that handed over since they were listed
+	sent        map[place]*sentWork
 	cancels     []*cancellation
 	offers      uint64
+	rng         *rand.Rand
 	ready       Ready
 }
 
 // New returns the table of a host.
 func New(self, domain string, offers uint64, note func(event.ID, ...slog.Attr)) *Table {
 	return &Table{
-		self: self, domain: domain, offers: offers, note: note,
-		jobs: make(map[string]*open), sent: make(map[string]*sentWork), moved: make(map[string]bool),
+		self: self, domain: domain, offers: offers, note: note, rng: rand.New(rand.NewPCG(offers, 0)),
+		jobs: make(map[string]*open), sent: make(map[place]*sentWork), moved: make(map[place]bool),
 	}
 }
 
@@ -130,8 +143,8 @@
 func (t *Table) Hosts() []string {
 	var out []string
 	for _, j := range t.jobs {
-		if j.to != "" && !slices.Contains(out, j.to) {
-			out = append(out, j.to)
+		if j.to.host != "" && !slices.Contains(out, j.to.host) {
+			out = append(out, j.to.host)
 		}
 	}
 	slices.Sort(out)
@@ -164,10 +177,10 @@
 }
 
 func (t *Table) cancel(now time.Time, j *open) {
-	if j.to == "" {
+	if j.to.host == "" {
 		return
 	}
-	c := &cancellation{to: j.to, body: peer.JobCancel{Job: j.offer.Job, Offer: j.offer.Offer}, sentAt: now, left: cancelResends}
+	c := &cancellation{to: j.to.host, body: peer.JobCancel{Job: j.offer.Job, Offer: j.offer.Offer, Shard: j.to.shard}, sentAt: now, left: cancelResends}
 	t.cancels = append(t.cancels, c)
 	t.sendCancel(now, c)
 }
@@ -196,7 +209,7 @@
 		return
 	}
 	t.note(event.EntryJobAnswered, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.Int("outcome", int(o.Outcome)),
-		slog.String("reason", o.Reason), slog.String("dispatcher", j.to), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
+		slog.String("reason", o.Reason), slog.String("dispatcher", j.to.host), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
 		slog.Int64("retry_ms", o.RetryMS), slog.Bool("may_have_run", j.touched))
 }
 
@@ -204,13 +217,14 @@
 func (t *Table) offer(now time.Time, j *open, d *Dispatcher) {
 	t.offers++
 	j.offer.Offer = t.offers
-	j.to, j.domain = d.Host, d.FailureDomain
+	j.to, j.domain = d.place(), d.FailureDomain
+	j.offer.Shard, j.offer.Of = d.Shard, d.Of
 	j.heardAt = time.Time{}
 	j.offer.MayHaveRun = j.tied
 	t.count(now, d, j)
 	t.note(event.EntryJobForwarded, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.String("dispatcher", d.Host),
 		slog.Int64("load_age_ms", now.Sub(d.LoadAt).Milliseconds()), slog.Int64("free_cpu", d.Load.Free), slog.Int64("queued", d.Load.Queued),
-		slog.Int("dispatchers", len(t.dispatchers)), slog.Bool("may_have_run", j.tied))
+		slog.Int("shard", d.Shard), slog.Int("dispatchers", len(t.dispatchers)), slog.Bool("may_have_run", j.tied))
 	t.sendOffer(now, j)
 	if j.sentAt.IsZero() {
 		j.sentAt = now
@@ -222,12 +236,12 @@
 	o := j.offer
 	o.AgeMS = now.Sub(j.arrived).Milliseconds()
 	o.LeftMS = j.deadline.Sub(now).Milliseconds()
-	t.send(j.to, &o)
+	t.send(j.to.host, &o)
 }
 
 // Ack takes a dispatcher's word that it has the offer.
 func (t *Table) Ack(now time.Time, from string, a *peer.JobAck) {
-	if j := t.jobs[a.Job]; j != nil && j.to == from && j.offer.Offer == a.Offer {
+	if j := t.jobs[a.Job]; j != nil && j.to.host == from && j.offer.Offer == a.Offer {
 		j.heardAt = now
 	}
 }
@@ -237,7 +251,7 @@
 	t.send(from, &peer.JobResultAck{Job: r.Job, Offer: r.Offer})
 	t.cancels = slices.DeleteFunc(t.cancels, func(c *cancellation) bool { return c.body.Job == r.Job && c.body.Offer == r.Offer })
 	j := t.jobs[r.Job]
-	if j == nil || j.to != from || j.offer.Offer != r.Offer {
+	if j == nil || j.to.host != from || j.offer.Offer != r.Offer {
 		return
 	}
 	switch r.Outcome {
@@ -247,9 +261,9 @@
 		j.offer.Done = r.Done
 		j.tied = !r.Clean
 		j.touched = j.touched || j.tied
-		j.to = ""
+		j.to = place{}
 		j.lostAt = now
-		t.moved[from] = true
+		t.moved[place{from, j.offer.Shard}] = true
 		t.place(now, j)
 	default:
 		t.answer(now, j, Outcome{Outcome: r.Outcome, Reason: r.Reason})
@@ -262,7 +276,7 @@
 	if j.retryMS == 0 || r.RetryMS < j.retryMS {
 		j.retryMS = r.RetryMS
 	}
-	j.to = ""
+	j.to = place{}
 	if len(j.refused) < maxOffers {
 		if d := t.choose(now, j); d != nil {
 			t.offer(now, j, d)
@@ -297,11 +311,11 @@
 	t.dispatchers = list
 	clear(t.moved)
 	for _, j := range t.sorted() {
-		if j.to == "" {
+		if j.to.host == "" {
 			t.place(now, j)
 			continue
 		}
-		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.Host == j.to }) {
+		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.place() == j.to && d.Of == j.offer.Of }) {
 			t.reoffer(now, j, "dispatcher is gone")
 		}
 	}
@@ -309,9 +323,9 @@
 
 // reoffer gives a job whose dispatcher is gone to the next one.
 func (t *Table) reoffer(now time.Time, j *open, reason string) {
-	t.note(event.EntryJobReoffered, slog.String("job", j.offer.Job), slog.String("from", j.to), slog.String("reason", reason))
+	t.note(event.EntryJobReoffered, slog.String("job", j.offer.Job), slog.String("from", j.to.host), slog.String("reason", reason))
 	j.tied, j.touched = true, true
-	j.to = ""
+	j.to = place{}
 	j.lostAt = now
 	t.place(now, j)
 }
@@ -319,7 +333,7 @@
 // HostRestarted tells that a dispatcher has lost its memory.
 func (t *Table) HostRestarted(now time.Time, host string) {
 	for _, j := range t.sorted() {
-		if j.to == host {
+		if j.to.host == host {
 			t.reoffer(now, j, "dispatcher restarted")
 		}
 	}
@@ -352,24 +366,24 @@
 }
 
 func (t *Table) tickJob(now time.Time, j *open) {
-	if j.to == "" && j.tied && now.Sub(j.lostAt) >= forgotten {
+	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= forgotten {
 		j.tied = false
 		j.offer.Done = nil
 	}
-	if j.to == "" && !j.tied {
+	if j.to.host == "" && !j.tied {
 		t.place(now, j)
 		return
 	}
 	if !now.Before(j.deadline.Add(-lastWord)) {
 		t.cancel(now, j)
 		o := Outcome{Outcome: peer.JobUnknown, Reason: "deadline passed"}
-		if j.to == "" && !j.tied {
+		if j.to.host == "" && !j.tied {
 			o = Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
 		}
 		t.answer(now, j, o)
 		return
 	}
-	if j.to != "" && j.heardAt.IsZero() && now.Sub(j.sentAt) >= offerResend {
+	if j.to.host != "" && j.heardAt.IsZero() && now.Sub(j.sentAt) >= offerResend {
 		t.sendOffer(now, j)
 	}
 }
--- /dev/null
+++ b/internal/fleet/claims.go
@@ -0,0 +1,203 @@
+package fleet
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
+	"github.com/laburnumwalk/laburnumwalk/internal/entry"
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/pool"
+	"github.com/laburnumwalk/laburnumwalk/internal/roster"
+)
+
+// shard is one part of the failure domain's minions that this host dispatches
+// on.
+type shard struct {
+	number int
+	of     int
+	pool   *pool.Pool
+}
+
+// ordered returns the host's shards by number.
+func (d *decisions) ordered() []*shard {
+	out := make([]*shard, 0, len(d.shards))
+	for _, x := range d.shards {
+		out = append(out, x)
+	}
+	slices.SortFunc(out, func(a, b *shard) int { return a.number - b.number })
+	return out
+}
+
+// candidates returns the other live entry hosts of the failure domain.
+func (d *decisions) candidates(now time.Time) []claim.Candidate {
+	var out []claim.Candidate
+	for _, h := range d.roster.Hosts() {
+		if h.Entry && h.FailureDomain == d.host.self.FailureDomain && alive(now, h) {
+			out = append(out, claim.Candidate{Host: h.Name, Leaving: h.Beat.Leaving, Claims: h.Beat.Claims})
+		}
+	}
+	return out
+}
+
+// alive reports whether a host was heard from lately.
+func alive(now time.Time, h *roster.Host) bool {
+	if h.Beat == nil || now.Sub(h.HeardAt) > claim.Timeout {
+		return false
+	}
+	return h.Closed.IsZero() || now.Sub(h.Closed) < claim.ClosedTimeout
+}
+
+// hearsAny reports whether any other host was heard from lately: one that
+// hears nobody cannot tell whether others have taken it for gone.
+func (d *decisions) hearsAny(now time.Time) bool {
+	return slices.ContainsFunc(d.roster.Hosts(), func(h *roster.Host) bool { return now.Sub(h.HeardAt) < 2*claim.Timeout })
+}
+
+// candidate is this host as others see it.
+func (d *decisions) candidate(now time.Time) claim.Candidate {
+	c := claim.Candidate{Host: d.host.self.Name, Leaving: d.host.leaving.Load()}
+	for _, x := range d.ordered() {
+		c.Claims = append(c.Claims, peer.Claim{Shard: x.number, Of: x.of, Layout: d.layout, Token: x.pool.Token(), Load: x.pool.Load(now)})
+	}
+	return c
+}
+
+func (d *decisions) tickClaims(now time.Time) {
+	self, others := d.candidate(now), d.candidates(now)
+	d.followLayout(now, self, others)
+	self = d.candidate(now)
+	decisions, tokens := claim.Plan(self, others, d.of)
+	for number, decision := range decisions {
+		d.token = max(d.token, tokens[number])
+		switch decision {
+		case claim.Release:
+			if x := d.shards[number]; x != nil {
+				d.release(now, x, "another host has claimed them")
+			}
+		case claim.Take:
+			d.take(now, number)
+		}
+	}
+	d.tellTable(now, others)
+}
+
+// followLayout takes over the newest layout, or replaces one that no longer
+// suits the number of minions. Only the holder of the first shard replaces it.
+func (d *decisions) followLayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
+	minions := d.roster.Minions(d.host.self.FailureDomain)
+	wanted := claim.Wanted(len(minions), len(others)+1)
+	of, layout := claim.Layout(append([]claim.Candidate{self}, others...))
+	if layout == 0 {
+		d.of, d.layout = wanted, 0
+		return
+	}
+	if layout > d.layout {
+		d.layout = layout
+		d.relayout(now, of, "another host laid them out")
+	}
+	if d.shards[0] == nil || !claim.Far(d.of, wanted) {
+		d.farSince = time.Time{}
+		return
+	}
+	if d.farSince.IsZero() {
+		d.farSince = now
+	}
+	if now.Sub(d.farSince) >= claim.Relayout {
+		d.farSince = time.Time{}
+		d.layout = claim.Token(time.Now(), d.layout, d.host.own())
+		d.relayout(now, wanted, "the number of minions has changed")
+		d.take(now, 0)
+	}
+}
+
+// relayout gives up the shards of an earlier layout.
+func (d *decisions) relayout(now time.Time, of int, reason string) {
+	if d.of == of {
+		return
+	}
+	for _, x := range d.ordered() {
+		d.release(now, x, reason)
+	}
+	d.of = of
+}
+
+// take claims a shard that no live host holds.
+func (d *decisions) take(now time.Time, number int) {
+	if d.shards[number] != nil || now.Sub(d.startedAt) < claim.Settle || !d.hearsAny(now) {
+		return
+	}
+	if !d.deposedAt.IsZero() && now.Sub(d.deposedAt) < claim.Rebid {
+		return
+	}
+	d.token = claim.Token(time.Now(), d.token, d.host.own())
+	if d.layout == 0 {
+		d.layout = d.token
+	}
+	x := &shard{number: number, of: d.of, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Note: d.host.note})}
+	d.shards[number] = x
+	x.pool.Claim(now, d.token)
+	n := 0
+	for _, m := range d.roster.Minions(d.host.self.FailureDomain) {
+		if claim.Shard(m.ID, d.of) == number {
+			x.pool.Minion(now, m)
+			n++
+		}
+	}
+	d.host.note(event.ClaimTaken, slog.Int("shard", number), slog.Int("of", d.of), slog.Uint64("token", d.token), slog.Int("minions", n))
+	d.beatSoon = true
+}
+
+func (d *decisions) release(now time.Time, x *shard, reason string) {
+	all, _ := x.pool.Jobs()
+	d.host.note(event.ClaimReleased, slog.Int("shard", x.number), slog.Int("of", x.of), slog.String("reason", reason), slog.Int("jobs", all))
+	d.token = max(d.token, x.pool.Token())
+	x.pool.Release(now)
+	d.flushPool(now, x)
+	delete(d.shards, x.number)
+	d.tellTable(now, d.candidates(now))
+	d.beatSoon = true
+}
+
+// tellTable tells the callers' side which dispatchers there are.
+func (d *decisions) tellTable(now time.Time, others []claim.Candidate) {
+	var list []entry.Dispatcher
+	self := d.candidate(now)
+	all := append([]claim.Candidate{self}, others...)
+	for number := range d.of {
+		holder, c := claim.Holder(all, number, d.of)
+		if holder == nil {
+			continue
+		}
+		heardAt := now
+		if holder.Host != self.Host {
+			heardAt = d.roster.Host(holder.Host).HeardAt
+		}
+		list = append(list, dispatcher(holder.Host, d.host.self.FailureDomain, c, heardAt))
+	}
+	for _, h := range d.roster.Hosts() {
+		if !h.Entry || h.FailureDomain == d.host.self.FailureDomain || !alive(now, h) {
+			continue
+		}
+		for _, c := range h.Beat.Claims {
+			list = append(list, dispatcher(h.Name, h.FailureDomain, c, h.HeardAt))
+		}
+	}
+	d.table.Dispatchers(now, list)
+	d.host.ready.Store(len(list) > 0 && d.host.document.Load() != nil && !d.host.leaving.Load())
+}
+
+func dispatcher(host, domain string, c peer.Claim, heardAt time.Time) entry.Dispatcher {
+	return entry.Dispatcher{Host: host, FailureDomain: domain, Shard: c.Shard, Of: c.Of, Load: c.Load, HeardAt: heardAt, LoadAt: heardAt}
+}
+
+func (d *decisions) minionChanged(now time.Time, m peer.MinionRecord) {
+	if m.FailureDomain != d.host.self.FailureDomain {
+		return
+	}
+	if x := d.shards[claim.Shard(m.ID, d.of)]; x != nil {
+		x.pool.Minion(now, m)
+	}
+}
--- /dev/null
+++ b/internal/fleet/offers.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+// dropLost gives up the jobs of entry hosts that have fallen silent: their
+// callers' connections may be gone, and the jobs may come again elsewhere.
+func (d *decisions) dropLost(now time.Time) {
+	for _, x := range d.ordered() {
+		for _, name := range x.pool.Waiting() {
+			if name != d.host.self.Name && now.Sub(d.heardAt[name]) > claim.Timeout {
+				d.host.note(event.PeerDown, slog.String("host", name))
+				x.pool.HostLost(now, name)
+			}
+		}
+	}
+}
+
+// offered takes a job for dispatch.
+func (d *decisions) offered(now time.Time, from string, o *peer.JobOffer) {
+	key := resultKey{from, o.Job, o.Offer}
+	if r := d.results[key]; r != nil {
+		d.sendResult(now, key, r) // it ended meanwhile
+		return
+	}
+	x := d.shards[o.Shard]
+	if x == nil || x.of != o.Of {
+		r := &pendingResult{left: 1, body: peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, Clean: !o.MayHaveRun, Reason: "not the shard's dispatcher"}}
+		d.sendResult(now, key, r)
+		return
+	}
+	x.pool.Offer(now, from, o)
+	if from != d.host.self.Name {
+		d.send(from, &peer.JobAck{Job: o.Job, Offer: o.Offer})
+	} else {
+		d.table.Ack(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer})
+	}
+}
+
+func (d *decisions) sendResult(now time.Time, key resultKey, r *pendingResult) {
+	r.sentAt = now
+	r.left--
+	d.send(key.to, &r.body)
+}
+
+func (d *decisions) tickResults(now time.Time) {
+	for key, r := range d.results {
+		if now.Sub(r.sentAt) < resultResend {
+			continue
+		}
+		if r.left <= 0 {
+			delete(d.results, key)
+			continue
+		}
+		d.sendResult(now, key, r)
+	}
+}
+
+// flushPool carries out what a pool asks for.
+func (d *decisions) flushPool(now time.Time, x *shard) {
+	r := x.pool.Ready()
+	for i := range r.Starts {
+		d.host.orders.start(x.pool, &r.Starts[i])
+	}
+	for i := range r.Stops {
+		d.host.orders.stop(x.pool, &r.Stops[i])
+	}
+	for i := range r.Holds {
+		d.host.orders.hold(x.pool, &r.Holds[i])
+	}
+	for i := range r.Results {
+		out := &r.Results[i]
+		p := &pendingResult{body: out.Body, left: resultTries}
+		key := resultKey{out.To, out.Body.Job, out.Body.Offer}
+		if out.To != d.host.self.Name {
+			d.results[key] = p
+		}
+		d.sendResult(now, key, p)
+	}
+	if r.Deposed && d.shards[x.number] == x {
+		d.release(now, x, "a minion obeys a newer token")
+		d.deposedAt = now
+	}
+}
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -39,33 +39,33 @@
 // is lost would leave capacity reserved until a listing tells.
 func (o *orders) answered(f func(now time.Time)) { o.host.inputs.Push(f, o.host.done) }
 
-func (o *orders) start(s *pool.Start) {
+func (o *orders) start(p *pool.Pool, s *pool.Start) {
 	err := o.starts.Submit(func() {
 		a, clock := o.minions.Start(context.Background(), s)
-		o.answered(func(now time.Time) { o.host.decisions.pool.Started(now, *s, a, clock) })
+		o.answered(func(now time.Time) { p.Started(now, *s, a, clock) })
 	})
 	if err != nil { // all workers are busy: nothing was sent
-		o.host.push(func(now time.Time) { o.host.decisions.pool.Started(now, *s, pool.AnswerUnsent, 0) })
+		o.host.push(func(now time.Time) { p.Started(now, *s, pool.AnswerUnsent, 0) })
 	}
 }
 
-func (o *orders) stop(s *pool.Stop) {
+func (o *orders) stop(p *pool.Pool, s *pool.Stop) {
 	err := o.starts.Submit(func() {
 		a := o.minions.Stop(context.Background(), s)
-		o.answered(func(now time.Time) { o.host.decisions.pool.Stopped(now, *s, a) })
+		o.answered(func(now time.Time) { p.Stopped(now, *s, a) })
 	})
 	if err != nil {
-		o.host.push(func(now time.Time) { o.host.decisions.pool.Stopped(now, *s, pool.AnswerUnsent) })
+		o.host.push(func(now time.Time) { p.Stopped(now, *s, pool.AnswerUnsent) })
 	}
 }
 
-func (o *orders) hold(h *pool.Hold) {
+func (o *orders) hold(p *pool.Pool, h *pool.Hold) {
 	err := o.holds.Submit(func() {
 		a, l := o.minions.Hold(context.Background(), h)
-		o.answered(func(now time.Time) { o.host.decisions.pool.Held(now, h.Minion, h.Serial, a, l) })
+		o.answered(func(now time.Time) { p.Held(now, h.Minion, h.Serial, a, l) })
 	})
 	if err != nil {
-		o.host.push(func(now time.Time) { o.host.decisions.pool.Held(now, h.Minion, h.Serial, pool.AnswerUnsent, nil) })
+		o.host.push(func(now time.Time) { p.Held(now, h.Minion, h.Serial, pool.AnswerUnsent, nil) })
 	}
 }
 
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -162,7 +162,9 @@
 	h.push(func(now time.Time) {
 		h.decisions.beatSoon = true
 		if len(h.decisions.candidates(now)) > 0 {
-			h.decisions.pool.Freeze()
+			for _, x := range h.decisions.shards {
+				x.pool.Freeze()
+			}
 		}
 	})
 }
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -43,8 +43,11 @@
 
 // Claim says that the sender dispatches on the minions of one shard.
 type Claim struct {
-	Shard int    `msgpack:"s"`
-	Token uint64 `msgpack:"t"` // fencing token of the claim
+	Shard  int      `msgpack:"s"`
+	Of     int      `msgpack:"o"` // shards in the failure domain
+	Layout uint64   `msgpack:"l"` // when they were laid out: the highest one counts
+	Token  uint64   `msgpack:"t"` // fencing token of the claim
+	Load   PoolLoad `msgpack:"p"`
 }
 
 // PoolLoad is the state of the sender's queue and minions.
@@ -62,9 +65,8 @@
 	Config  uint64                 `msgpack:"c"` // register version in force
 	Leaving bool                   `msgpack:"l,omitempty"`
 	Claims  []Claim                `msgpack:"m,omitempty"`
-	Load    *PoolLoad              `msgpack:"p,omitempty"` // of a host with claims
-	Log     uint64                 `msgpack:"g"`           // how much of the receiver's roster log the sender has
-	LogOf   membership.Incarnation `msgpack:"o"`           // whose log that is
+	Log     uint64                 `msgpack:"g"` // how much of the receiver's roster log the sender has
+	LogOf   membership.Incarnation `msgpack:"o"` // whose log that is
 }
 
 // Roster carries the records of the sender's log after the receiver's place.
@@ -93,6 +95,8 @@
 type JobOffer struct {
 	Job        string     `msgpack:"j"`
 	Offer      uint64     `msgpack:"o"` // number of the offer, chosen by its sender
+	Shard      int        `msgpack:"h"` // whose minions are to run it
+	Of         int        `msgpack:"f"` // shards in the failure domain
 	Queue      string     `msgpack:"q"` // route, for learning run times
 	Service    string     `msgpack:"s"`
 	Payload    string     `msgpack:"p"` // given to each task
@@ -146,6 +150,7 @@
 type JobCancel struct {
 	Job   string `msgpack:"j"`
 	Offer uint64 `msgpack:"o"`
+	Shard int    `msgpack:"h"`
 }
 
 // Kind implements Body.
