--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(subcommands.CommandsCommand(), "help")
 	subcommands.Register(&statusCommand{client: c}, "inspect")
 	subcommands.Register(&explainCommand{client: c}, "inspect")
+	subcommands.Register(&traceCommand{}, "inspect")
 	subcommands.Register(&hostsCommand{client: c}, "inspect")
 	subcommands.Register(&minionsCommand{client: c}, "inspect")
 	subcommands.Register(&jobsCommand{client: c}, "inspect")
--- /dev/null
+++ b/cmd/laburnumctl/trace.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/laburnumwalk/laburnumwalk/internal/logtrace"
+	"github.com/pkg/errors"
+)
+
+// traceCommand tells a job's way from the logs of all hosts.
+type traceCommand struct{}
+
+func (*traceCommand) Name() string     { return "trace" }
+func (*traceCommand) Synopsis() string { return "print a job's way over all hosts from their logs" }
+func (*traceCommand) Usage() string {
+	return "trace JOB [FILE...]\n  Print the log lines that concern a job, in order, and why it ended as it did.\n  Without files, logs are read from standard input.\n"
+}
+func (*traceCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (c *traceCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	var lines []logtrace.Line
+	for _, name := range f.Args()[1:] {
+		more, err := readLog(name)
+		if err != nil {
+			return fail(err)
+		}
+		lines = append(lines, more...)
+	}
+	if f.NArg() == 1 {
+		more, err := read("standard input", os.Stdin)
+		if err != nil {
+			return fail(err)
+		}
+		lines = more
+	}
+	t := logtrace.Find(lines, f.Arg(0))
+	if err := t.Print(os.Stdout); err != nil {
+		return fail(err)
+	}
+	if len(t.Lines) == 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func readLog(name string) ([]logtrace.Line, error) {
+	in, err := os.Open(name)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer in.Close()
+	return read(name, in)
+}
+
+func read(name string, in io.Reader) ([]logtrace.Line, error) {
+	lines, skipped, err := logtrace.Read(in)
+	if err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	if skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%s: %d lines are no log lines\n", name, skipped)
+	}
+	return lines, nil
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	PoolTaskStarted    ID = 2106
 	PoolRunAdopted     ID = 2107
 	PoolRunEnded       ID = 2108
+	EntryJobAccepted   ID = 2110
 	EntryJobAnswered   ID = 2111
 	EntryJobForwarded  ID = 2112
 	EntryJobReoffered  ID = 2113
@@ -126,6 +127,7 @@
 	{PoolTaskStarted, slog.LevelInfo, "task sent to a minion", "None."},
 	{PoolRunAdopted, slog.LevelInfo, "run of an earlier dispatcher adopted", "None."},
 	{PoolRunEnded, slog.LevelInfo, "run ended without success", "Check the named minion if it goes on."},
+	{EntryJobAccepted, slog.LevelInfo, "caller's request accepted", "None."},
 	{EntryJobAnswered, slog.LevelInfo, "job answered without success", "The reason names the cause."},
 	{EntryJobForwarded, slog.LevelInfo, "job offered to a dispatcher", "None."},
 	{EntryJobReoffered, slog.LevelInfo, "job offered to another dispatcher", "None."},
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -22,8 +22,10 @@
 const (
 	ringLines  = 8192                   // lines that wait for the writer; more are dropped
 	writeEvery = 100 * time.Millisecond // one write for all lines of that time
-	writeBytes = 64 << 10               // a batch that is written at once
-	tellEvery  = time.Second            // of the lines that were left out
+	// writeBytes bounds a batch: a pipe takes that much in one piece, so lines
+	// of several processes do not mix.
+	writeBytes = 4 << 10
+	tellEvery  = time.Second // of the lines that were left out
 
 	// Lines of one event in a second, and at once. The ordinary course of a job
 	// takes the first; what went wrong, the second.
@@ -98,24 +100,27 @@
 // Wait returns when Run has written everything.
 func (l *Log) Wait() { <-l.done }
 
-// drain writes all lines that wait, in batches.
+// drain writes all lines that wait, in batches of whole lines.
 func (l *Log) drain() {
 	var batch []byte
+	write := func() {
+		if len(batch) > 0 {
+			// A failed write cannot be logged: it is the log that fails.
+			_, _ = l.out.Write(batch)
+			batch = batch[:0]
+		}
+	}
+	defer write()
 	for {
 		select {
 		case line := <-l.lines.C():
-			batch = append(batch, line...)
-			if len(batch) < writeBytes {
-				continue
+			if len(batch)+len(line) > writeBytes {
+				write()
 			}
+			batch = append(batch, line...)
 		default:
-			if len(batch) == 0 {
-				return
-			}
+			return
 		}
-		// A failed write cannot be logged; the count of lines tells nothing then.
-		_, _ = l.out.Write(batch)
-		batch = batch[:0]
 	}
 }
 
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -31,6 +31,7 @@
 // Job is one job of a caller.
 type Job struct {
 	ID       string
+	Request  string // the caller's name for this request, for logs
 	Queue    *queue.Queue
 	Payload  string
 	Steps    []peer.TaskStep
@@ -51,6 +52,8 @@
 	if !time.Now().Before(deadline) {
 		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the host shuts down"}
 	}
+	h.note(event.EntryJobAccepted, slog.String("job", j.ID), slog.String("request", j.Request), slog.String("queue", j.Queue.Name),
+		slog.Int64("left_ms", time.Until(deadline).Milliseconds()), slog.Uint64("document", h.control.View().Version))
 	out := make(chan entry.Outcome, 1)
 	var waiter uint64
 	ok := h.push(func(now time.Time) {
