--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -15,7 +15,7 @@
 )
 
 // admit decides whether a new job is taken. It refuses what the backlog keeps
-// from ending before its deadline, and fails what no minion can ever run.
+// from ending while an answer is of use, and fails what no minion can ever run.
 func (p *Pool) admit(now time.Time, j *job) *peer.JobResult {
 	if len(j.tasks) == 0 {
 		return &peer.JobResult{Outcome: peer.JobComplete}
@@ -31,8 +31,8 @@
 		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: minRetry.Milliseconds(), Reason: "no minion takes work"}
 	}
 	delay := p.delay(now, j, capacity)
-	if now.Add(delay + j.chain() + answerTime).After(j.deadline) {
-		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: max(minRetry, delay).Milliseconds(), Reason: "the backlog is longer than the caller waits"}
+	if now.Add(delay + j.chain() + answerTime).After(j.useful()) {
+		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: max(minRetry, delay).Milliseconds(), Reason: "the backlog is longer than an answer is of use"}
 	}
 	return nil
 }
@@ -93,15 +93,15 @@
 }
 
 // shed refuses jobs of which nothing has run and that, by the backlog as it is
-// now, will not end before their deadline: their callers need not wait for it.
+// now, will end too late: their callers need not wait for it.
 func (p *Pool) shed(now time.Time) {
 	ahead := make(map[string]int64)
 	for _, r := range p.queue(now) {
 		service := r.job.offer.Service
 		if capacity := p.capacity(service); !r.job.touched && capacity > 0 {
-			if wait := p.wait(r, ahead[service], capacity); now.Add(wait + r.job.chain() + answerTime).After(r.job.deadline) {
+			if wait := p.wait(r, ahead[service], capacity); now.Add(wait + r.job.chain() + answerTime).After(r.job.useful()) {
 				p.finish(now, r.job, peer.JobResult{
-					Outcome: peer.JobRefused, RetryMS: max(minRetry, wait).Milliseconds(), Reason: "the backlog has become longer than the caller waits",
+					Outcome: peer.JobRefused, RetryMS: max(minRetry, wait).Milliseconds(), Reason: "the backlog has become longer than an answer is of use",
 				})
 				continue
 			}
@@ -127,14 +127,13 @@
 	return work / float64(capacity)
 }
 
-// expire returns the result of a job that can no longer end before its
-// deadline, or nil.
+// expire returns the result of a job that can no longer end in time, or nil.
 func (p *Pool) expire(now time.Time, j *job) *peer.JobResult {
 	if !j.touched {
-		if now.Add(j.chain() + answerTime).Before(j.deadline) {
+		if now.Add(j.chain() + answerTime).Before(j.useful()) {
 			return nil
 		}
-		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: minRetry.Milliseconds(), Reason: "the queue did not empty before the caller's deadline"}
+		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: minRetry.Milliseconds(), Reason: "the queue did not empty while an answer was of use"}
 	}
 	if now.Before(j.deadline) {
 		return nil
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -54,6 +54,7 @@
 // got is what the callers of one queue got.
 type got struct {
 	asked, inTime, late, refused, failed int
+	tooLate                              int // answered when it was of no use
 	big, bigServed                       int // of the largest tenth
 	worth, earned                        float64
 	lateRefusals                         int // refused after a quarter of the objective
@@ -328,11 +329,12 @@
 	case took <= j.goal:
 		g.inTime++
 		g.earned += j.worth
-	default:
+	case took <= 3*j.goal:
 		g.late++
-		if took <= 3*j.goal {
-			g.earned += j.worth / 5
-		}
+		g.earned += j.worth / 5
+	default:
+		g.tooLate++
+		return
 	}
 	if j.big {
 		g.bigServed++
@@ -354,9 +356,9 @@
 }
 
 func (g *got) String() string {
-	return fmt.Sprintf("asked %d in time %.3f late %.3f refused %.3f (late %.3f) failed %.3f earned %.3f big served %.2f",
+	return fmt.Sprintf("asked %d in time %.3f late %.3f refused %.3f (late %.3f) failed %.3f too late %.3f earned %.3f big served %.2f",
 		g.asked, float64(g.inTime)/float64(g.asked), float64(g.late)/float64(g.asked), float64(g.refused)/float64(g.asked),
-		float64(g.lateRefusals)/float64(g.asked), float64(g.failed)/float64(g.asked), g.earned/g.worth, float64(g.bigServed)/float64(max(1, g.big)))
+		float64(g.lateRefusals)/float64(g.asked), float64(g.failed)/float64(g.asked), float64(g.tooLate)/float64(g.asked), g.earned/g.worth, float64(g.bigServed)/float64(max(1, g.big)))
 }
 
 // loadSeeds are the draws that a load is judged by.
@@ -377,6 +379,7 @@
 			s.late += x.late
 			s.refused += x.refused
 			s.failed += x.failed
+			s.tooLate += x.tooLate
 			s.big += x.big
 			s.bigServed += x.bigServed
 			s.worth += x.worth
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -10,7 +10,7 @@
 const (
 	worthInTime = 1.0
 	worthLate   = 0.2  // after the objective
-	worthServed = 0.05 // after lateFactor times the objective
+	worthServed = 0.02 // after lateFactor times the objective: hardly anything
 	lateFactor  = 3
 	// Of a job's worth, fixedShare is the same for every job of its queue; the
 	// rest grows with its work, up to maxWorth.
@@ -41,12 +41,21 @@
 	switch {
 	case !end.After(j.goal):
 		return worth * worthInTime
-	case !end.After(j.arrived.Add(lateFactor * j.goal.Sub(j.arrived))):
+	case !end.After(j.useful()):
 		return worth * worthLate
 	}
 	return worth * worthServed
 }
 
+// useful returns until when an answer is worth something to the caller.
+func (j *job) useful() time.Time {
+	t := j.arrived.Add(lateFactor * j.goal.Sub(j.arrived))
+	if j.deadline.Before(t) {
+		return j.deadline
+	}
+	return t
+}
+
 func compareRanks(a, b rank) int {
 	return cmp.Or(cmp.Compare(b.value, a.value), byArrival(a.job, b.job))
 }
