--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -181,6 +181,7 @@
 		d.offered(now, from, m)
 	case *peer.JobAck:
 		d.table.Ack(now, from, m)
+		d.roster.Loaded(now, from, m.Shard, m.Load)
 	case *peer.JobResult:
 		d.table.Result(now, from, m)
 	case *peer.JobResultAck:
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -53,7 +53,7 @@
 // PoolLoad is the state of the sender's queue and minions.
 type PoolLoad struct {
 	Capacity int64 `msgpack:"c"` // thousandths of a processor on minions that take work
-	Free     int64 `msgpack:"f"` // of these, not in use
+	Free     int64 `msgpack:"f"` // of these, not in use, in pieces that a usual task fits into
 	Queued   int64 `msgpack:"q"` // processor-milliseconds (thousandths of a processor times ms) of tasks that wait
 	Running  int64 `msgpack:"r"` // the same, left of tasks that run
 }
@@ -113,8 +113,10 @@
 
 // JobAck says that the offer was taken.
 type JobAck struct {
-	Job   string `msgpack:"j"`
-	Offer uint64 `msgpack:"o"`
+	Job   string   `msgpack:"j"`
+	Offer uint64   `msgpack:"o"`
+	Shard int      `msgpack:"s"`
+	Load  PoolLoad `msgpack:"p"` // with the job
 }
 
 // JobOutcome is what became of an offered job.
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -147,7 +147,7 @@
 	for _, m := range p.ordered {
 		if m.takesWork() {
 			l.Capacity += m.CPU
-			l.Free += max(0, m.CPU-m.usedCPU)
+			l.Free += p.usable(m)
 		}
 		for _, x := range m.runs {
 			if x.step != nil {
@@ -161,13 +161,23 @@
 	return l
 }
 
-// free returns the processors, in thousandths, that are not in use on a
-// service's minions.
+// usable returns the processors, in thousandths, that are free on a minion in
+// pieces that a usual task fits into.
+func (p *Pool) usable(m *minion) int64 {
+	free := m.CPU - m.usedCPU
+	if p.taskCPU <= 0 {
+		return max(0, free)
+	}
+	unit := int64(p.taskCPU)
+	return max(0, free/unit*unit)
+}
+
+// free returns the usable processors, in thousandths, of a service's minions.
 func (p *Pool) free(service string) int64 {
 	var sum int64
 	for _, m := range p.ordered {
 		if m.Service == service && m.takesWork() {
-			sum += max(0, m.CPU-m.usedCPU)
+			sum += p.usable(m)
 		}
 	}
 	return sum
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -65,6 +65,7 @@
 	j.factor = j.kind.factor(o.Steps)
 	j.total = j.work()
 	j.kind.arrived(now, j.total)
+	p.learnSize(j)
 	chain := float64(j.chain()) * float64(o.StretchPct) / 100
 	j.goal = j.arrived.Add(time.Duration(chain) + time.Duration(o.AddMS)*time.Millisecond)
 	return j
--- a/internal/pool/learn.go
+++ b/internal/pool/learn.go
@@ -78,3 +78,14 @@
 	}
 	k.lastAt = now
 }
+
+// learnSize learns the usual size of a task from those of a job.
+func (p *Pool) learnSize(j *job) {
+	for i := range j.offer.Steps {
+		cpu := float64(j.offer.Steps[i].CPU)
+		if p.taskCPU == 0 {
+			p.taskCPU = cpu
+		}
+		p.taskCPU += arrivalRate * (cpu - p.taskCPU)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,7 +18,8 @@
 	jobs    map[string]*job
 	kinds   map[string]*kind
 	order   func(a, b rank) int
-	frozen  bool // no new starts: the owner hands over
+	taskCPU float64 // usual thousandths of a processor of a task; 0: not known
+	frozen  bool    // no new starts: the owner hands over
 	tokens  tokenSource
 	serial  uint64
 	tookAt  time.Time // when the pool began to take minions over
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -25,6 +25,7 @@
 	peer.HostRecord
 	Beat    *peer.Beat      // newest; nil: only heard of
 	HeardAt time.Time       // zero: only heard of
+	LoadAt  time.Time       // when it last told the load of a shard
 	Closed  time.Time       // when its connection ended, without a beat since
 	tellers map[string]bool // hosts that list it
 	gone    bool            // was heard of, and is not any more
@@ -86,10 +87,24 @@
 		h.HostRecord = b.From
 		h.at = r.next()
 	}
-	h.Beat, h.HeardAt, h.Closed, h.gone = b, now, time.Time{}, false
+	h.Beat, h.HeardAt, h.LoadAt, h.Closed, h.gone = b, now, now, time.Time{}, false
 	return restarted
 }
 
+// Loaded takes the load of a shard that its dispatcher told between two beats.
+func (r *Roster) Loaded(now time.Time, host string, shard int, l peer.PoolLoad) {
+	h := r.hosts[host]
+	if h == nil || h.Beat == nil {
+		return
+	}
+	for i := range h.Beat.Claims {
+		if h.Beat.Claims[i].Shard == shard {
+			h.Beat.Claims[i].Load = l
+			h.LoadAt = now
+		}
+	}
+}
+
 // ConnectionClosed notes that a host's connection has ended.
 func (r *Roster) ConnectionClosed(now time.Time, host string, inc membership.Incarnation) {
 	if h := r.hosts[host]; h != nil && h.Incarnation == inc {
