--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -137,7 +137,7 @@
 			Relays:      relays,
 			Seed:        rand.Uint64(),
 			Timing:      control.DefaultTiming(),
-			GroupSize:   h.settings.ControlGroup,
+			GroupSize:   h.settings.ControlGroup(),
 		},
 		Store: s, Mesh: h.mesh, Apply: h.apply, Log: h.log,
 	})
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -21,15 +21,19 @@
 	PeerPort      string   `json:"peer_port" validate:"required,numeric"`
 	MetricsPort   int      `json:"metrics_port" validate:"min=0,max=65535"` // 0: none
 	Seeds         []string `json:"seeds" validate:"dive,hostname_port"`
-	FirstStart    bool     `json:"first_start"` // of the whole system
-	DataFolder    string   `json:"data_folder"` // empty: no disk
-	ControlGroup  int      `json:"control_group" validate:"min=1,max=7"`
+	FirstStart    bool     `json:"first_start"`                             // of the whole system
+	DataFolder    string   `json:"data_folder"`                             // empty: no disk
+	Losses        int      `json:"tolerated_losses" validate:"min=0,max=3"` // control hosts that may be lost at once
 	Log           Log      `json:"log"`
 }
 
+// ControlGroup returns how many control hosts choose a document: a majority of
+// them outlives the losses.
+func (s *Fleet) ControlGroup() int { return 2*s.Losses + 1 }
+
 // FleetDefaults returns the settings of every key that has a default.
 func FleetDefaults() Fleet {
-	return Fleet{ControlGroup: 3, Log: Log{Level: "info"}}
+	return Fleet{Losses: 1, Log: Log{Level: "info"}}
 }
 
 // LoadFleet reads, decodes and checks a settings file. The error names the
