--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,7 @@
 	note        func(event.ID, ...slog.Attr)
 	jobs        map[string]*open
 	dispatchers []Dispatcher
+	knownAt     time.Time      // when there was a dispatcher last
 	moved       map[place]bool // dispatchers that handed over since they were listed
 	sent        map[place]*sentWork
 	cancels     []*cancellation
@@ -292,14 +293,15 @@
 		t.offer(now, j, d)
 		return
 	}
-	if !j.tied && now.Sub(j.lostAt) >= succession {
+	if !j.tied && now.Sub(j.lostAt) >= succession && now.Sub(t.knownAt) >= succession {
 		t.answer(now, j, Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"})
 	}
 }
 
-// succession is for how long a job that was handed over waits for the next
-// dispatcher: it claims the minions within a few beats.
-const succession = 500 * time.Millisecond
+// succession is for how long a job waits for the next dispatcher when the last
+// one has handed over or is lost: that is noticed within 0.6 s, and the minions
+// are claimed within a few beats.
+const succession = 800 * time.Millisecond
 
 // noDispatcherRetry is what a caller is told when no dispatcher is known: a
 // takeover lasts about as long.
@@ -310,6 +312,9 @@
 func (t *Table) Dispatchers(now time.Time, list []Dispatcher) {
 	t.dispatchers = list
 	clear(t.moved)
+	if len(list) > 0 {
+		t.knownAt = now
+	}
 	for _, j := range t.sorted() {
 		if j.to.host == "" {
 			t.place(now, j)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -149,6 +149,13 @@
 	must.Eq(t, peer.JobRefused, x.Ready().Answers[0].Outcome.Outcome)
 }
 
+// While there never was a dispatcher, jobs are refused at once.
+func TestNoDispatcher(t *testing.T) {
+	x := newTable()
+	submit(x, "j")
+	must.Eq(t, peer.JobRefused, x.Ready().Answers[0].Outcome.Outcome)
+}
+
 func TestUnansweredOfferIsRepeatedAndOldResultsAreIgnored(t *testing.T) {
 	x := newTable()
 	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -27,6 +27,9 @@
 		return &peer.JobResult{Outcome: peer.JobFailed, Reason: reason}
 	}
 	capacity := p.capacity(j.offer.Service)
+	if capacity == 0 && !p.settled(now) && len(p.ordered) > 0 {
+		return nil // the minions have not answered yet since they were taken over
+	}
 	if capacity == 0 {
 		return &peer.JobResult{Outcome: peer.JobRefused, RetryMS: minRetry.Milliseconds(), Reason: "no minion takes work"}
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -177,3 +177,14 @@
 	must.Len(t, 1, s.out.Starts)
 	must.Eq(t, "b", s.out.Starts[0].Minion)
 }
+
+// Right after a takeover jobs wait for the minions' first answers.
+func TestJobsWaitForATakeover(t *testing.T) {
+	s := newScript(t)
+	s.p.Minion(s.now, peer.MinionRecord{ID: "m", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1})
+	s.take()
+	s.offer("j", 1, 27_000, 100)
+	must.Len(t, 0, s.out.Results)
+	s.held("m", &Listing{})
+	must.Len(t, 1, s.out.Starts)
+}
