pool: a lost hold is repeated at once; callers hear before their deadline

Cause: two holds without an answer in a row (orders-late: 15% are lost) took the lease of 0.8 s, and the minion's runs lapsed; answers at the deadline came up to a tick after it (50 callers of orders-late got none); a host that had just started refused jobs while it learned who dispatches.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,8 +27,8 @@
 	// that may be 2% slow.
 	forgotten = 1700 * time.Millisecond
 	// lastWord is how long before the caller's deadline an answer is sent that
-	// says that there will be no other.
-	lastWord = 15 * time.Millisecond
+	// says that there will be no other: two ticks, and the way to the caller.
+	lastWord = 45 * time.Millisecond
 	// maxOffers bounds the dispatchers that a job is offered to: each may
 	// refuse for want of room.
 	maxOffers = 3
@@ -122,10 +122,11 @@
 	ready       Ready
 }
 
-// New returns the table of a host.
-func New(self, domain string, offers uint64, note func(event.ID, ...slog.Attr)) *Table {
+// New returns the table of a host that begins to learn of dispatchers now.
+// Offers are numbered from offers on.
+func New(now time.Time, self, domain string, offers uint64, note func(event.ID, ...slog.Attr)) *Table {
 	return &Table{
-		self: self, domain: domain, offers: offers, note: note, rng: rand.New(rand.NewPCG(offers, 0)),
+		self: self, domain: domain, offers: offers, note: note, knownAt: now, rng: rand.New(rand.NewPCG(offers, 0)),
 		jobs: make(map[string]*open), sent: make(map[place]*sentWork), moved: make(map[place]bool),
 	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -15,7 +15,7 @@
 var begin = time.Unix(1_700_000_000, 0)
 
 func newTable() *Table {
-	return New("self", "a", 0, func(event.ID, ...slog.Attr) {})
+	return New(begin.Add(-time.Minute), "self", "a", 0, func(event.ID, ...slog.Attr) {})
 }
 
 func dispatcherOf(host, domain string, free, queued int64) Dispatcher {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -249,5 +249,5 @@
 func (h *Host) newTable() *entry.Table {
 	// Offer numbers begin at random, so that those of an earlier process are
 	// not taken for this one's.
-	return entry.New(h.self.Name, h.self.FailureDomain, rand.Uint64()>>8, h.note)
+	return entry.New(time.Now(), h.self.Name, h.self.FailureDomain, rand.Uint64()>>8, h.note)
 }
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	firstHoldPause = 30 * time.Millisecond // after a failed hold, doubled each time
+	firstHoldPause = 15 * time.Millisecond // after a second failed hold, doubled each time
 	maxHoldPause   = 500 * time.Millisecond
 	stopResend     = 80 * time.Millisecond // of a stop without an answer
 	// unstoppedGrace is how long a lease is still renewed while a stop is not
@@ -235,6 +235,7 @@
 		p.lifeEnded(now, m)
 	default:
 		p.holdFailed(now, m)
+		p.tickMinion(now, m)
 	}
 	p.dispatch(now)
 }
@@ -262,9 +263,11 @@
 		p.cfg.Note(event.PoolMinionLost, slog.String("minion", m.ID), slog.String("reason", "no answer"), slog.Int("runs", len(m.runs)))
 	}
 	m.reachable = false
-	pause := firstHoldPause << min(m.failures, 5)
+	m.nextHold = now // a single answer that is lost says little
+	if m.failures > 0 {
+		m.nextHold = now.Add(min(firstHoldPause<<min(m.failures, 5), maxHoldPause))
+	}
 	m.failures++
-	m.nextHold = now.Add(min(pause, maxHoldPause))
 }
 
 // listing takes what a minion says of its runs.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -24,7 +24,12 @@
 	FirstStart    bool     `json:"first_start"`                             // of the whole system
 	DataFolder    string   `json:"data_folder"`                             // empty: no disk
 	Losses        int      `json:"tolerated_losses" validate:"min=0,max=3"` // control hosts that may be lost at once
-	Log           Log      `json:"log"`
+	Log           FleetLog `json:"log"`
+}
+
+// FleetLog configures the structured log on standard output.
+type FleetLog struct {
+	Level string `json:"level" validate:"oneof=debug info warn error"`
 }
 
 // ControlGroup returns how many control hosts choose a document: a majority of
@@ -33,7 +38,7 @@
 
 // FleetDefaults returns the settings of every key that has a default.
 func FleetDefaults() Fleet {
-	return Fleet{Losses: 1, Log: Log{Level: "info"}}
+	return Fleet{Losses: 1, Log: FleetLog{Level: "info"}}
 }
 
 // LoadFleet reads, decodes and checks a settings file. The error names the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -65,19 +65,28 @@
 	must.ErrorIs(t, err, os.ErrNotExist)
 }
 
-// Every key is documented in docs/SETTINGS.md, and nothing else is.
+// Every key is documented in docs/SETTINGS.md under its program, and nothing
+// else is.
 func TestPageNamesEveryKey(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	must.NoError(t, err)
+	first, second, ok := strings.Cut(string(page), "# Settings of laburnum-host")
+	must.True(t, ok)
+	checkKeys(t, first, reflect.TypeOf(Settings{}))
+	checkKeys(t, second, reflect.TypeOf(Fleet{}))
+}
+
+func checkKeys(t *testing.T, page string, of reflect.Type) {
+	t.Helper()
 	documented := 0
-	for line := range strings.SplitSeq(string(page), "\n") {
+	for line := range strings.SplitSeq(page, "\n") {
 		if strings.HasPrefix(line, "| `") {
 			documented++
 		}
 	}
-	keys := keysOf("", reflect.TypeOf(Settings{}))
+	keys := keysOf("", of)
 	for _, k := range keys {
-		must.StrContains(t, string(page), "| `"+k+"` |")
+		must.StrContains(t, page, "| `"+k+"` |")
 	}
 	must.Eq(t, len(keys), documented)
 }
@@ -95,3 +104,33 @@
 	}
 	return keys
 }
+
+func TestLoadFleet(t *testing.T) {
+	const good = `{"name": "h", "ip": "10.0.0.1", "failure_domain": "a", "region": "r", "peer_port": "77", "seeds": ["10.0.0.2:80"], "tolerated_losses": 2,
+		"entry": true, "caller_address": "10.0.0.1:1", "ready_address": "10.0.0.1:2", // a comment
+	}`
+	file := filepath.Join(t.TempDir(), "host.json")
+	load := func(text string) (Fleet, error) {
+		must.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		return LoadFleet(file)
+	}
+	s, err := load(good)
+	must.NoError(t, err)
+	must.Eq(t, 5, s.ControlGroup())
+	must.Eq(t, "info", s.Log.Level)
+	for change, want := range map[string]string{
+		`"entry": true, "caller_address": "10.0.0.1:1"`: "an entry host needs caller_address",
+		`"ip": "10.0.0.1"`: "ip",
+		`"10.0.0.2:80"`:    "seeds",
+	} {
+		bad := strings.Replace(good, change, map[string]string{
+			`"entry": true, "caller_address": "10.0.0.1:1"`: `"entry": true`, `"ip": "10.0.0.1"`: `"ip": "here"`, `"10.0.0.2:80"`: `"nowhere"`,
+		}[change], 1)
+		_, err := load(bad)
+		must.ErrorContains(t, err, want)
+	}
+	_, err = load(strings.Replace(good, `"name"`, `"nick"`, 1))
+	must.ErrorContains(t, err, "unknown key")
+	_, err = load(strings.Replace(good, `"entry": true`, `"control": true, "entry": true`, 1))
+	must.ErrorContains(t, err, "control_address")
+}
