--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -52,12 +52,13 @@
 		return Line{}, false
 	}
 	attrs := make(map[string]any)
-	if json.Unmarshal(text[at:], &attrs) != nil {
+	d := json.NewDecoder(bytes.NewReader(text[at:]))
+	d.UseNumber() // tokens have more digits than a float prints
+	if d.Decode(&attrs) != nil {
 		return Line{}, false
 	}
 	l := Line{Source: source(text[:at]), Attrs: attrs}
-	number, _ := attrs[event.Key].(float64)
-	l.Event = event.ID(number)
+	l.Event = event.ID(number(&l, event.Key))
 	l.Message, _ = attrs["msg"].(string)
 	stamp, _ := attrs["time"].(string)
 	l.Time, _ = time.Parse(time.RFC3339Nano, stamp) // zero sorts first
@@ -145,7 +146,7 @@
 	done, answered := t.last(event.EntryJobDone), t.last(event.EntryJobAnswered)
 	switch {
 	case answered != nil:
-		outcome, _ := answered.Attrs["outcome"].(float64)
+		outcome := number(answered, "outcome")
 		reason, _ := answered.Attrs["reason"].(string)
 		return outcomeText(peer.JobOutcome(outcome)) + ": " + reason + t.circumstances()
 	case done != nil:
@@ -175,7 +176,11 @@
 }
 
 func number(l *Line, key string) float64 {
-	n, _ := l.Attrs[key].(float64)
+	text, _ := l.Attrs[key].(json.Number)
+	n, err := text.Float64()
+	if err != nil {
+		return 0 // the line has no such number
+	}
 	return n
 }
 
