--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -12,9 +10,8 @@
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/laburnumwalk/laburnumwalk/internal/dial"
 	"github.com/laburnumwalk/laburnumwalk/internal/job"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/result"
@@ -66,7 +63,7 @@
 // newClientIdle is NewClient with another idle timeout.
 func newClientIdle(inc membership.Incarnation, maxResult int, idle time.Duration) (*Client, error) {
 	c, err := client.NewClient(
-		client.WithDialer(markingDialer{standard.NewDialer()}),
+		client.WithDialer(dial.New()),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(maxConnections),
 		client.WithMaxConnWaitTimeout(dialTimeout),
@@ -81,31 +78,6 @@
 	return &Client{http: c, incarnation: inc, maxResult: maxResult}, nil
 }
 
-// dialError marks failures before any byte was written.
-type dialError struct{ err error }
-
-func (e *dialError) Error() string { return "dial: " + e.err.Error() }
-func (e *dialError) Unwrap() error { return e.err }
-
-// markingDialer turns every dial failure into a *dialError.
-type markingDialer struct{ network.Dialer }
-
-func (d markingDialer) DialConnection(n, address string, timeout time.Duration, c *tls.Config) (network.Conn, error) {
-	conn, err := d.Dialer.DialConnection(n, address, timeout, c)
-	if err != nil {
-		return nil, &dialError{err}
-	}
-	return conn, nil
-}
-
-func (d markingDialer) DialTimeout(n, address string, timeout time.Duration, c *tls.Config) (net.Conn, error) {
-	conn, err := d.Dialer.DialTimeout(n, address, timeout, c)
-	if err != nil {
-		return nil, &dialError{err}
-	}
-	return conn, nil
-}
-
 // Start sends the task and waits for its answer.
 func (c *Client) Start(ctx context.Context, r Request) Reply {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
@@ -153,7 +125,7 @@
 // failure classifies a transport error. Only a failed dial, or no free
 // connection, proves that nothing was sent.
 func failure(err error, sent time.Time, trip time.Duration) Reply {
-	var d *dialError
+	var d *dial.Error
 	if errors.As(err, &d) || errors.Is(err, hertzerrors.ErrNoFreeConns) {
 		return disproved(err.Error())
 	}
