--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -101,7 +101,21 @@
 mutant 'store: checksum ignored' internal/store/store.go 's/ || sum != xxhash.Sum64(payload)/ || sum == 0/' ./internal/store Test
 mutant 'store: writes go on after a failure' internal/store/store.go 's/	if s.failed {/	if false {/' ./internal/store Test
 mutant 'store: folder not locked' internal/store/fs.go 's/LOCK_EX|syscall.LOCK_NB/LOCK_SH|syscall.LOCK_NB/' ./internal/store Test
-mutant 'controller: messages sent though the write failed' internal/daemon/controller.go 's/			r.Messages = nil/			_ = r.Messages/' ./internal/daemon 'TestController|TestUnsynced|TestState'
-mutant 'controller: state not written again at start' internal/daemon/controller.go 's/	return state, saveState(s, \&state)/	return state, nil/' ./internal/daemon 'TestController|TestUnsynced|TestState'
-mutant 'controller: store failure not told to the machine' internal/daemon/controller.go '/c.machine.StoreFailed()/d' ./internal/daemon 'TestController|TestUnsynced|TestState'
+mutant 'controller: messages sent though the write failed' internal/register/controller.go 's/			r.Messages = nil/			_ = r.Messages/' ./internal/register 'TestController|TestUnsynced|TestState'
+mutant 'controller: state not written again at start' internal/register/controller.go 's/	return state, saveState(s, \&state)/	return state, nil/' ./internal/register 'TestController|TestUnsynced|TestState'
+mutant 'controller: store failure not told to the machine' internal/register/controller.go '/c.machine.StoreFailed()/d' ./internal/register 'TestController|TestUnsynced|TestState'
+# Hosts with leased minions.
+mutant 'leased: a leftover run blocks only until its stop is confirmed' internal/pool/minion.go 's/ (x.stopOK.IsZero() || x.step == nil) {/ x.stopOK.IsZero() {/' ./internal/pool Leftover
+mutant 'leased: an unanswered start is repeated at once' internal/pool/place.go 's/^			p.renew(now, m)$/			p.endRun(now, m, x, EndStopped)/' ./internal/pool Unanswered
+mutant 'leased: a minion out of reach is renewed' internal/pool/minion.go 's/if m.reachable && m.clock > 0/if m.clock > 0/' ./internal/pool LostMinions
+mutant 'leased: a lost minion is given up before its lease ends' internal/pool/minion.go 's/m.clockMS(now) > m.maxUntil/m.clockMS(now) > m.maxUntil-300/' ./internal/pool LostMinions
+mutant 'leased: adopted runs use nothing' internal/pool/job.go 's/^		m.account(x)$/		_ = m/' ./internal/pool Adopted
+mutant 'leased: capacity is not counted' internal/pool/place.go 's/return m.usedCPU+s.CPU <= m.CPU \&\& /return /' ./internal/pool HeavyLoads
+mutant 'leased: a lost dispatcher leaves its jobs free at once' internal/entry/entry.go 's/j.tied, j.touched = true, true/j.touched = true/' ./internal/entry LostDispatcher
+mutant 'leased: a job that may have run is refused as not run' internal/entry/entry.go 's/if o.Outcome == peer.JobRefused \&\& j.touched {/if false {/' ./internal/entry LostDispatcher
+mutant 'leased: a handed-over job is offered to the same host' internal/entry/choose.go 's/ || t.moved\[d.place()\]//' ./internal/entry MovedJobWaits
+mutant 'leased: a lower token keeps its claim' internal/claim/claim.go 's/decisions\[shard\] = Release/decisions[shard] = Keep/' ./internal/claim LowerToken
+mutant 'leased: told hosts are forgotten' internal/roster/roster.go 's/	h.tellers\[from\] = true/	h.tellers[from] = false; delete(h.tellers, from)/' ./internal/roster ToldHosts
+mutant 'leased: late announcements count' internal/roster/roster.go 's/cmp.Compare(rec.Seq, m.Seq)); c <= 0 {/cmp.Compare(rec.Seq, m.Seq)); c == 0 {/' ./internal/roster Overtaken
+mutant 'leased: one answer makes a read' internal/control/read.go 's/return n >= majority(len(m.state.Chosen.Group))/return n >= 1/' ./internal/control SelfManaged
 exit $failed
