--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -72,6 +72,7 @@
 // Roster carries the records of the sender's log after the receiver's place.
 type Roster struct {
 	Of      membership.Incarnation `msgpack:"o"`
+	After   uint64                 `msgpack:"a,omitempty"` // the place that the records follow
 	Log     uint64                 `msgpack:"g"`
 	Hosts   []HostRecord           `msgpack:"h,omitempty"`
 	Minions []MinionRecord         `msgpack:"m,omitempty"`
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -121,9 +121,14 @@
 			delete(h.tellers, from) // a new process lists anew
 		}
 	}
-	if p.of != m.Of || p.log < m.Log {
-		r.places[from] = place{m.Of, m.Log}
+	if p.of != m.Of {
+		p = place{of: m.Of}
+	}
+	// A part that does not follow what was read leaves a gap: it is read again.
+	if m.After <= p.log {
+		p.log = max(p.log, m.Log)
 	}
+	r.places[from] = p
 	for _, rec := range m.Hosts {
 		r.told(from, rec)
 	}
@@ -229,7 +234,7 @@
 	if after >= r.log {
 		return nil
 	}
-	d := &peer.Roster{Of: r.self.Incarnation, Log: r.log}
+	d := &peer.Roster{Of: r.self.Incarnation, After: after, Log: r.log}
 	for _, h := range r.ordered() {
 		if h.at > after { // only what was heard directly is in the log
 			rec := h.HostRecord
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -105,3 +105,19 @@
 	must.Len(t, 1, r.Delta(0, "").Minions)
 	must.Nil(t, r.Delta(r.Log(), ""))
 }
+
+// A part of the log that was lost is read again, though a later one arrived.
+func TestLostPartIsReadAgain(t *testing.T) {
+	control, entry := New(record("control")), New(record("entry"))
+	control.Announce(minionOf(1, false))
+	lost := control.Delta(0, "a")
+	must.NotNil(t, lost)
+	place := control.Log()
+	control.Heard(begin, beatOf("far"))
+	entry.Merge("control", control.Delta(place, "a"))
+	_, read := entry.Place("control")
+	entry.Merge("control", control.Delta(read, "a"))
+	must.Len(t, 1, entry.Minions("a"))
+	_, read = entry.Place("control")
+	must.Eq(t, control.Log(), read)
+}
