--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -20,7 +20,7 @@
 }
 
 // count adds a job to what was sent since the dispatcher's last load.
-func (t *Table) count(_ time.Time, d *Dispatcher, j *open) {
+func (t *Table) count(d *Dispatcher, j *open) {
 	s := t.sent[d.place()]
 	if s == nil {
 		s = &sentWork{}
@@ -50,7 +50,7 @@
 // shard, can carry while others have room: whole jobs move, so that a job's
 // tasks stay with one dispatcher. Of several with room one is drawn, by their
 // room: hosts that all chose the best would meet there.
-func (t *Table) choose(_ time.Time, j *open) *Dispatcher {
+func (t *Table) choose(j *open) *Dispatcher {
 	var best *Dispatcher
 	var bestDelay time.Duration
 	var room float64
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -223,7 +223,7 @@
 	j.offer.Shard, j.offer.Of = d.Shard, d.Of
 	j.heardAt = time.Time{}
 	j.offer.MayHaveRun = j.tied
-	t.count(now, d, j)
+	t.count(d, j)
 	t.note(event.EntryJobForwarded, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.String("dispatcher", d.Host),
 		slog.Int64("load_age_ms", now.Sub(d.LoadAt).Milliseconds()), slog.Int64("free_cpu", d.Load.Free), slog.Int64("queued", d.Load.Queued),
 		slog.Int("shard", d.Shard), slog.Int("dispatchers", len(t.dispatchers)), slog.Bool("may_have_run", j.tied))
@@ -280,7 +280,7 @@
 	}
 	j.to = place{}
 	if len(j.refused) < maxOffers {
-		if d := t.choose(now, j); d != nil {
+		if d := t.choose(j); d != nil {
 			t.offer(now, j, d)
 			return
 		}
@@ -290,7 +290,7 @@
 
 // place offers a job to the best dispatcher, or leaves it waiting for one.
 func (t *Table) place(now time.Time, j *open) {
-	if d := t.choose(now, j); d != nil {
+	if d := t.choose(j); d != nil {
 		t.offer(now, j, d)
 		return
 	}
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -151,8 +151,7 @@
 }
 
 func (d *decisions) release(now time.Time, x *shard, reason string) {
-	all, _ := x.pool.Jobs()
-	d.host.note(event.ClaimReleased, slog.Int("shard", x.number), slog.Int("of", x.of), slog.String("reason", reason), slog.Int("jobs", all))
+	d.host.note(event.ClaimReleased, slog.Int("shard", x.number), slog.Int("of", x.of), slog.String("reason", reason), slog.Int("jobs", x.pool.Jobs()))
 	d.token = max(d.token, x.pool.Token())
 	x.pool.Release(now)
 	d.flushPool(now, x)
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -141,18 +141,23 @@
 // gauges publishes what the decisions hold.
 func (d *decisions) gauges(now time.Time) {
 	m := d.host.metrics
-	var jobs, waiting int
+	var jobs int
+	waiting := make(map[string]int)
 	var capacity, free int64
 	for _, x := range d.shards {
-		all, first := x.pool.Jobs()
 		load := x.pool.Load(now)
-		jobs, waiting = jobs+all, waiting+first
+		jobs += x.pool.Jobs()
+		x.pool.CountWaiting(waiting)
 		capacity, free = capacity+load.Capacity, free+load.Free
 	}
-	d.host.waiting.Store(int64(waiting))
+	d.host.waiting.Store(&waiting)
+	queued := 0
+	for _, n := range waiting {
+		queued += n
+	}
 	m.openJobs.Set(int64(d.table.Open()))
 	m.dispatched.Set(int64(jobs))
-	m.queued.Set(int64(waiting))
+	m.queued.Set(int64(queued))
 	m.claims.Set(int64(len(d.shards)))
 	m.capacity.Set(capacity)
 	m.free.Set(free)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,9 +70,8 @@
 	seeds     atomic.Pointer[[]string]
 	ready     atomic.Bool
 	leaving   atomic.Bool
-	closesAt  atomic.Pointer[time.Time] // end of a shutdown; nil: none has begun
-	waiting   atomic.Int64              // jobs dispatched here without a start
-	open      atomic.Int64              // callers' jobs here without an answer
+	closesAt  atomic.Pointer[time.Time]      // end of a shutdown; nil: none has begun
+	waiting   atomic.Pointer[map[string]int] // jobs dispatched here without a start, by queue
 	done      chan struct{}
 	wg        sync.WaitGroup
 }
@@ -96,7 +95,7 @@
 	h.SetSeeds(s.Seeds)
 	hello := peer.Hello{Version: peer.Version, Host: s.IP, FailureDomain: s.FailureDomain, Incarnation: h.self.Incarnation}
 	h.mesh = link.NewOpen(l, hello, link.OpenOptions{
-		Port: s.PeerPort, Self: s.IP, Closed: h.connectionClosed,
+		Port: s.PeerPort, Closed: h.connectionClosed,
 		DialTimeout: connectTimeout, AnswerTimeout: silentLink, Idle: idleLink, Pause: redialPause,
 	}, h.receive, h.rejected)
 	if err := h.openControl(); err != nil {
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -183,9 +183,14 @@
 	h.note(event.SettingsRefused, slog.String("error", err.Error()))
 }
 
-// Pending returns the number of a queue's open jobs here for which no task has
-// started.
-func (h *Host) Pending(string) int { return int(h.waiting.Load()) }
+// Pending returns the number of a queue's jobs that this host dispatches and
+// for which no task has started.
+func (h *Host) Pending(queue string) int {
+	if byQueue := h.waiting.Load(); byQueue != nil {
+		return (*byQueue)[queue]
+	}
+	return 0
+}
 
 // abandonWait bounds the wait for the decisions at the end of a shutdown.
 const abandonWait = 50 * time.Millisecond
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -18,7 +18,6 @@
 // dialled with the first message and closed when it has been idle.
 type OpenOptions struct {
 	Port          string
-	Self          string                                      // IP address that connections are dialled from
 	Closed        func(from string, i membership.Incarnation) // an inbound connection ended
 	DialTimeout   time.Duration
 	AnswerTimeout time.Duration // for a beat; a connection that exceeds it is silent
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -27,7 +27,6 @@
 	trials   int
 	trialAt  time.Time
 	logSpeed float64 // mean logarithm of run times over the expected ones
-	busy     int     // refusals without a start in between
 }
 
 // speed returns the minion's run times over the usual ones.
@@ -40,11 +39,6 @@
 	h.trialAt = now.Add(pause)
 }
 
-func (h *health) refused(now time.Time) {
-	h.busy++
-	h.failed(now)
-}
-
 // judge learns from the end of a run.
 func (p *Pool) judge(now time.Time, m *minion, x *run, how End) {
 	switch how {
@@ -52,7 +46,7 @@
 		if m.health.bad {
 			p.cfg.Note(event.PoolMinionGood, slog.String("minion", m.ID))
 		}
-		m.health.bad, m.health.trials, m.health.busy = false, 0, 0
+		m.health.bad, m.health.trials = false, 0
 		if x.owner == nil || x.step == nil || !x.started || x.expected <= 0 {
 			return
 		}
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -61,14 +61,13 @@
 }
 
 type loadJob struct {
-	kind    *loadKind
-	offer   *peer.JobOffer
-	at      time.Time
-	work    []time.Duration
-	goal    time.Duration // by the true work
-	worth   float64
-	big     bool
-	attempt int
+	kind  *loadKind
+	offer *peer.JobOffer
+	at    time.Time
+	work  []time.Duration
+	goal  time.Duration // by the true work
+	worth float64
+	big   bool
 }
 
 type loadRun struct {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -170,7 +170,7 @@
 		p.lifeEnded(now, m)
 		return
 	case AnswerBusy, AnswerUnsent:
-		m.health.refused(now)
+		m.health.failed(now)
 	}
 	if a != AnswerFenced && a != AnswerOld {
 		p.cfg.Note(event.PoolStartRefused, slog.String("minion", m.ID), slog.String("job", s.Task.Job), slog.Int("answer", int(a)))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -203,15 +203,16 @@
 	return out
 }
 
-// Jobs returns how many jobs are in progress, and how many of them wait for
-// their first start.
-func (p *Pool) Jobs() (all, waiting int) {
+// Jobs returns how many jobs are in progress.
+func (p *Pool) Jobs() int { return len(p.jobs) }
+
+// CountWaiting adds the jobs that wait for their first start, by queue.
+func (p *Pool) CountWaiting(byQueue map[string]int) {
 	for _, j := range p.jobs {
 		if !j.touched {
-			waiting++
+			byQueue[j.offer.Queue]++
 		}
 	}
-	return len(p.jobs), waiting
 }
 
 // tokenSource gives rising fencing tokens.
