--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -42,13 +42,13 @@
 	heardAt map[string]time.Time // by host that offers jobs: its newest message
 
 	startedAt time.Time
-	deposedAt time.Time // when a claim was lost
-	farSince  time.Time // when the layout began to be far from the wanted one
-	beatAt    time.Time
-	slowAt    time.Time // of the last beat to control hosts
-	lastBoot  time.Duration
-	beatSoon  bool
-	local     []localMessage
+	deposedAt time.Time     // when a claim was lost
+	farSince  time.Time     // when the layout began to be far from the wanted one
+	beatAt    time.Time     // of the last beat
+	slowAt    time.Time     // of the last beat to control hosts
+	lastBoot  time.Duration // boot time at the last tick
+	beatSoon  bool          // something changed that others should know at once
+	local     []peer.Body   // messages to the own host
 }
 
 type resultKey struct {
@@ -63,8 +63,6 @@
 	left   int
 }
 
-type localMessage struct{ body peer.Body }
-
 func newDecisions(h *Host) *decisions {
 	return &decisions{
 		host: h, roster: roster.New(h.self), table: h.newTable(),
@@ -201,7 +199,7 @@
 // send hands a message to another host, or keeps it for the own one.
 func (d *decisions) send(to string, b peer.Body) {
 	if to == d.host.self.Name {
-		d.local = append(d.local, localMessage{b})
+		d.local = append(d.local, b)
 		return
 	}
 	d.host.mesh.Send(to, b)
@@ -223,8 +221,8 @@
 		}
 		local := d.local
 		d.local = nil
-		for _, m := range local {
-			d.receive(now, d.host.self.Name, m.body)
+		for _, b := range local {
+			d.receive(now, d.host.self.Name, b)
 		}
 	}
 	d.pushRoster()
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -9,9 +9,12 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
-// slowPenalty is the room, in thousandths of a processor, that is given up to
-// avoid a minion that takes twice the usual time.
-const slowPenalty = 40_000
+// Room, in thousandths of a processor, that is given up to avoid a minion.
+const (
+	slowPenalty = 40_000          // per usual run time that it takes more
+	farPenalty  = 2 * slowPenalty // away from the data a task takes three times as long (platform's far_x)
+	lastPenalty = 4 * slowPenalty // that the task's last run was on: after any other
+)
 
 // takesWork reports whether new runs may be placed on the minion at all.
 func (m *minion) takesWork() bool {
@@ -82,10 +85,10 @@
 		}
 		score := m.CPU - m.usedCPU - t.step.CPU + int64(slowPenalty*(m.health.speed()-1))
 		if t.step.Rack != "" && !slices.Contains(m.Labels, t.step.Rack) {
-			score += 2 * slowPenalty
+			score += farPenalty
 		}
 		if m.ID == t.lastOn && t.nextRun > 1 {
-			score += 4 * slowPenalty
+			score += lastPenalty
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -105,10 +105,10 @@
 mutant 'controller: state not written again at start' internal/register/controller.go 's/	return state, saveState(s, \&state)/	return state, nil/' ./internal/register 'TestController|TestUnsynced|TestState'
 mutant 'controller: store failure not told to the machine' internal/register/controller.go '/c.machine.StoreFailed()/d' ./internal/register 'TestController|TestUnsynced|TestState'
 # Hosts with leased minions.
-mutant 'leased: a leftover run blocks only until its stop is confirmed' internal/pool/minion.go 's/ (x.stopOK.IsZero() || x.step == nil) {/ x.stopOK.IsZero() {/' ./internal/pool Leftover
+mutant 'leased: a leftover run blocks only until its stop is confirmed' internal/pool/lease.go 's/ (x.stopOK.IsZero() || x.step == nil) {/ x.stopOK.IsZero() {/' ./internal/pool Leftover
 mutant 'leased: an unanswered start is repeated at once' internal/pool/place.go 's/^			p.renew(now, m)$/			p.endRun(now, m, x, EndStopped)/' ./internal/pool Unanswered
-mutant 'leased: a minion out of reach is renewed' internal/pool/minion.go 's/if m.reachable && m.clock > 0/if m.clock > 0/' ./internal/pool LostMinions
-mutant 'leased: a lost minion is given up before its lease ends' internal/pool/minion.go 's/m.clockMS(now) > m.maxUntil/m.clockMS(now) > m.maxUntil-300/' ./internal/pool LostMinions
+mutant 'leased: a minion out of reach is renewed' internal/pool/lease.go 's/if m.reachable && m.clock > 0/if m.clock > 0/' ./internal/pool LostMinions
+mutant 'leased: a lost minion is given up before its lease ends' internal/pool/lease.go 's/m.clockMS(now) > m.maxUntil/m.clockMS(now) > m.maxUntil-300/' ./internal/pool LostMinions
 mutant 'leased: adopted runs use nothing' internal/pool/job.go 's/^		m.account(x)$/		_ = m/' ./internal/pool Adopted
 mutant 'leased: capacity is not counted' internal/pool/place.go 's/return m.usedCPU+s.CPU <= m.CPU \&\& /return /' ./internal/pool HeavyLoads
 mutant 'leased: a lost dispatcher leaves its jobs free at once' internal/entry/entry.go 's/j.tied, j.touched = true, true/j.touched = true/' ./internal/entry LostDispatcher
