entry: a lost dispatcher's jobs are recalled, in case it still hears of this host

Cause (found by reading): a dispatcher whose messages are lost one way still hears of the entry host and goes on with its jobs, while the host placed them anew after 1.7 s, or the caller came again elsewhere: two runs at a time. Ruled out: cancelling at once, which would stop runs that the next dispatcher of the shard adopts. Change: what no other dispatcher has taken over after 0.9 s, or whose caller leaves, is cancelled at the lost one.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,9 @@
 	// it can; what it cannot stop ends with a lease of at most 1 s on a clock
 	// that may be 2% slow.
 	forgotten = 1700 * time.Millisecond
+	// recall is how long after its dispatcher was lost a job that no other one
+	// has taken over is cancelled there, in case only its messages are lost.
+	recall = 900 * time.Millisecond
 	// lastWord is how long before the caller's deadline an answer is sent that
 	// says that there will be no other: two ticks, and the way to the caller.
 	lastWord = 45 * time.Millisecond
@@ -97,6 +100,7 @@
 	tied     bool      // may have run on the minions of its shard
 	touched  bool      // may have run anywhere: never answered as not run
 	lostAt   time.Time // when its last dispatcher was lost
+	lost     place     // that dispatcher, until the job is cancelled there
 }
 
 type cancellation struct {
@@ -178,11 +182,20 @@
 	delete(t.jobs, id)
 }
 
+// cancel gives up the job at its dispatcher, or at the one that was lost.
 func (t *Table) cancel(now time.Time, j *open) {
-	if j.to.host == "" {
+	at := j.to
+	if at.host == "" {
+		at = j.lost
+	}
+	t.cancelAt(now, j, at)
+}
+
+func (t *Table) cancelAt(now time.Time, j *open, at place) {
+	if at.host == "" {
 		return
 	}
-	c := &cancellation{to: j.to.host, body: peer.JobCancel{Job: j.offer.Job, Offer: j.offer.Offer, Shard: j.to.shard}, sentAt: now, left: cancelResends}
+	c := &cancellation{to: at.host, body: peer.JobCancel{Job: j.offer.Job, Offer: j.offer.Offer, Shard: at.shard}, sentAt: now, left: cancelResends}
 	t.cancels = append(t.cancels, c)
 	t.sendCancel(now, c)
 }
@@ -331,7 +344,7 @@
 func (t *Table) reoffer(now time.Time, j *open, reason string) {
 	t.note(event.EntryJobReoffered, slog.String("job", j.offer.Job), slog.String("from", j.to.host), slog.String("reason", reason))
 	j.tied, j.touched = true, true
-	j.to = place{}
+	j.lost, j.to = j.to, place{}
 	j.lostAt = now
 	t.place(now, j)
 }
@@ -372,6 +385,10 @@
 }
 
 func (t *Table) tickJob(now time.Time, j *open) {
+	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= recall {
+		t.cancelAt(now, j, j.lost)
+		j.lost = place{}
+	}
 	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= forgotten {
 		j.tied = false
 		j.offer.Done = nil
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -111,8 +111,14 @@
 	submit(x, "j")
 	x.Ready()
 	x.Dispatchers(begin, []Dispatcher{far})
+	x.Tick(begin.Add(recall - ms))
+	must.Len(t, 0, x.Ready().Messages)
 	x.Tick(begin.Add(forgotten - ms))
-	must.Len(t, 0, offers(x.Ready()))
+	r := x.Ready()
+	must.Len(t, 0, offers(r))
+	must.Len(t, 1, r.Messages, must.Sprint("the lost dispatcher may still hear of this host"))
+	must.Eq(t, "near", r.Messages[0].To)
+	must.Eq(t, peer.KindJobCancel, r.Messages[0].Body.Kind())
 	x.Tick(begin.Add(forgotten))
 	o := offers(x.Ready())
 	must.Eq(t, "far", o[0].To)
@@ -197,3 +203,17 @@
 	must.Eq(t, uint64(7), a[0].Waiter)
 	must.Eq(t, peer.JobUnknown, a[0].Outcome.Outcome)
 }
+
+// A caller that leaves stops its job at a dispatcher that may only be cut off
+// one way.
+func TestLeaveReachesLostDispatcher(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	submit(x, "j")
+	x.Ready()
+	x.Dispatchers(begin, nil)
+	x.Leave(begin, "j", 1)
+	r := x.Ready()
+	must.Len(t, 1, r.Messages)
+	must.Eq(t, "near", r.Messages[0].To)
+}
