pool: a start in flight outlives its minion

Cause (found by reading): when a minion started again under its name, runs without an answer were ended and placed elsewhere, though such a start may still arrive at the new process, which has seen no token: two runs at a time. Change: they wait for the new process's first listing under a newer token; the minion takes nothing before.

--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -14,7 +14,7 @@
 	p.serial++
 	h := Hold{Minion: m.ID, Address: m.Address, Token: m.token, Serial: p.serial, LastSeen: m.lastSeen, Wait: wait}
 	// A minion out of reach is not renewed: its lease must come to an end.
-	if m.reachable && m.clock > 0 && len(m.runs) > 0 && m.renewable(now) {
+	if m.reachable && m.clock > 0 && len(m.runs) > 0 && m.renewable() {
 		h.UntilMS = m.until(now, p.cfg.Timing.Lease)
 	}
 	m.calls[h.Serial] = &holdCall{token: m.token, sentAt: now, until: now.Add(wait + holdGrace), urgent: urgent}
@@ -39,15 +39,11 @@
 	}
 }
 
-// renewable reports whether every run on the minion may go on: a run that
-// nobody wants ends with the lease when its stop cannot be confirmed.
-func (m *minion) renewable(now time.Time) bool {
+// renewable reports whether the lease may go on: a run that nobody wants ends
+// with it while its stop is not confirmed.
+func (m *minion) renewable() bool {
 	for _, x := range m.runs {
-		switch {
-		case x.owner != nil && !x.stopping:
-		case !x.stopOK.IsZero():
-		case x.stopping && now.Sub(x.stopAt) < unstoppedGrace && x.owner != nil:
-		default:
+		if x.owner == nil && x.stopOK.IsZero() {
 			return false
 		}
 	}
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -13,10 +13,7 @@
 const (
 	firstHoldPause = 15 * time.Millisecond // after a second failed hold, doubled each time
 	maxHoldPause   = 500 * time.Millisecond
-	stopResend     = 80 * time.Millisecond // of a stop without an answer
-	// unstoppedGrace is how long a lease is still renewed while a stop is not
-	// confirmed; then the lease lapses and ends the run.
-	unstoppedGrace = 150 * time.Millisecond
+	stopResend     = 80 * time.Millisecond  // of a stop without an answer
 	holdGrace      = 300 * time.Millisecond // beyond its wait, after which a hold counts as lost
 )
 
@@ -116,14 +113,20 @@
 	p.ordered = slices.DeleteFunc(p.ordered, func(x *minion) bool { return x == m })
 }
 
-// newLife forgets what an earlier process of the minion ran: it ended with it.
+// newLife ends what an earlier process of the minion ran. A start without an
+// answer may still arrive at the new process: the next listing tells.
 func (p *Pool) newLife(now time.Time, m *minion, born int64) {
 	p.cfg.Note(event.PoolMinionReborn, slog.String("minion", m.ID), slog.Int64("born", born), slog.Int("runs", len(m.runs)))
 	m.Born = born
 	m.otherLife = false
 	m.lastSeen, m.listClock, m.maxUntil, m.clock = 0, 0, 0, 0
 	m.health = health{}
-	p.endAll(now, m)
+	m.listed = false
+	for _, x := range m.sortedRuns() {
+		if x.started {
+			p.endRun(now, m, x, EndLapsed)
+		}
+	}
 	p.renew(now, m)
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -188,3 +188,20 @@
 	s.held("m", &Listing{})
 	must.Len(t, 1, s.out.Starts)
 }
+
+// A start that was on its way when its minion started again may still arrive at
+// the new process, which has seen no token yet.
+func TestStartInFlightOutlivesItsMinion(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.offer("j", 1, 27_000, 100)
+	first := s.out.Starts[0]
+	s.out.Starts = nil
+	s.minion("b", 64_000)
+	s.p.Minion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1, Born: 5})
+	s.pass(20 * ms)
+	must.Len(t, 0, s.out.Starts)
+	s.held("a", &Listing{Born: 5})
+	must.Len(t, 1, s.out.Starts)
+	must.Greater(t, first.Run, s.out.Starts[0].Run)
+}
