entry: a job that nobody takes any more is answered

Cause (found by reading): a job without a dispatcher was only placed again, never held against its deadline, and was refused only while no dispatcher at all was listed. One that the listed ones had refused, and whose last one handed over and went, was never answered and never forgotten. Ruled out: a bound in the server, which would answer without the table's state. Change: the deadline comes first; a job waits for a next dispatcher since its own was lost, or since it arrived where others are listed. What was sent to a dispatcher that is gone is forgotten; constants have the field's names; an assignment without effect and a field that nothing read are gone. Before: TestJobRefusedByAllThatAreLeftIsAnswered and TestDeadlineWhileNoDispatcher fail. After: both pass. Conclusion: places that return early from a tick are where deadlines get lost.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,17 +21,17 @@
 const (
 	// offerResend is the interval of offers without an answer.
 	offerResend = 150 * time.Millisecond
-	// forgotten is how long after its dispatcher was lost a job has certainly
+	// endedTimeout is how long after its dispatcher was lost a job has certainly
 	// ended there: the dispatcher misses this host within 0.6 s and stops what
 	// it can; what it cannot stop ends with a lease of at most 1 s on a clock
 	// that may be 2% slow.
-	forgotten = 1700 * time.Millisecond
-	// recall is how long after its dispatcher was lost a job that no other one
+	endedTimeout = 1700 * time.Millisecond
+	// cancelDelay is how long after its dispatcher was lost a job that no other one
 	// has taken over is cancelled there, in case only its messages are lost.
-	recall = 900 * time.Millisecond
-	// lastWord is how long before the caller's deadline an answer is sent that
+	cancelDelay = 900 * time.Millisecond
+	// answerMargin is how long before the caller's deadline an answer is sent that
 	// says that there will be no other: two ticks, and the way to the caller.
-	lastWord = 45 * time.Millisecond
+	answerMargin = 45 * time.Millisecond
 	// maxOffers bounds the dispatchers that a job is offered to: each may
 	// refuse for want of room.
 	maxOffers = 3
@@ -67,7 +67,6 @@
 	Shard         int
 	Of            int // shards in the failure domain
 	Load          peer.PoolLoad
-	HeardAt       time.Time
 	LoadAt        time.Time // when Load was told
 }
 
@@ -241,9 +240,6 @@
 		slog.Int64("load_age_ms", now.Sub(d.LoadAt).Milliseconds()), slog.Int64("free_cpu", d.Load.Free), slog.Int64("queued", d.Load.Queued),
 		slog.Int("shard", d.Shard), slog.Int("dispatchers", len(t.dispatchers)), slog.Bool("may_have_run", j.tied))
 	t.sendOffer(now, j)
-	if j.sentAt.IsZero() {
-		j.sentAt = now
-	}
 }
 
 func (t *Table) sendOffer(now time.Time, j *open) {
@@ -307,15 +303,32 @@
 		t.offer(now, j, d)
 		return
 	}
-	if !j.tied && now.Sub(j.lostAt) >= succession && now.Sub(t.knownAt) >= succession {
-		t.answer(now, j, Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"})
+	if !j.tied && now.Sub(t.waitsSince(j)) >= takeoverTime {
+		t.answer(now, j, noDispatcher)
+	}
+}
+
+// waitsSince returns since when a next dispatcher for the job could have
+// appeared: since its own was lost, and since there was any, or, where others
+// are listed that do not take the job, since it arrived.
+func (t *Table) waitsSince(j *open) time.Time {
+	since := t.knownAt
+	if len(t.dispatchers) > 0 {
+		since = j.arrived
+	}
+	if j.lostAt.After(since) {
+		return j.lostAt
 	}
+	return since
 }
 
-// succession is for how long a job waits for the next dispatcher when the last
+// noDispatcher is what a caller is told when there is nobody to run its job.
+var noDispatcher = Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
+
+// takeoverTime is for how long a job waits for the next dispatcher when the last
 // one has handed over or is lost: that is noticed within 0.6 s, and the minions
 // are claimed within a few beats.
-const succession = 800 * time.Millisecond
+const takeoverTime = 800 * time.Millisecond
 
 // noDispatcherRetry is what a caller is told when no dispatcher is known: a
 // takeover lasts about as long.
@@ -326,6 +339,11 @@
 func (t *Table) Dispatchers(now time.Time, list []Dispatcher) {
 	t.dispatchers = list
 	clear(t.moved)
+	for p := range t.sent {
+		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.place() == p }) {
+			delete(t.sent, p)
+		}
+	}
 	if len(list) > 0 {
 		t.knownAt = now
 	}
@@ -385,25 +403,20 @@
 }
 
 func (t *Table) tickJob(now time.Time, j *open) {
-	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= recall {
+	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= cancelDelay {
 		t.cancelAt(now, j, j.lost)
 		j.lost = place{}
 	}
-	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= forgotten {
+	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= endedTimeout {
 		j.tied = false
 		j.offer.Done = nil
 	}
-	if j.to.host == "" && !j.tied {
-		t.place(now, j)
+	if !now.Before(j.deadline.Add(-answerMargin)) {
+		t.expire(now, j)
 		return
 	}
-	if !now.Before(j.deadline.Add(-lastWord)) {
-		t.cancel(now, j)
-		o := Outcome{Outcome: peer.JobUnknown, Reason: "deadline passed"}
-		if j.to.host == "" && !j.tied {
-			o = Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
-		}
-		t.answer(now, j, o)
+	if j.to.host == "" && !j.tied {
+		t.place(now, j)
 		return
 	}
 	if j.to.host != "" && j.heardAt.IsZero() && now.Sub(j.sentAt) >= offerResend {
@@ -411,6 +424,16 @@
 	}
 }
 
+// expire answers a job whose caller's deadline has come.
+func (t *Table) expire(now time.Time, j *open) {
+	if j.to.host == "" && !j.tied {
+		t.answer(now, j, noDispatcher)
+		return
+	}
+	t.cancel(now, j)
+	t.answer(now, j, Outcome{Outcome: peer.JobUnknown, Reason: "deadline passed"})
+}
+
 func (t *Table) sorted() []*open {
 	out := make([]*open, 0, len(t.jobs))
 	for _, j := range t.jobs {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -19,7 +19,7 @@
 }
 
 func dispatcherOf(host, domain string, free, queued int64) Dispatcher {
-	return Dispatcher{Host: host, FailureDomain: domain, HeardAt: begin, LoadAt: begin, Load: peer.PoolLoad{Capacity: 100_000, Free: free, Queued: queued}}
+	return Dispatcher{Host: host, FailureDomain: domain, LoadAt: begin, Load: peer.PoolLoad{Capacity: 100_000, Free: free, Queued: queued}}
 }
 
 func jobOf(id string) peer.JobOffer {
@@ -90,13 +90,13 @@
 	x.Ready()
 	x.Dispatchers(begin.Add(ms), []Dispatcher{far})
 	must.Len(t, 0, offers(x.Ready()))
-	x.Tick(begin.Add(forgotten / 2))
+	x.Tick(begin.Add(endedTimeout / 2))
 	must.Len(t, 0, offers(x.Ready()))
-	x.Dispatchers(begin.Add(forgotten/2), []Dispatcher{far, dispatcherOf("next", "a", 100_000, 0)})
+	x.Dispatchers(begin.Add(endedTimeout/2), []Dispatcher{far, dispatcherOf("next", "a", 100_000, 0)})
 	o := offers(x.Ready())
 	must.Eq(t, "next", o[0].To)
 	must.True(t, o[0].Body.(*peer.JobOffer).MayHaveRun)
-	x.Result(begin.Add(forgotten), "next", &peer.JobResult{Job: "j", Offer: o[0].Body.(*peer.JobOffer).Offer, Outcome: peer.JobRefused})
+	x.Result(begin.Add(endedTimeout), "next", &peer.JobResult{Job: "j", Offer: o[0].Body.(*peer.JobOffer).Offer, Outcome: peer.JobRefused})
 	r := x.Ready()
 	must.Len(t, 0, offers(r), must.Sprint("the other domain must not run it as well"))
 	must.Eq(t, peer.JobUnknown, r.Answers[0].Outcome.Outcome)
@@ -111,15 +111,15 @@
 	submit(x, "j")
 	x.Ready()
 	x.Dispatchers(begin, []Dispatcher{far})
-	x.Tick(begin.Add(recall - ms))
+	x.Tick(begin.Add(cancelDelay - ms))
 	must.Len(t, 0, x.Ready().Messages)
-	x.Tick(begin.Add(forgotten - ms))
+	x.Tick(begin.Add(endedTimeout - ms))
 	r := x.Ready()
 	must.Len(t, 0, offers(r))
 	must.Len(t, 1, r.Messages, must.Sprint("the lost dispatcher may still hear of this host"))
 	must.Eq(t, "near", r.Messages[0].To)
 	must.Eq(t, peer.KindJobCancel, r.Messages[0].Body.Kind())
-	x.Tick(begin.Add(forgotten))
+	x.Tick(begin.Add(endedTimeout))
 	o := offers(x.Ready())
 	must.Eq(t, "far", o[0].To)
 	must.False(t, o[0].Body.(*peer.JobOffer).MayHaveRun)
@@ -149,9 +149,9 @@
 	o := offers(x.Ready())[0].Body.(*peer.JobOffer)
 	x.Result(begin, "near", &peer.JobResult{Job: "j", Offer: o.Offer, Outcome: peer.JobMoved, Clean: true})
 	x.Dispatchers(begin, nil)
-	x.Tick(begin.Add(succession - ms))
+	x.Tick(begin.Add(takeoverTime - ms))
 	must.Len(t, 0, x.Ready().Answers)
-	x.Tick(begin.Add(succession))
+	x.Tick(begin.Add(takeoverTime))
 	must.Eq(t, peer.JobRefused, x.Ready().Answers[0].Outcome.Outcome)
 }
 
@@ -197,7 +197,7 @@
 	x := newTable()
 	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
 	x.Submit(begin, jobOf("j"), begin.Add(time.Second), 7)
-	x.Tick(begin.Add(time.Second - lastWord))
+	x.Tick(begin.Add(time.Second - answerMargin))
 	a := x.Ready().Answers
 	must.Len(t, 1, a)
 	must.Eq(t, uint64(7), a[0].Waiter)
@@ -217,3 +217,39 @@
 	must.Len(t, 1, r.Messages)
 	must.Eq(t, "near", r.Messages[0].To)
 }
+
+// A job that every listed dispatcher has refused, and whose last one is gone,
+// is answered.
+func TestJobRefusedByAllThatAreLeftIsAnswered(t *testing.T) {
+	x := newTable()
+	far := dispatcherOf("far", "b", 100_000, 0)
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0), far})
+	submit(x, "j")
+	first := offers(x.Ready())[0]
+	must.Eq(t, "near", first.To)
+	x.Result(begin, "near", &peer.JobResult{Job: "j", Offer: first.Body.(*peer.JobOffer).Offer, Outcome: peer.JobRefused})
+	second := offers(x.Ready())[0]
+	x.Result(begin, "far", &peer.JobResult{Job: "j", Offer: second.Body.(*peer.JobOffer).Offer, Outcome: peer.JobMoved, Clean: true})
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	must.Len(t, 0, x.Ready().Answers)
+	for now := begin; now.Before(begin.Add(4 * time.Second)); now = now.Add(20 * ms) {
+		x.Dispatchers(now, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+		x.Tick(now)
+	}
+	a := x.Ready().Answers
+	must.Len(t, 1, a)
+	must.Eq(t, peer.JobRefused, a[0].Outcome.Outcome)
+	must.Eq(t, 0, x.Open())
+}
+
+// A job that waits for a next dispatcher is answered before its deadline, too.
+func TestDeadlineWhileNoDispatcher(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	x.Dispatchers(begin, nil)
+	x.Submit(begin, jobOf("j"), begin.Add(200*ms), 1)
+	x.Tick(begin.Add(200*ms - answerMargin))
+	a := x.Ready().Answers
+	must.Len(t, 1, a)
+	must.Eq(t, peer.JobRefused, a[0].Outcome.Outcome)
+}
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -170,26 +170,26 @@
 		if holder == nil {
 			continue
 		}
-		heardAt, loadAt := now, now
+		loadAt := now
 		if h := d.roster.Host(holder.Host); h != nil {
-			heardAt, loadAt = h.HeardAt, h.LoadAt
+			loadAt = h.LoadAt
 		}
-		list = append(list, dispatcher(holder.Host, d.host.self.FailureDomain, c, heardAt, loadAt))
+		list = append(list, dispatcher(holder.Host, d.host.self.FailureDomain, c, loadAt))
 	}
 	for _, h := range d.roster.Hosts() {
 		if !h.Entry || h.FailureDomain == d.host.self.FailureDomain || !alive(now, h) {
 			continue
 		}
 		for _, c := range h.Beat.Claims {
-			list = append(list, dispatcher(h.Name, h.FailureDomain, c, h.HeardAt, h.LoadAt))
+			list = append(list, dispatcher(h.Name, h.FailureDomain, c, h.LoadAt))
 		}
 	}
 	d.table.Dispatchers(now, list)
 	d.host.ready.Store(len(list) > 0 && d.host.document.Load() != nil && !d.host.leaving.Load())
 }
 
-func dispatcher(host, domain string, c peer.Claim, heardAt, loadAt time.Time) entry.Dispatcher {
-	return entry.Dispatcher{Host: host, FailureDomain: domain, Shard: c.Shard, Of: c.Of, Load: c.Load, HeardAt: heardAt, LoadAt: loadAt}
+func dispatcher(host, domain string, c peer.Claim, loadAt time.Time) entry.Dispatcher {
+	return entry.Dispatcher{Host: host, FailureDomain: domain, Shard: c.Shard, Of: c.Of, Load: c.Load, LoadAt: loadAt}
 }
 
 func (d *decisions) minionChanged(now time.Time, m peer.MinionRecord) {
