pool: answers of a minion's earlier process are ignored

Cause (found by reading): after a minion started again, an answer to a hold of its earlier process was still taken; its larger clock made every listing of the new process count as overtaken, so the minion was never listed again. Ruled out: comparing the start times in listings alone: not every answer has one. Change: open holds are forgotten with the earlier process, as the comment at Held said already. Before: TestAnswerOfEarlierProcessIsIgnored fails. After: it passes. Not seen in a run: the answer has to arrive after the new process's announcement.

--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -94,7 +94,7 @@
 		p.renew(now, m)
 		return
 	}
-	if r.Born != m.Born && r.Born > m.Born {
+	if r.Born > m.Born {
 		p.newLife(now, m, r.Born)
 	}
 	if r.Draining && !m.Draining {
@@ -122,6 +122,7 @@
 	m.lastSeen, m.listClock, m.maxUntil, m.clock = 0, 0, 0, 0
 	m.health = health{}
 	m.listed = false
+	clear(m.calls) // their answers are the earlier process's
 	for _, x := range m.sortedRuns() {
 		if x.started {
 			p.endRun(now, m, x, EndLapsed)
@@ -156,7 +157,7 @@
 	}
 	call := m.calls[serial]
 	if call == nil {
-		return // counted as lost, or of another life
+		return // counted as lost, or of an earlier process
 	}
 	delete(m.calls, serial)
 	switch a {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -205,3 +205,22 @@
 	must.Len(t, 1, s.out.Starts)
 	must.Greater(t, first.Run, s.out.Starts[0].Run)
 }
+
+// An answer of a minion's earlier process says nothing of its new one, whose
+// clock and ends start anew.
+func TestAnswerOfEarlierProcessIsIgnored(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.pass(20 * ms)
+	old := s.lastHold("a")
+	s.p.Minion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1, Born: 5})
+	s.take()
+	fresh := s.lastHold("a")
+	s.p.Held(s.now, "a", old.Serial, AnswerOK, &Listing{ClockMS: 90_000, Ended: []Ended{{Number: 40, Task: TaskRef{"x", 0, 0}, Run: 1, How: EndDone}}})
+	s.take()
+	s.p.Held(s.now, "a", fresh.Serial, AnswerOK, &Listing{ClockMS: 10, Born: 5})
+	s.take()
+	s.offer("j", 1, 27_000, 100)
+	must.Len(t, 1, s.out.Starts)
+	must.Less(t, 2000, s.out.Starts[0].UntilMS, must.Sprint("by the new process's clock"))
+}
