pool: what nothing reads is gone, and one set of words for ejected minions

Cause: PoolLoad.Running was computed over all runs for each message and read by nobody; so were the offer's priority and Offer's result. Events 3106 and 3107 said again what 3004 and 3005 say: a minion is ejected and probed with single tasks. Names spoke of lives and trials. Change: removed; the existing events are logged; restarted, replaced, ejected and probe in place of the others. No decision changes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,8 +57,6 @@
 	PoolMinionLost     ID = 3103
 	PoolMinionHeld     ID = 3104
 	PoolLeaseLapsed    ID = 3105
-	PoolMinionBad      ID = 3106
-	PoolMinionGood     ID = 3107
 	PoolDeposed        ID = 3108
 	ClaimTaken         ID = 3111
 	ClaimReleased      ID = 3112
@@ -138,8 +136,6 @@
 	{PoolMinionLost, slog.LevelWarn, "minion out of reach", "Check the minion's process and its network."},
 	{PoolMinionHeld, slog.LevelInfo, "minion held", "None."},
 	{PoolLeaseLapsed, slog.LevelWarn, "lease lapsed on a minion out of reach", "None; its tasks run elsewhere."},
-	{PoolMinionBad, slog.LevelInfo, "minion put on trial", "Check the minion if it goes on."},
-	{PoolMinionGood, slog.LevelInfo, "minion passed its trial", "None."},
 	{PoolDeposed, slog.LevelWarn, "minion obeys a newer token", "None; another host has taken it over."},
 	{ClaimTaken, slog.LevelInfo, "minions taken over", "None."},
 	{ClaimReleased, slog.LevelInfo, "minions handed over", "None."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -60,7 +60,7 @@
 func (d *decisions) candidate(now time.Time) claim.Candidate {
 	c := claim.Candidate{Host: d.host.self.Name, Leaving: d.host.leaving.Load()}
 	for _, x := range d.ordered() {
-		c.Claims = append(c.Claims, peer.Claim{Shard: x.number, Of: x.of, Layout: d.layout, Token: x.pool.Token(), Load: x.pool.Load(now)})
+		c.Claims = append(c.Claims, peer.Claim{Shard: x.number, Of: x.of, Layout: d.layout, Token: x.pool.Token(), Load: x.pool.Load()})
 	}
 	return c
 }
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -143,7 +143,7 @@
 	waiting := make(map[string]int)
 	var capacity, free int64
 	for _, x := range d.shards {
-		load := x.pool.Load(now)
+		load := x.pool.Load()
 		jobs += x.pool.Jobs()
 		x.pool.CountWaiting(waiting)
 		capacity, free = capacity+load.Capacity, free+load.Free
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -37,7 +37,7 @@
 	}
 	x.pool.Offer(now, from, o)
 	if from != d.host.self.Name {
-		d.send(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load(now)})
+		d.send(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
 	} else {
 		d.table.Ack(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer})
 	}
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -43,7 +43,7 @@
 func (h *Host) Submit(ctx context.Context, j *Job) entry.Outcome {
 	o := peer.JobOffer{
 		Job: j.ID, Queue: j.Queue.Name, Service: j.Queue.Service, Payload: j.Payload, Steps: j.Steps,
-		Priority: j.Queue.Priority, Attempts: j.Queue.Attempts, StretchPct: j.Queue.StretchPct, AddMS: j.Queue.AddMS,
+		Attempts: j.Queue.Attempts, StretchPct: j.Queue.StretchPct, AddMS: j.Queue.AddMS,
 	}
 	deadline := j.Deadline
 	if end := h.closesAt.Load(); end != nil && end.Before(deadline) {
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -55,7 +55,6 @@
 	Capacity int64 `msgpack:"c"` // thousandths of a processor on minions that take work
 	Free     int64 `msgpack:"f"` // of these, not in use, in pieces that a usual task fits into
 	Queued   int64 `msgpack:"q"` // processor-milliseconds (thousandths of a processor times ms) of tasks that wait
-	Running  int64 `msgpack:"r"` // the same, left of tasks that run
 }
 
 // Beat tells that the sender lives. It is sent at a fixed interval to the
@@ -102,7 +101,6 @@
 	Service    string     `msgpack:"s"`
 	Payload    string     `msgpack:"p"` // given to each task
 	Steps      []TaskStep `msgpack:"t"`
-	Priority   int        `msgpack:"y"`           // 0 comes first
 	Attempts   int        `msgpack:"a"`           // failed runs of a task after which the job fails
 	StretchPct int64      `msgpack:"g"`           // objective, in hundredths of the longest chain of work
 	AddMS      int64      `msgpack:"b"`           // and milliseconds beside that
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -145,18 +145,13 @@
 }
 
 // Load returns the state that other hosts choose by.
-func (p *Pool) Load(now time.Time) peer.PoolLoad {
+func (p *Pool) Load() peer.PoolLoad {
 	var l peer.PoolLoad
 	for _, m := range p.ordered {
 		if m.takesWork() {
 			l.Capacity += m.CPU
 			l.Free += p.usable(m)
 		}
-		for _, x := range m.runs {
-			if x.step != nil {
-				l.Running += x.step.CPU * x.left(now).Milliseconds()
-			}
-		}
 	}
 	for _, j := range p.jobs {
 		l.Queued += j.work()
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	firstTrial = 150 * time.Millisecond // pause before the first trial of a bad minion, doubled each time
-	maxTrial   = 3 * time.Second
+	firstProbe = 150 * time.Millisecond // pause before the first probe of an ejected minion, doubled each time
+	maxProbe   = 3 * time.Second
 	speedRate  = 0.05 // weight of a new run in a minion's speed
 	// stall is how long a run may show no progress before it counts as stuck.
 	stall = 150 * time.Millisecond
@@ -23,9 +23,9 @@
 
 // health is what was seen of a minion's work.
 type health struct {
-	bad      bool // gets single tasks on trial
-	trials   int
-	trialAt  time.Time
+	ejected  bool // gets single tasks as probes
+	probes   int
+	probeAt  time.Time
 	logSpeed float64 // mean logarithm of run times over the expected ones
 }
 
@@ -33,20 +33,20 @@
 func (h *health) speed() float64 { return math.Exp(h.logSpeed) }
 
 func (h *health) failed(now time.Time) {
-	pause := min(firstTrial<<min(h.trials, 8), maxTrial)
-	h.bad = true
-	h.trials++
-	h.trialAt = now.Add(pause)
+	pause := min(firstProbe<<min(h.probes, 8), maxProbe)
+	h.ejected = true
+	h.probes++
+	h.probeAt = now.Add(pause)
 }
 
 // judge learns from the end of a run.
 func (p *Pool) judge(now time.Time, m *minion, x *run, how End) {
 	switch how {
 	case EndDone:
-		if m.health.bad {
-			p.cfg.Note(event.PoolMinionGood, slog.String("minion", m.ID))
+		if m.health.ejected {
+			p.cfg.Note(event.MinionRestored, slog.String("minion", m.ID))
 		}
-		m.health.bad, m.health.trials = false, 0
+		m.health.ejected, m.health.probes = false, 0
 		if x.owner == nil || x.step == nil || !x.started || x.expected <= 0 {
 			return
 		}
@@ -60,7 +60,7 @@
 		m.health.logSpeed += speedRate * (math.Log(math.Max(1, float64(took))/math.Max(1, usual)) - m.health.logSpeed)
 	case EndFailed:
 		m.health.failed(now)
-		p.cfg.Note(event.PoolMinionBad, slog.String("minion", m.ID), slog.String("reason", "a run failed"), slog.String("job", x.task.Job))
+		p.cfg.Note(event.MinionEjected, slog.String("minion", m.ID), slog.String("reason", "a run failed"), slog.String("job", x.task.Job))
 	}
 }
 
--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -10,7 +10,7 @@
 // listing takes what a minion says of its runs.
 func (p *Pool) listing(now time.Time, m *minion, call *holdCall, l *Listing) {
 	if l.Born != 0 && m.Born != 0 && l.Born > m.Born {
-		p.newLife(now, m, l.Born)
+		p.restarted(now, m, l.Born)
 		return
 	}
 	m.tick(now, l.ClockMS)
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -28,19 +28,18 @@
 
 // loadKind is one queue of a load.
 type loadKind struct {
-	name     string
-	priority int
-	perS     float64
-	width    float64
-	workMS   float64
-	worth    float64
+	name   string
+	perS   float64
+	width  float64
+	workMS float64
+	worth  float64
 }
 
 // loadKinds are the queues of one failure domain.
 var loadKinds = []loadKind{
-	{"lookup", 0, 34.4, 8, 60, 0.0291},
-	{"check", 1, 100, 2, 200, 0.01},
-	{"quote", 2, 6.25, 4, 900, 0.16},
+	{"lookup", 34.4, 8, 60, 0.0291},
+	{"check", 100, 2, 200, 0.01},
+	{"quote", 6.25, 4, 900, 0.16},
 }
 
 const (
@@ -207,7 +206,7 @@
 	cpu := int64(loadCPU * min(1.5, y.vary(0.2)))
 	deadline := 3*j.goal + time.Duration(y.rng.IntN(2000))*time.Millisecond
 	j.offer = &peer.JobOffer{
-		Job: fmt.Sprintf("%s-%d", k.name, n), Offer: 1, Queue: k.name, Service: "s", Priority: k.priority, Attempts: 3,
+		Job: fmt.Sprintf("%s-%d", k.name, n), Offer: 1, Queue: k.name, Service: "s", Attempts: 3,
 		StretchPct: 160, AddMS: 60, LeftMS: deadline.Milliseconds(),
 		Steps: []peer.TaskStep{{Count: width, CPU: cpu, MemoryMB: 64, EstimateMS: max(1, declared)}},
 	}
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -69,7 +69,7 @@
 	lastSeen  uint64
 	listed    bool // under a token of the present claim
 	reachable bool
-	otherLife bool // the address answers as another process
+	replaced  bool // the address answers as another process
 	clock     int64
 	clockAt   time.Time // when the minion's clock was at least clock
 	listClock int64     // of the newest listing
@@ -95,7 +95,7 @@
 		return
 	}
 	if r.Born > m.Born {
-		p.newLife(now, m, r.Born)
+		p.restarted(now, m, r.Born)
 	}
 	if r.Draining && !m.Draining {
 		p.cfg.Note(event.PoolMinionDraining, slog.String("minion", r.ID), slog.Int("runs", len(m.runs)))
@@ -113,12 +113,12 @@
 	p.ordered = slices.DeleteFunc(p.ordered, func(x *minion) bool { return x == m })
 }
 
-// newLife ends what an earlier process of the minion ran. A start without an
+// restarted ends what an earlier process of the minion ran. A start without an
 // answer may still arrive at the new process: the next listing tells.
-func (p *Pool) newLife(now time.Time, m *minion, born int64) {
+func (p *Pool) restarted(now time.Time, m *minion, born int64) {
 	p.cfg.Note(event.PoolMinionReborn, slog.String("minion", m.ID), slog.Int64("born", born), slog.Int("runs", len(m.runs)))
 	m.Born = born
-	m.otherLife = false
+	m.replaced = false
 	m.lastSeen, m.listClock, m.maxUntil, m.clock = 0, 0, 0, 0
 	m.health = health{}
 	m.listed = false
@@ -167,8 +167,8 @@
 		if call.token == m.token {
 			p.depose(m)
 		}
-	case AnswerOtherLife:
-		p.lifeEnded(now, m)
+	case AnswerOtherProcess:
+		p.processEnded(now, m)
 	default:
 		p.holdFailed(now, m)
 		p.tickMinion(now, m)
@@ -182,13 +182,13 @@
 	m.listed = false
 }
 
-// lifeEnded handles an address that answers as another process: the one that
+// processEnded handles an address that answers as another process: the one that
 // was meant is gone, and its runs with it.
-func (p *Pool) lifeEnded(now time.Time, m *minion) {
-	if !m.otherLife {
+func (p *Pool) processEnded(now time.Time, m *minion) {
+	if !m.replaced {
 		p.cfg.Note(event.PoolMinionLost, slog.String("minion", m.ID), slog.String("reason", "another process answers"))
 	}
-	m.otherLife = true
+	m.replaced = true
 	m.reachable = false
 	m.nextHold = now.Add(maxHoldPause)
 	p.endAll(now, m)
@@ -269,8 +269,8 @@
 		if s.Token == m.token {
 			p.depose(m)
 		}
-	case AnswerOtherLife:
-		p.lifeEnded(now, m)
+	case AnswerOtherProcess:
+		p.processEnded(now, m)
 	}
 }
 
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -18,7 +18,7 @@
 
 // takesWork reports whether new runs may be placed on the minion at all.
 func (m *minion) takesWork() bool {
-	return m.listed && m.reachable && !m.Draining && !m.Gone && !m.otherLife && m.clock > 0 && !m.health.bad
+	return m.listed && m.reachable && !m.Draining && !m.Gone && !m.replaced && m.clock > 0 && !m.health.ejected
 }
 
 // couldRun reports whether the minion, when empty, can run a task of the step.
@@ -97,16 +97,16 @@
 	return best
 }
 
-// mayStart reports whether the minion takes this task now. One on trial gets a
+// mayStart reports whether the minion takes this task now. An ejected one gets a
 // single task at a time, and none that has failed before.
 func (p *Pool) mayStart(now time.Time, m *minion, t *task) bool {
-	if !m.listed || !m.reachable || m.Draining || m.Gone || m.otherLife || m.clock == 0 || m.dirty() {
+	if !m.listed || !m.reachable || m.Draining || m.Gone || m.replaced || m.clock == 0 || m.dirty() {
 		return false
 	}
-	if !m.health.bad {
+	if !m.health.ejected {
 		return true
 	}
-	return len(m.runs) == 0 && !now.Before(m.health.trialAt) && t.failures == 0 && t.moves == 0
+	return len(m.runs) == 0 && !now.Before(m.health.probeAt) && t.failures == 0 && t.moves == 0
 }
 
 // runsOf counts the runs of the task's step on the minion.
@@ -169,8 +169,8 @@
 		if s.Token == m.token {
 			p.depose(m)
 		}
-	case AnswerOtherLife:
-		p.lifeEnded(now, m)
+	case AnswerOtherProcess:
+		p.processEnded(now, m)
 		return
 	case AnswerBusy, AnswerUnsent:
 		m.health.failed(now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -78,8 +78,8 @@
 }
 
 // Offer takes a job for an attachment. A job that is here already gets one
-// more attachment. It reports whether the offer is new to the pool.
-func (p *Pool) Offer(now time.Time, from string, o *peer.JobOffer) bool {
+// more attachment.
+func (p *Pool) Offer(now time.Time, from string, o *peer.JobOffer) {
 	a := Attachment{Host: from, Offer: o.Offer}
 	if j := p.jobs[o.Job]; j != nil {
 		if !slices.Contains(j.attached, a) {
@@ -87,13 +87,13 @@
 			j.attached = slices.DeleteFunc(j.attached, func(x Attachment) bool { return x.Host == from })
 			j.attached = append(j.attached, a)
 		}
-		return false
+		return
 	}
 	j := p.newJob(now, o)
 	j.attached = []Attachment{a}
 	if refusal := p.admit(now, j); refusal != nil {
 		p.finish(now, j, *refusal)
-		return true
+		return
 	}
 	p.jobs[j.id] = j
 	p.cfg.Note(event.PoolJobTaken, slog.String("job", j.id), slog.String("queue", o.Queue), slog.String("from", from), slog.Int("tasks", len(j.tasks)),
@@ -101,7 +101,6 @@
 		slog.Int("jobs_here", len(p.jobs)), slog.Int64("free_cpu", p.free(o.Service)), slog.Bool("may_have_run", o.MayHaveRun))
 	p.adopt(now, j)
 	p.dispatch(now)
-	return true
 }
 
 // Waiting returns the hosts that wait for results, by name.
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -51,15 +51,15 @@
 
 // Answers. Only AnswerUnknown leaves open whether the order was carried out.
 const (
-	AnswerOK        Answer = iota + 1
-	AnswerFenced           // the minion has seen a higher token
-	AnswerOld              // not higher than a run that was stopped or has ended there
-	AnswerLate             // the lease had ended on the minion's clock
-	AnswerRoom             // it does not fit
-	AnswerOtherLife        // another process runs at the address
-	AnswerInvalid          // the minion could not read the order
-	AnswerBusy             // the minion refused and has done nothing
-	AnswerUnsent           // nothing was sent
+	AnswerOK           Answer = iota + 1
+	AnswerFenced              // the minion has seen a higher token
+	AnswerOld                 // not higher than a run that was stopped or has ended there
+	AnswerLate                // the lease had ended on the minion's clock
+	AnswerRoom                // it does not fit
+	AnswerOtherProcess        // another process runs at the address
+	AnswerInvalid             // the minion could not read the order
+	AnswerBusy                // the minion refused and has done nothing
+	AnswerUnsent              // nothing was sent
 	AnswerUnknown
 )
 
@@ -88,7 +88,7 @@
 
 // Ended is one ended run on a minion.
 type Ended struct {
-	Number uint64 // rising from 1 in each life of the minion
+	Number uint64 // rising from 1 in each process of the minion
 	Task   TaskRef
 	Run    int
 	How    End
