--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -376,7 +376,7 @@
 	}
 }
 
-// Abandon answers every open job as unknown: the host stood still, and
+// Abandon answers every open job as unknown: the host was suspended, and
 // callers may have gone to others meanwhile.
 func (t *Table) Abandon(now time.Time, reason string) {
 	for _, j := range t.sorted() {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,11 +64,11 @@
 	AnnouncementBad    ID = 3114
 	MinionAnswerBad    ID = 3115
 
-	PeerUp         ID = 4001
-	PeerDown       ID = 4002
-	PeerRejected   ID = 4003
-	HostsChanged   ID = 4004
-	HostStoodStill ID = 4005
+	PeerUp        ID = 4001
+	PeerDown      ID = 4002
+	PeerRejected  ID = 4003
+	HostsChanged  ID = 4004
+	HostSuspended ID = 4005
 
 	ConfigApplied    ID = 5001
 	StoreCorrupt     ID = 5002
@@ -146,7 +146,7 @@
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
 	{HostsChanged, slog.LevelInfo, "list of hosts changed", "None."},
-	{HostStoodStill, slog.LevelWarn, "host stood still", "Check the machine; its jobs were given up and its minions taken over."},
+	{HostSuspended, slog.LevelWarn, "host was suspended or got no processor time", "Check the machine; its jobs were given up and its minions taken over."},
 	{ConfigApplied, slog.LevelInfo, "configuration version in force", "None."},
 	{StoreCorrupt, slog.LevelError, "durable file corrupt", "Replace the disk or clear the data folder, then admit the control host again."},
 	{StoreWriteError, slog.LevelError, "durable write failed", "Check the disk's space and health."},
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
@@ -29,20 +30,22 @@
 	if slow {
 		d.slowAt = now
 	}
-	for _, to := range d.targets(now, slow) {
-		d.send(to, d.newBeat(now, to))
+	self := d.candidate()
+	for _, to := range d.targets(slow) {
+		d.send(to, d.newBeat(&self, to))
 	}
 }
 
-func (d *decisions) newBeat(now time.Time, to string) *peer.Beat {
-	b := &peer.Beat{From: d.host.self, Config: d.host.control.View().Version, Leaving: d.host.leaving.Load(), Claims: d.candidate(now).Claims}
+// newBeat returns the beat for one host; self is the same for all of a round.
+func (d *decisions) newBeat(self *claim.Candidate, to string) *peer.Beat {
+	b := &peer.Beat{From: d.host.self, Config: d.host.control.View().Version, Leaving: self.Leaving, Claims: self.Claims}
 	b.LogOf, b.Log = d.roster.Place(to)
 	return b
 }
 
 // targets returns the hosts that are beaten now; slow includes those that are
 // beaten less often.
-func (d *decisions) targets(now time.Time, slow bool) []string {
+func (d *decisions) targets(slow bool) []string {
 	var out []string
 	add := func(name string) {
 		if name != d.host.self.Name && !slices.Contains(out, name) {
@@ -96,7 +99,8 @@
 	}
 	d.sentLog[b.From.Name] = d.roster.Log()
 	if b.From.Entry {
-		d.send(b.From.Name, d.newBeat(now, b.From.Name))
+		self := d.candidate()
+		d.send(b.From.Name, d.newBeat(&self, b.From.Name))
 	}
 }
 
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -57,7 +57,7 @@
 }
 
 // candidate is this host as others see it.
-func (d *decisions) candidate(now time.Time) claim.Candidate {
+func (d *decisions) candidate() claim.Candidate {
 	c := claim.Candidate{Host: d.host.self.Name, Leaving: d.host.leaving.Load()}
 	for _, x := range d.ordered() {
 		c.Claims = append(c.Claims, peer.Claim{Shard: x.number, Of: x.of, Layout: d.layout, Token: x.pool.Token(), Load: x.pool.Load()})
@@ -66,9 +66,9 @@
 }
 
 func (d *decisions) tickClaims(now time.Time) {
-	self, others := d.candidate(now), d.candidates(now)
+	self, others := d.candidate(), d.candidates(now)
 	d.followLayout(now, self, others)
-	self = d.candidate(now)
+	self = d.candidate()
 	decisions, tokens := claim.Plan(self, others, d.of)
 	for number, decision := range decisions {
 		d.token = max(d.token, tokens[number])
@@ -163,7 +163,7 @@
 // tellTable tells the callers' side which dispatchers there are.
 func (d *decisions) tellTable(now time.Time, others []claim.Candidate) {
 	var list []entry.Dispatcher
-	self := d.candidate(now)
+	self := d.candidate()
 	all := append([]claim.Candidate{self}, others...)
 	for number := range d.of {
 		holder, c := claim.Holder(all, number, d.of)
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// standstill is a gap between two ticks after which others may have taken
+	// suspension is a gap between two ticks after which others may have taken
 	// this host for gone: it is below claim.Timeout.
-	standstill = 500 * time.Millisecond
+	suspension = 500 * time.Millisecond
 	// maxBatch bounds the inputs that are handled before their consequences
 	// are carried out.
 	maxBatch = 64
@@ -113,8 +113,8 @@
 
 func (d *decisions) tick(now time.Time) {
 	boot := bootTime()
-	if gap := boot - d.lastBoot; gap > standstill {
-		d.stoodStill(now, gap)
+	if gap := boot - d.lastBoot; gap > suspension {
+		d.suspended(now, gap)
 	}
 	d.lastBoot = boot
 	d.roster.Tick(now)
@@ -162,12 +162,12 @@
 	m.hosts.Set(int64(len(d.roster.Hosts())))
 }
 
-// stoodStill gives up what others may have taken over meanwhile.
-func (d *decisions) stoodStill(now time.Time, gap time.Duration) {
-	d.host.note(event.HostStoodStill, slog.Int64("gap_ms", gap.Milliseconds()), slog.Int("open_jobs", d.table.Open()), slog.Int("claims", len(d.shards)))
-	d.table.Abandon(now, "the host stood still")
+// suspended gives up what others may have taken over meanwhile.
+func (d *decisions) suspended(now time.Time, gap time.Duration) {
+	d.host.note(event.HostSuspended, slog.Int64("gap_ms", gap.Milliseconds()), slog.Int("open_jobs", d.table.Open()), slog.Int("claims", len(d.shards)))
+	d.table.Abandon(now, "the host was suspended")
 	for _, x := range d.ordered() {
-		d.release(now, x, "the host stood still")
+		d.release(now, x, "the host was suspended")
 	}
 	d.deposedAt = now
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,7 +58,6 @@
 	settings settings.Fleet
 	self     peer.HostRecord
 	log      *slog.Logger
-	minions  Minions
 	metrics  *metrics
 
 	inputs    *ring.Ring[func(now time.Time)]
@@ -84,7 +83,7 @@
 		return nil, errors.Wrap(err, "listen for hosts")
 	}
 	h := &Host{
-		settings: s, log: log, minions: minions, metrics: newMetrics(), done: make(chan struct{}),
+		settings: s, log: log, metrics: newMetrics(), done: make(chan struct{}),
 		inputs: ring.New[func(time.Time)](inputRing),
 		self: peer.HostRecord{
 			Name: s.IP, FailureDomain: s.FailureDomain, Region: s.Region, Incarnation: membership.Incarnation(uuid.NewString()),
@@ -113,8 +112,8 @@
 // own returns the part of fencing tokens that is this process's.
 func (h *Host) own() uint64 { return xxhash.Sum64String(string(h.self.Incarnation)) }
 
-// founders is the file with the hosts that choose the first document.
-const founders = "founders"
+// bootstrapFile holds the hosts that choose the first document.
+const bootstrapFile = "bootstrap"
 
 // openControl opens the data folder and prepares the controller. Hosts without
 // one only learn.
@@ -156,10 +155,10 @@
 		return nil, nil
 	}
 	var first []string
-	payload, err := s.Load(founders)
+	payload, err := s.Load(bootstrapFile)
 	switch {
 	case err == nil:
-		return first, errors.Wrap(msgpack.Unmarshal(payload, &first), founders)
+		return first, errors.Wrap(msgpack.Unmarshal(payload, &first), bootstrapFile)
 	case !errors.Is(err, os.ErrNotExist):
 		return nil, err
 	case !h.settings.FirstStart:
@@ -176,7 +175,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return first, s.Save(founders, payload)
+	return first, s.Save(bootstrapFile, payload)
 }
 
 // Run serves until ctx ends; Leave should have been called before.
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -83,9 +83,10 @@
 // busyRetry is what a caller is told when the host is out of room for inputs.
 const busyRetry = 500 * time.Millisecond
 
-// Announce takes a minion's announcement.
-func (h *Host) Announce(m peer.MinionRecord) {
-	h.push(func(now time.Time) {
+// Announce takes a minion's announcement and reports whether there was room: a
+// minion that drains relies on its acknowledgement.
+func (h *Host) Announce(m peer.MinionRecord) bool {
+	return h.push(func(now time.Time) {
 		if h.decisions.roster.Announce(m) {
 			h.note(event.MinionRecorded, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Gone), slog.Uint64("seq", m.Seq))
 			h.decisions.minionChanged(now, m)
@@ -93,9 +94,9 @@
 	})
 }
 
-// Gone takes a minion's word that it ends.
-func (h *Host) Gone(id string) {
-	h.push(func(now time.Time) {
+// Gone takes a minion's word that it ends and reports whether there was room.
+func (h *Host) Gone(id string) bool {
+	return h.push(func(now time.Time) {
 		m, ok := h.decisions.roster.Minion(id)
 		if !ok {
 			return
