one copy: how a daemon loads its settings, and how a page's table is checked

Cause: both daemons' mains and two page tests had the same lines twice; two comments said what their code does not do. Change: settings.Command, pagetest.Matches; comments say who completes a value in progress and who logs an unreadable document.

--- a/cmd/laburnumd/main.go
+++ b/cmd/laburnumd/main.go
@@ -16,12 +16,6 @@
 	"github.com/pkg/errors"
 )
 
-// Exit codes.
-const (
-	exitFailure  = 1
-	exitSettings = 2
-)
-
 func main() {
 	path := flag.String("settings", "laburnumd.json", "settings `file`: JSON with comments")
 	check := flag.Bool("check", false, "check the settings and exit")
@@ -30,28 +24,23 @@
 }
 
 func run(path string, check bool) int {
-	s, err := settings.Load(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	if check {
-		fmt.Printf("%s: ok\n", path)
-		return 0
+	s, code, done := settings.Command(path, check, settings.Load)
+	if done {
+		return code
 	}
 	log, closeLog, err := newLogger(s.Log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailure
+		return settings.ExitFailure
 	}
 	defer closeLog()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := serve(ctx, s, log); err != nil {
 		event.Log(ctx, log, event.ServerFailed, slog.String("error", err.Error()))
-		return exitFailure
+		return settings.ExitFailure
 	}
-	return 0
+	return settings.ExitOK
 }
 
 func serve(ctx context.Context, s settings.Settings, log *slog.Logger) error {
--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -84,7 +84,7 @@
 func (m *Machine) proposeGroup(now time.Time, group []peer.ControlMember) {
 	document, err := Document(m.state.Chosen)
 	if err != nil {
-		return // it is in force on hosts that could read it; another one proposes
+		return // whoever puts the version in force on this host logs the same error
 	}
 	m.Propose(now, Proposal{
 		Command: uuid.NewString(), Operator: m.cfg.Self.Name, Base: m.Version(), Document: document, Group: group,
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -93,8 +93,9 @@
 	return n >= majority(len(m.state.Chosen.Group))
 }
 
-// tickReads repeats the queries of open reads, completes a value that keeps
-// them waiting, and gives up late ones.
+// tickReads repeats the queries of open reads and gives up late ones. A value
+// in progress that keeps them waiting is completed by its proposer, or later by
+// tickRecovery.
 func (m *Machine) tickReads(now time.Time) {
 	open := m.reads[:0]
 	for _, r := range m.reads {
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -3,18 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
-	"os"
 	"strings"
 	"testing"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/pagetest"
 	"github.com/shoenig/test/must"
 )
 
-var update = flag.Bool("update", false, "rewrite the table in docs/EVENTS.md")
-
 const page = "../../docs/EVENTS.md"
 
 // The catalogue of the page is kept equal to the code.
@@ -24,15 +21,7 @@
 	for _, i := range Table() {
 		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", i.ID, strings.ToLower(i.Level.String()), i.Message, i.Advice)
 	}
-	text, err := os.ReadFile(page)
-	must.NoError(t, err)
-	head, _, ok := strings.Cut(string(text), "| event |")
-	must.True(t, ok)
-	if *update {
-		must.NoError(t, os.WriteFile(page, []byte(head+b.String()), 0o644))
-		return
-	}
-	must.Eq(t, head+b.String(), string(text))
+	pagetest.Matches(t, page, "| event |", b.String())
 }
 
 func TestLogCarriesNumber(t *testing.T) {
--- /dev/null
+++ b/internal/pagetest/pagetest.go
@@ -0,0 +1,28 @@
+// Package pagetest holds tables of pages under docs/ against the code.
+package pagetest
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var update = flag.Bool("update", false, "rewrite the tables of pages under docs/")
+
+// Matches requires that a page ends with the table, whose first line begins
+// with head. With -update it rewrites the page.
+func Matches(t *testing.T, page, head, table string) {
+	t.Helper()
+	text, err := os.ReadFile(page)
+	must.NoError(t, err)
+	before, _, ok := strings.Cut(string(text), head)
+	must.True(t, ok)
+	if *update {
+		must.NoError(t, os.WriteFile(page, []byte(before+table), 0o644))
+		return
+	}
+	must.Eq(t, before+table, string(text))
+}
--- a/internal/result/result_test.go
+++ b/internal/result/result_test.go
@@ -1,17 +1,14 @@
 package result
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/pagetest"
 	"github.com/shoenig/test/must"
 )
 
-var update = flag.Bool("update", false, "rewrite the table in docs/RESULT-CODES.md")
-
 const page = "../../docs/RESULT-CODES.md"
 
 // The table of the page is kept equal to the code.
@@ -21,15 +18,7 @@
 	for _, i := range Table() {
 		fmt.Fprintf(&b, "| %d | %s | %s | %d | %s |\n", i.Code, i.Name, i.Class, i.HTTP, i.Meaning)
 	}
-	text, err := os.ReadFile(page)
-	must.NoError(t, err)
-	head, _, ok := strings.Cut(string(text), "| code |")
-	must.True(t, ok)
-	if *update {
-		must.NoError(t, os.WriteFile(page, []byte(head+b.String()), 0o644))
-		return
-	}
-	must.Eq(t, head+b.String(), string(text))
+	pagetest.Matches(t, page, "| code |", b.String())
 }
 
 func TestCodesAscendAndAreClassed(t *testing.T) {
