fleet: decisions without goroutines, clocks or connections

The decisions called the mesh, the workers and the clock themselves, so only real processes could play them.

Change: what the decisions ask for is an interface that Host implements (duty.go); inputs of serve.go that held decisions are methods of theirs. No decision changes; a process notes its first boot time at the first tick.

Ruled out: a second copy of the host's loop in the simulation: it would drift from the one that runs.

--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -32,13 +32,13 @@
 	}
 	self := d.candidate()
 	for _, to := range d.targets(slow) {
-		d.send(to, d.newBeat(&self, to))
+		d.sendTo(to, d.newBeat(&self, to))
 	}
 }
 
 // newBeat returns the beat for one host; self is the same for all of a round.
 func (d *decisions) newBeat(self *claim.Candidate, to string) *peer.Beat {
-	b := &peer.Beat{From: d.host.self, Config: d.host.control.View().Version, Leaving: self.Leaving, Claims: self.Claims}
+	b := &peer.Beat{From: d.self, Config: d.version(), Leaving: self.Leaving, Claims: self.Claims}
 	b.LogOf, b.Log = d.roster.Place(to)
 	return b
 }
@@ -48,22 +48,22 @@
 func (d *decisions) targets(slow bool) []string {
 	var out []string
 	add := func(name string) {
-		if name != d.host.self.Name && !slices.Contains(out, name) {
+		if name != d.self.Name && !slices.Contains(out, name) {
 			out = append(out, name)
 		}
 	}
 	control := 0
 	for _, h := range d.roster.Hosts() {
 		switch {
-		case h.Control && slow && (d.host.self.Control || control < maxControl):
+		case h.Control && slow && (d.self.Control || control < maxControl):
 			control++
 			add(h.Name)
-		case h.Entry && d.host.self.Entry && (h.FailureDomain == d.host.self.FailureDomain || len(d.shards) > 0):
+		case h.Entry && d.self.Entry && (h.FailureDomain == d.self.FailureDomain || len(d.shards) > 0):
 			add(h.Name)
 		}
 	}
 	if slow {
-		for _, s := range *d.host.seeds.Load() {
+		for _, s := range d.seedHosts() {
 			add(s)
 		}
 	}
@@ -84,23 +84,23 @@
 		delete(d.sentLog, b.From.Name)
 	}
 	if !known {
-		d.host.note(event.PeerUp, slog.String("host", b.From.Name), slog.String("failure_domain", b.From.FailureDomain))
+		d.note(event.PeerUp, slog.String("host", b.From.Name), slog.String("failure_domain", b.From.FailureDomain))
 		d.hostsChanged()
 	}
-	if !d.host.self.Control {
+	if !d.self.Control {
 		return
 	}
 	after := b.Log
-	if b.LogOf != d.host.self.Incarnation {
+	if b.LogOf != d.self.Incarnation {
 		after = 0
 	}
 	if r := d.roster.Delta(after, d.domainOf(b)); r != nil {
-		d.send(b.From.Name, r)
+		d.sendTo(b.From.Name, r)
 	}
 	d.sentLog[b.From.Name] = d.roster.Log()
 	if b.From.Entry {
 		self := d.candidate()
-		d.send(b.From.Name, d.newBeat(&self, b.From.Name))
+		d.sendTo(b.From.Name, d.newBeat(&self, b.From.Name))
 	}
 }
 
@@ -114,7 +114,7 @@
 
 // pushRoster tells subscribers at once what has changed.
 func (d *decisions) pushRoster() {
-	if !d.host.self.Control {
+	if !d.self.Control {
 		return
 	}
 	for name, sent := range d.sentLog {
@@ -127,7 +127,7 @@
 			continue
 		}
 		if r := d.roster.Delta(sent, d.domainOf(h.Beat)); r != nil && len(r.Hosts)+len(r.Minions) > 0 {
-			d.send(name, r)
+			d.sendTo(name, r)
 		}
 		d.sentLog[name] = d.roster.Log()
 	}
@@ -150,5 +150,5 @@
 	for _, h := range d.roster.Hosts() {
 		peers = append(peers, membership.Host{Name: h.Name, FailureDomain: h.FailureDomain, Region: h.Region})
 	}
-	d.host.control.SetPeers(peers)
+	d.setPeers(peers)
 }
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -35,7 +35,7 @@
 func (d *decisions) candidates(now time.Time) []claim.Candidate {
 	var out []claim.Candidate
 	for _, h := range d.roster.Hosts() {
-		if h.Entry && h.FailureDomain == d.host.self.FailureDomain && alive(now, h) {
+		if h.Entry && h.FailureDomain == d.self.FailureDomain && alive(now, h) {
 			out = append(out, claim.Candidate{Host: h.Name, Leaving: h.Beat.Leaving, Claims: h.Beat.Claims})
 		}
 	}
@@ -58,7 +58,7 @@
 
 // candidate is this host as others see it.
 func (d *decisions) candidate() claim.Candidate {
-	c := claim.Candidate{Host: d.host.self.Name, Leaving: d.host.leaving.Load()}
+	c := claim.Candidate{Host: d.self.Name, Leaving: d.leaving}
 	for _, x := range d.ordered() {
 		c.Claims = append(c.Claims, peer.Claim{Shard: x.number, Of: x.of, Layout: d.layout, Token: x.pool.Token(), Load: x.pool.Load()})
 	}
@@ -87,7 +87,7 @@
 // followLayout takes over the newest layout, or replaces one that no longer
 // suits the number of minions. Only the holder of the first shard replaces it.
 func (d *decisions) followLayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
-	minions := d.roster.Minions(d.host.self.FailureDomain)
+	minions := d.roster.Minions(d.self.FailureDomain)
 	wanted := claim.Wanted(len(minions), len(others)+1)
 	of, layout := claim.Layout(append([]claim.Candidate{self}, others...))
 	if layout == 0 {
@@ -107,7 +107,7 @@
 	}
 	if now.Sub(d.farSince) >= claim.Relayout {
 		d.farSince = time.Time{}
-		d.layout = claim.Token(time.Now(), d.layout, d.host.own())
+		d.layout = claim.Token(now, d.layout, d.own)
 		d.relayout(now, wanted, "the number of minions has changed")
 		d.take(now, 0)
 	}
@@ -132,26 +132,26 @@
 	if !d.deposedAt.IsZero() && now.Sub(d.deposedAt) < claim.Rebid {
 		return
 	}
-	d.token = claim.Token(time.Now(), d.token, d.host.own())
+	d.token = claim.Token(now, d.token, d.own)
 	if d.layout == 0 {
 		d.layout = d.token
 	}
-	x := &shard{number: number, of: d.of, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Note: d.host.note})}
+	x := &shard{number: number, of: d.of, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Note: d.note})}
 	d.shards[number] = x
 	x.pool.Claim(now, d.token)
 	n := 0
-	for _, m := range d.roster.Minions(d.host.self.FailureDomain) {
+	for _, m := range d.roster.Minions(d.self.FailureDomain) {
 		if claim.Shard(m.ID, d.of) == number {
 			x.pool.Minion(now, m)
 			n++
 		}
 	}
-	d.host.note(event.ClaimTaken, slog.Int("shard", number), slog.Int("of", d.of), slog.Uint64("token", d.token), slog.Int("minions", n))
+	d.note(event.ClaimTaken, slog.Int("shard", number), slog.Int("of", d.of), slog.Uint64("token", d.token), slog.Int("minions", n))
 	d.beatSoon = true
 }
 
 func (d *decisions) release(now time.Time, x *shard, reason string) {
-	d.host.note(event.ClaimReleased, slog.Int("shard", x.number), slog.Int("of", x.of), slog.String("reason", reason), slog.Int("jobs", x.pool.Jobs()))
+	d.note(event.ClaimReleased, slog.Int("shard", x.number), slog.Int("of", x.of), slog.String("reason", reason), slog.Int("jobs", x.pool.Jobs()))
 	d.token = max(d.token, x.pool.Token())
 	x.pool.Release(now)
 	d.flushPool(now, x)
@@ -174,10 +174,10 @@
 		if h := d.roster.Host(holder.Host); h != nil {
 			loadAt = h.LoadAt
 		}
-		list = append(list, dispatcher(holder.Host, d.host.self.FailureDomain, c, loadAt))
+		list = append(list, dispatcher(holder.Host, d.self.FailureDomain, c, loadAt))
 	}
 	for _, h := range d.roster.Hosts() {
-		if !h.Entry || h.FailureDomain == d.host.self.FailureDomain || !alive(now, h) {
+		if !h.Entry || h.FailureDomain == d.self.FailureDomain || !alive(now, h) {
 			continue
 		}
 		for _, c := range h.Beat.Claims {
@@ -185,7 +185,7 @@
 		}
 	}
 	d.table.Dispatchers(now, list)
-	d.host.ready.Store(len(list) > 0 && d.host.document.Load() != nil && !d.host.leaving.Load())
+	d.setDispatchers(len(list) > 0)
 }
 
 func dispatcher(host, domain string, c peer.Claim, loadAt time.Time) entry.Dispatcher {
@@ -193,7 +193,7 @@
 }
 
 func (d *decisions) minionChanged(now time.Time, m peer.MinionRecord) {
-	if m.FailureDomain != d.host.self.FailureDomain {
+	if m.FailureDomain != d.self.FailureDomain {
 		return
 	}
 	if x := d.shards[claim.Shard(m.ID, d.of)]; x != nil {
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -1,34 +1,49 @@
 package fleet
 
 import (
-	"context"
 	"log/slog"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/pool"
 	"github.com/laburnumwalk/laburnumwalk/internal/roster"
-	"golang.org/x/sys/unix"
 )
 
 const (
 	// suspension is a gap between two ticks after which others may have taken
 	// this host for gone: it is below claim.Timeout.
 	suspension = 500 * time.Millisecond
-	// maxBatch bounds the inputs that are handled before their consequences
-	// are carried out.
-	maxBatch = 64
 	// resultResend is the interval of results without an acknowledgement.
 	resultResend = 150 * time.Millisecond
 	// resultTries is how often a result is sent.
 	resultTries = 6
 )
 
-// decisions is the duty that makes the host's decisions. Its methods are
-// called by its own goroutine only.
+// outside carries what the decisions ask for. A Host does it with connections
+// and goroutines, the simulation of the tests in virtual time.
+type outside interface {
+	send(to string, b peer.Body)
+	// Each order's answer comes back to the pool: Started, Stopped, Held.
+	start(p *pool.Pool, s *pool.Start)
+	stop(p *pool.Pool, s *pool.Stop)
+	hold(p *pool.Pool, h *pool.Hold)
+	note(id event.ID, attrs ...slog.Attr)
+	version() uint64            // of the newest document that is known here
+	seedHosts() []string        // by which other hosts are found
+	setPeers([]membership.Host) // whom documents are pushed to
+	setDispatchers(known bool)  // whether jobs can be placed
+}
+
+// decisions makes the host's decisions. It does no I/O, reads no clock and
+// starts no goroutine; its methods are called by one goroutine only.
 type decisions struct {
-	host    *Host
+	outside
+	self    peer.HostRecord
+	own     uint64 // the process's own part of fencing tokens
+	leaving bool   // the host shuts down
 	roster  *roster.Roster
 	table   *entry.Table
 	shards  map[int]*shard // that this host dispatches on, by number
@@ -63,57 +78,22 @@
 	left   int
 }
 
-func newDecisions(h *Host) *decisions {
+// newDecisions returns the decisions of a process that starts now. Its offers
+// are numbered from offers on.
+func newDecisions(now time.Time, self peer.HostRecord, own, offers uint64, out outside) *decisions {
 	return &decisions{
-		host: h, roster: roster.New(h.self), table: h.newTable(),
+		outside: out, self: self, own: own,
+		roster: roster.New(self), table: entry.New(now, self.Name, self.FailureDomain, offers, out.note),
 		shards: make(map[int]*shard), of: 1,
 		waiters: make(map[uint64]chan entry.Outcome), results: make(map[resultKey]*pendingResult),
-		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), startedAt: time.Now(),
-	}
-}
-
-func (d *decisions) run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	d.lastBoot = bootTime()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.tick(time.Now())
-		case f := <-d.host.inputs.C():
-			f(time.Now())
-			d.batch()
-		}
-		d.flush(time.Now())
-	}
-}
-
-// batch handles inputs that have arrived meanwhile.
-func (d *decisions) batch() {
-	for range maxBatch {
-		select {
-		case f := <-d.host.inputs.C():
-			f(time.Now())
-		default:
-			return
-		}
-	}
-}
-
-// bootTime returns a steady clock that counts the time of a suspended machine.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return 0 // without it a suspended machine is noticed by others only
+		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), startedAt: now,
 	}
-	return time.Duration(t.Nano())
 }
 
-func (d *decisions) tick(now time.Time) {
-	boot := bootTime()
-	if gap := boot - d.lastBoot; gap > suspension {
+// tick advances time; boot is a steady clock that counts the time of a suspended
+// machine.
+func (d *decisions) tick(now time.Time, boot time.Duration) {
+	if gap := boot - d.lastBoot; d.lastBoot > 0 && gap > suspension {
 		d.suspended(now, gap)
 	}
 	d.lastBoot = boot
@@ -123,7 +103,7 @@
 			delete(d.heardAt, name)
 		}
 	}
-	if d.host.self.Entry {
+	if d.self.Entry {
 		d.tickClaims(now)
 		d.dropLost(now)
 		d.table.Tick(now)
@@ -131,40 +111,13 @@
 			x.pool.Tick(now)
 		}
 		d.tickResults(now)
-		d.gauges(now)
 	}
 	d.tickBeats(now)
 }
 
-// gauges publishes what the decisions hold.
-func (d *decisions) gauges(now time.Time) {
-	m := d.host.metrics
-	var jobs int
-	waiting := make(map[string]int)
-	var capacity, free int64
-	for _, x := range d.shards {
-		load := x.pool.Load()
-		jobs += x.pool.Jobs()
-		x.pool.CountWaiting(waiting)
-		capacity, free = capacity+load.Capacity, free+load.Free
-	}
-	d.host.waiting.Store(&waiting)
-	queued := 0
-	for _, n := range waiting {
-		queued += n
-	}
-	m.openJobs.Set(int64(d.table.Open()))
-	m.dispatched.Set(int64(jobs))
-	m.queued.Set(int64(queued))
-	m.claims.Set(int64(len(d.shards)))
-	m.capacity.Set(capacity)
-	m.free.Set(free)
-	m.hosts.Set(int64(len(d.roster.Hosts())))
-}
-
 // suspended gives up what others may have taken over meanwhile.
 func (d *decisions) suspended(now time.Time, gap time.Duration) {
-	d.host.note(event.HostSuspended, slog.Int64("gap_ms", gap.Milliseconds()), slog.Int("open_jobs", d.table.Open()), slog.Int("claims", len(d.shards)))
+	d.note(event.HostSuspended, slog.Int64("gap_ms", gap.Milliseconds()), slog.Int("open_jobs", d.table.Open()), slog.Int("claims", len(d.shards)))
 	d.table.Abandon(now, "the host was suspended")
 	for _, x := range d.ordered() {
 		d.release(now, x, "the host was suspended")
@@ -196,13 +149,13 @@
 	}
 }
 
-// send hands a message to another host, or keeps it for the own one.
-func (d *decisions) send(to string, b peer.Body) {
-	if to == d.host.self.Name {
+// sendTo hands a message to another host, or keeps it for the own one.
+func (d *decisions) sendTo(to string, b peer.Body) {
+	if to == d.self.Name {
 		d.local = append(d.local, b)
 		return
 	}
-	d.host.mesh.Send(to, b)
+	d.send(to, b)
 }
 
 // maxRounds bounds how often messages to the own host are handled in one go:
@@ -222,7 +175,7 @@
 		local := d.local
 		d.local = nil
 		for _, b := range local {
-			d.receive(now, d.host.self.Name, b)
+			d.receive(now, d.self.Name, b)
 		}
 	}
 	d.pushRoster()
@@ -234,7 +187,7 @@
 func (d *decisions) flushTable() {
 	r := d.table.Ready()
 	for _, m := range r.Messages {
-		d.send(m.To, m.Body)
+		d.sendTo(m.To, m.Body)
 	}
 	for _, a := range r.Answers {
 		if w, ok := d.waiters[a.Waiter]; ok {
@@ -243,3 +196,48 @@
 		}
 	}
 }
+
+// submit takes a caller's job. Its outcome is sent to out, which has room for
+// one; the result names the caller for callerLeft.
+func (d *decisions) submit(now time.Time, o peer.JobOffer, deadline time.Time, out chan entry.Outcome) (waiter uint64) {
+	d.nextID++
+	d.waiters[d.nextID] = out
+	d.table.Submit(now, o, deadline, d.nextID)
+	return d.nextID
+}
+
+// callerLeft ends the wait of a caller whose connection is gone.
+func (d *decisions) callerLeft(now time.Time, job string, waiter uint64) {
+	delete(d.waiters, waiter)
+	d.table.Leave(now, job, waiter)
+}
+
+// announced takes a minion's announcement.
+func (d *decisions) announced(now time.Time, m peer.MinionRecord) {
+	if d.roster.Announce(m) {
+		d.note(event.MinionRecorded, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Gone), slog.Uint64("seq", m.Seq))
+		d.minionChanged(now, m)
+	}
+}
+
+// minionGone takes a minion's word that it ends.
+func (d *decisions) minionGone(now time.Time, id string) {
+	m, ok := d.roster.Minion(id)
+	if !ok {
+		return
+	}
+	m.Gone = true
+	m.Seq++
+	d.announced(now, m)
+}
+
+// shutDown begins to hand over: another host takes the minions, if there is one.
+func (d *decisions) shutDown(now time.Time) {
+	d.leaving = true
+	d.beatSoon = true
+	if len(d.candidates(now)) > 0 {
+		for _, x := range d.shards {
+			x.pool.Freeze()
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,7 +18,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
-	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/link"
@@ -105,7 +104,9 @@
 		l.Close()
 		return nil, err
 	}
-	h.decisions = newDecisions(h)
+	// Offer numbers begin at random, so that those of an earlier process are
+	// not taken for this one's.
+	h.decisions = newDecisions(time.Now(), h.self, h.own(), rand.Uint64()>>8, h)
 	return h, nil
 }
 
@@ -184,7 +185,7 @@
 	h.wg.Go(func() { h.control.Run(ctx) })
 	h.note(event.Started, slog.String("host", h.self.Name), slog.String("failure_domain", h.self.FailureDomain),
 		slog.Bool("entry", h.self.Entry), slog.Bool("control", h.self.Control), slog.String("incarnation", string(h.self.Incarnation)))
-	h.decisions.run(ctx)
+	h.decide(ctx)
 	close(h.done)
 	h.wg.Wait()
 	h.orders.close()
@@ -242,10 +243,3 @@
 func (h *Host) connectionClosed(from string, inc membership.Incarnation) {
 	h.push(func(now time.Time) { h.decisions.roster.ConnectionClosed(now, from, inc) })
 }
-
-// newTable returns the table of callers' jobs.
-func (h *Host) newTable() *entry.Table {
-	// Offer numbers begin at random, so that those of an earlier process are
-	// not taken for this one's.
-	return entry.New(time.Now(), h.self.Name, h.self.FailureDomain, rand.Uint64()>>8, h.note)
-}
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -14,8 +14,8 @@
 func (d *decisions) dropLost(now time.Time) {
 	for _, x := range d.ordered() {
 		for _, name := range x.pool.Waiting() {
-			if name != d.host.self.Name && now.Sub(d.heardAt[name]) > claim.Timeout {
-				d.host.note(event.PeerDown, slog.String("host", name))
+			if name != d.self.Name && now.Sub(d.heardAt[name]) > claim.Timeout {
+				d.note(event.PeerDown, slog.String("host", name))
 				x.pool.HostLost(now, name)
 			}
 		}
@@ -36,8 +36,8 @@
 		return
 	}
 	x.pool.Offer(now, from, o)
-	if from != d.host.self.Name {
-		d.send(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
+	if from != d.self.Name {
+		d.sendTo(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
 	} else {
 		d.table.Ack(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer})
 	}
@@ -46,7 +46,7 @@
 func (d *decisions) sendResult(now time.Time, key resultKey, r *pendingResult) {
 	r.sentAt = now
 	r.left--
-	d.send(key.to, &r.body)
+	d.sendTo(key.to, &r.body)
 }
 
 func (d *decisions) tickResults(now time.Time) {
@@ -66,19 +66,19 @@
 func (d *decisions) flushPool(now time.Time, x *shard) {
 	r := x.pool.Ready()
 	for i := range r.Starts {
-		d.host.orders.start(x.pool, &r.Starts[i])
+		d.start(x.pool, &r.Starts[i])
 	}
 	for i := range r.Stops {
-		d.host.orders.stop(x.pool, &r.Stops[i])
+		d.stop(x.pool, &r.Stops[i])
 	}
 	for i := range r.Holds {
-		d.host.orders.hold(x.pool, &r.Holds[i])
+		d.hold(x.pool, &r.Holds[i])
 	}
 	for i := range r.Results {
 		out := &r.Results[i]
 		p := &pendingResult{body: out.Body, left: resultTries}
 		key := resultKey{out.To, out.Body.Job, out.Body.Offer}
-		if out.To != d.host.self.Name {
+		if out.To != d.self.Name {
 			d.results[key] = p
 		}
 		d.sendResult(now, key, p)
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -57,10 +57,7 @@
 	out := make(chan entry.Outcome, 1)
 	var waiter uint64
 	ok := h.push(func(now time.Time) {
-		h.decisions.nextID++
-		waiter = h.decisions.nextID
-		h.decisions.waiters[waiter] = out
-		h.decisions.table.Submit(now, o, deadline, waiter)
+		waiter = h.decisions.submit(now, o, deadline, out)
 	})
 	if !ok {
 		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "ring of the decisions is full"}
@@ -74,8 +71,7 @@
 	case <-h.done:
 	}
 	h.push(func(now time.Time) {
-		delete(h.decisions.waiters, waiter)
-		h.decisions.table.Leave(now, j.ID, waiter)
+		h.decisions.callerLeft(now, j.ID, waiter)
 	})
 	return entry.Outcome{Outcome: peer.JobUnknown, Reason: "caller is gone"}
 }
@@ -86,28 +82,12 @@
 // Announce takes a minion's announcement and reports whether there was room: a
 // minion that drains relies on its acknowledgement.
 func (h *Host) Announce(m peer.MinionRecord) bool {
-	return h.push(func(now time.Time) {
-		if h.decisions.roster.Announce(m) {
-			h.note(event.MinionRecorded, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Gone), slog.Uint64("seq", m.Seq))
-			h.decisions.minionChanged(now, m)
-		}
-	})
+	return h.push(func(now time.Time) { h.decisions.announced(now, m) })
 }
 
 // Gone takes a minion's word that it ends and reports whether there was room.
 func (h *Host) Gone(id string) bool {
-	return h.push(func(now time.Time) {
-		m, ok := h.decisions.roster.Minion(id)
-		if !ok {
-			return
-		}
-		m.Gone = true
-		m.Seq++
-		if h.decisions.roster.Announce(m) {
-			h.note(event.MinionRecorded, slog.String("minion", id), slog.Bool("gone", true))
-			h.decisions.minionChanged(now, m)
-		}
-	})
+	return h.push(func(now time.Time) { h.decisions.minionGone(now, id) })
 }
 
 // Newest returns a document that was certainly the newest at some moment since
@@ -163,14 +143,7 @@
 	h.leaving.Store(true)
 	h.ready.Store(false)
 	h.note(event.StopRequested, slog.String("host", h.self.Name))
-	h.push(func(now time.Time) {
-		h.decisions.beatSoon = true
-		if len(h.decisions.candidates(now)) > 0 {
-			for _, x := range h.decisions.shards {
-				x.pool.Freeze()
-			}
-		}
-	})
+	h.push(func(now time.Time) { h.decisions.shutDown(now) })
 }
 
 // Reload takes over what may change in a running process: the seeds.
