pool: a minion that is dropped in a tick does not end the process

Cause: Tick walked the slice that drop shortens in place; the last place is nil afterwards, and the walk dereferenced it.

Ruled out: the record of the minion being gone at another place (Minion drops one without runs outside of any walk).

Change: the walk goes over a copy. TestMinionThatLeftIsDropped panics without it.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -174,7 +174,7 @@
 
 // Tick advances time.
 func (p *Pool) Tick(now time.Time) {
-	for _, m := range p.ordered {
+	for _, m := range slices.Clone(p.ordered) { // minions that have left are dropped meanwhile
 		p.tickMinion(now, m)
 	}
 	for _, j := range p.sortedJobs() {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -224,3 +224,19 @@
 	must.Len(t, 1, s.out.Starts)
 	must.Less(t, 2000, s.out.Starts[0].UntilMS, must.Sprint("by the new process's clock"))
 }
+
+// A minion that has left is dropped when its last run has lapsed, while the
+// others are looked after.
+func TestMinionThatLeftIsDropped(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.minion("b", 64_000)
+	s.offer("j", 2, 64_000, 1000)
+	must.Len(t, 2, s.started(AnswerOK))
+	s.p.Minion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 2, Gone: true})
+	for range 100 { // no hold is answered: both leases end
+		s.pass(20 * ms)
+	}
+	must.MapNotContainsKey(t, s.p.minions, "a")
+	must.MapContainsKey(t, s.p.minions, "b")
+}
