pool, entry: an earlier owner that lives is waited for

Cause: a host that was cut off had claimed a shard 1.5 s before and had reached none of its minions, while the earlier owner went on. When the cut healed, that one handed its jobs over, and the new owner took all earlier runs for lapsed, because its claim was older than a lease.

Ruled out: an adoption that was missed (the minion had not answered the new owner yet); late orders (there were none).

Change: an offer says for how long the earlier dispatcher may go on running the job, counted from when it was lost; only a listing of every minion ends the doubt sooner. The lost dispatcher is told to stop after 0.7 s also when another one has taken the job, since the listing cannot reach what it still renews.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,9 +26,11 @@
 	// it can; what it cannot stop ends with a lease of at most 1 s on a clock
 	// that may be 2% slow.
 	endedTimeout = 1700 * time.Millisecond
-	// cancelDelay is how long after its dispatcher was lost a job that no other one
-	// has taken over is cancelled there, in case only its messages are lost.
-	cancelDelay = 900 * time.Millisecond
+	// cancelDelay is how long after its dispatcher was lost a job is cancelled
+	// there, in case only that one's messages are lost: the next dispatcher has
+	// usually taken over by then, and a lease that is no longer renewed ends
+	// within endedTimeout.
+	cancelDelay = 700 * time.Millisecond
 	// answerMargin is how long before the caller's deadline an answer is sent that
 	// says that there will be no other: two ticks, and the way to the caller.
 	answerMargin = 45 * time.Millisecond
@@ -99,7 +101,13 @@
 	tied     bool      // may have run on the minions of its shard
 	touched  bool      // may have run anywhere: never answered as not run
 	lostAt   time.Time // when its last dispatcher was lost
-	lost     place     // that dispatcher, until the job is cancelled there
+	lost     lostOffer // to that dispatcher, until it is cancelled there
+}
+
+// lostOffer is an offer to a dispatcher that was lost.
+type lostOffer struct {
+	place
+	number uint64
 }
 
 type cancellation struct {
@@ -181,20 +189,23 @@
 	delete(t.jobs, id)
 }
 
-// cancel gives up the job at its dispatcher, or at the one that was lost.
+// cancel gives up the job at its dispatcher, and at the one that was lost.
 func (t *Table) cancel(now time.Time, j *open) {
-	at := j.to
-	if at.host == "" {
-		at = j.lost
-	}
-	t.cancelAt(now, j, at)
+	t.cancelLost(now, j)
+	t.cancelAt(now, j, lostOffer{j.to, j.offer.Offer})
 }
 
-func (t *Table) cancelAt(now time.Time, j *open, at place) {
+// cancelLost gives up the job at the dispatcher that was lost.
+func (t *Table) cancelLost(now time.Time, j *open) {
+	t.cancelAt(now, j, j.lost)
+	j.lost = lostOffer{}
+}
+
+func (t *Table) cancelAt(now time.Time, j *open, at lostOffer) {
 	if at.host == "" {
 		return
 	}
-	c := &cancellation{to: at.host, body: peer.JobCancel{Job: j.offer.Job, Offer: j.offer.Offer, Shard: at.shard}, sentAt: now, left: cancelResends}
+	c := &cancellation{to: at.host, body: peer.JobCancel{Job: j.offer.Job, Offer: at.number, Shard: at.shard}, sentAt: now, left: cancelResends}
 	t.cancels = append(t.cancels, c)
 	t.sendCancel(now, c)
 }
@@ -247,6 +258,9 @@
 	o := j.offer
 	o.AgeMS = now.Sub(j.arrived).Milliseconds()
 	o.LeftMS = j.deadline.Sub(now).Milliseconds()
+	if o.MayHaveRun {
+		o.MayRunMS = max(0, endedTimeout-now.Sub(j.lostAt)).Milliseconds()
+	}
 	t.send(j.to.host, &o)
 }
 
@@ -362,7 +376,7 @@
 func (t *Table) reoffer(now time.Time, j *open, reason string) {
 	t.note(event.EntryJobReoffered, slog.String("job", j.offer.Job), slog.String("from", j.to.host), slog.String("reason", reason))
 	j.tied, j.touched = true, true
-	j.lost, j.to = j.to, place{}
+	j.lost, j.to = lostOffer{j.to, j.offer.Offer}, place{}
 	j.lostAt = now
 	t.place(now, j)
 }
@@ -403,9 +417,8 @@
 }
 
 func (t *Table) tickJob(now time.Time, j *open) {
-	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= cancelDelay {
-		t.cancelAt(now, j, j.lost)
-		j.lost = place{}
+	if j.lost.host != "" && now.Sub(j.lostAt) >= cancelDelay {
+		t.cancelLost(now, j)
 	}
 	if j.to.host == "" && j.tied && now.Sub(j.lostAt) >= endedTimeout {
 		j.tied = false
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -253,3 +253,22 @@
 	must.Len(t, 1, a)
 	must.Eq(t, peer.JobRefused, a[0].Outcome.Outcome)
 }
+
+// A dispatcher that only this host has lost may run a job on minions that the
+// next one does not reach: the next one is told for how long, and the lost one
+// is told to stop even when the next one has the job.
+func TestLostDispatcherIsCancelledAfterATakeover(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	submit(x, "j")
+	first := offers(x.Ready())[0].Body.(*peer.JobOffer)
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("next", "a", 100_000, 0)})
+	second := offers(x.Ready())[0].Body.(*peer.JobOffer)
+	must.Eq(t, endedTimeout.Milliseconds(), second.MayRunMS)
+	x.Ack(begin, "next", &peer.JobAck{Job: "j", Offer: second.Offer})
+	x.Tick(begin.Add(cancelDelay))
+	m := x.Ready().Messages
+	must.Len(t, 1, m)
+	must.Eq(t, "near", m[0].To)
+	must.Eq(t, first.Offer, m[0].Body.(*peer.JobCancel).Offer)
+}
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -107,6 +107,7 @@
 	AgeMS      int64      `msgpack:"w"`           // since the caller's request arrived
 	LeftMS     int64      `msgpack:"l"`           // until the caller stops waiting
 	MayHaveRun bool       `msgpack:"u,omitempty"` // it was with another dispatcher of the failure domain
+	MayRunMS   int64      `msgpack:"m,omitempty"` // with MayHaveRun: how long that one may go on running it on minions that it reaches
 	Done       []int      `msgpack:"d,omitempty"` // tasks, numbered over all steps, that are known to have ended
 }
 
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
@@ -121,7 +123,8 @@
 // usually go before this one need.
 func (p *Pool) preempting(own rank, capacity int64) float64 {
 	var work float64
-	for _, k := range p.kinds {
+	for _, name := range slices.Sorted(maps.Keys(p.kinds)) { // the sum must not depend on the order
+		k := p.kinds[name]
 		if k == own.job.kind || k.meanWork <= 0 || worthInTime/(k.rate*k.meanWork) <= own.value {
 			continue
 		}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -37,8 +37,9 @@
 	kind     *kind
 	attached []Attachment
 	tasks    []task
-	open     int  // tasks that are not done
-	touched  bool // a start of it was sent, here or by an earlier owner
+	open     int       // tasks that are not done
+	touched  bool      // a start of it was sent, here or by an earlier owner
+	doubtful time.Time // until when an earlier owner may run it on minions that were not heard
 	arrived  time.Time
 	goal     time.Time // of its latency objective
 	deadline time.Time
@@ -55,6 +56,7 @@
 		id: o.Job, offer: o, kind: p.kind(o.Queue), touched: o.MayHaveRun,
 		arrived:  now.Add(-time.Duration(o.AgeMS) * time.Millisecond),
 		deadline: now.Add(time.Duration(o.LeftMS) * time.Millisecond),
+		doubtful: now.Add(time.Duration(o.MayRunMS) * time.Millisecond),
 	}
 	for s := range o.Steps {
 		for i := range o.Steps[s].Count {
@@ -176,7 +178,7 @@
 	if !j.offer.MayHaveRun {
 		return
 	}
-	settled := p.settled(now)
+	settled := p.settledFor(now, j)
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state == taskDone || p.adoptRun(now, j, t) {
@@ -213,13 +215,21 @@
 	return false
 }
 
-// settled reports whether all minions have been listed since the takeover, or
-// what ran on them under an earlier owner has lapsed.
+// settledFor reports whether an earlier owner certainly runs nothing of the job
+// that is not known here: all minions have been listed under this owner's token,
+// or that owner's time is over. Until then it may go on renewing the leases of
+// minions that this owner does not reach.
+func (p *Pool) settledFor(now time.Time, j *job) bool {
+	return p.allListed() || !now.Before(j.doubtful)
+}
+
+// settled reports whether every minion that can answer has done so since the
+// takeover.
 func (p *Pool) settled(now time.Time) bool {
-	bound := time.Duration(float64(p.cfg.Timing.MaxLease)/clockError) + p.cfg.Timing.Stop
-	if now.Sub(p.tookAt) > bound {
-		return true
-	}
+	return p.allListed() || now.Sub(p.tookAt) > p.cfg.Timing.MaxLease
+}
+
+func (p *Pool) allListed() bool {
 	for _, m := range p.ordered {
 		if !m.listed {
 			return false
@@ -261,7 +271,7 @@
 
 // tickJob settles doubtful tasks and gives up what cannot be served in time.
 func (p *Pool) tickJob(now time.Time, j *job) {
-	if j.touched && p.settled(now) {
+	if j.touched && p.settledFor(now, j) {
 		for i := range j.tasks {
 			if t := &j.tasks[i]; t.state == taskDoubtful && !p.adoptRun(now, j, t) {
 				t.state = taskWaiting
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -277,7 +278,8 @@
 // tickMinion keeps the minion held, repeats stops, and ends what has lapsed.
 func (p *Pool) tickMinion(now time.Time, m *minion) {
 	regular := false
-	for serial, c := range m.calls {
+	for _, serial := range slices.Sorted(maps.Keys(m.calls)) {
+		c := m.calls[serial]
 		if now.After(c.until) {
 			delete(m.calls, serial)
 			p.holdFailed(now, m)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -240,3 +240,26 @@
 	must.MapNotContainsKey(t, s.p.minions, "a")
 	must.MapContainsKey(t, s.p.minions, "b")
 }
+
+// An earlier owner may go on renewing a minion that this one does not reach,
+// however long ago this one claimed it: a job that comes from there waits until
+// that owner has certainly given it up.
+func TestJobOfLiveOwnerWaitsForUnheardMinion(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.p.Minion(s.now, peer.MinionRecord{ID: "b", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1})
+	s.take()
+	s.pass(10 * time.Second) // "b" never answers
+	s.held("a", &Listing{})
+	o := &peer.JobOffer{
+		Job: "j", Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, LeftMS: 5000, MayHaveRun: true, MayRunMS: 1700,
+		Steps: []peer.TaskStep{{Count: 1, CPU: 27_000, MemoryMB: 1, EstimateMS: 100}},
+	}
+	s.p.Offer(s.now, "entry", o)
+	s.take()
+	s.pass(1600 * ms)
+	must.Len(t, 0, s.out.Starts)
+	s.held("a", &Listing{})
+	s.pass(120 * ms)
+	must.Len(t, 1, s.out.Starts)
+}
