fleet: requests that waited in a suspended host are refused

Cause: a request that arrives while a machine is suspended is read when it wakes, before the news that its caller has gone. A suspension was noticed at the next tick only.

Ruled out: open jobs of before the suspension: they are abandoned already.

Change: the suspension is noticed before any input is taken, and requests of the 100 ms after it are refused as not run, with a Retry-After.

--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// suspension is a gap between two ticks after which others may have taken
+	// suspension is a gap between two inputs after which others may have taken
 	// this host for gone: it is below claim.Timeout.
 	suspension = 500 * time.Millisecond
+	// staleRequests is for how long after a suspension requests are refused that
+	// may have waited in their connections meanwhile: their callers may have
+	// gone to another host. They are read within it by a slow machine.
+	staleRequests = 100 * time.Millisecond
 	// resultResend is the interval of results without an acknowledgement.
 	resultResend = 150 * time.Millisecond
 	// resultTries is how often a result is sent.
@@ -61,7 +65,8 @@
 	farSince  time.Time     // when the layout began to be far from the wanted one
 	beatAt    time.Time     // of the last beat
 	slowAt    time.Time     // of the last beat to control hosts
-	lastBoot  time.Duration // boot time at the last tick
+	lastBoot  time.Duration // boot time at the last input
+	wokeAt    time.Time     // when the host was last found to have been suspended
 	beatSoon  bool          // something changed that others should know at once
 	local     []peer.Body   // messages to the own host
 }
@@ -90,13 +95,18 @@
 	}
 }
 
-// tick advances time; boot is a steady clock that counts the time of a suspended
-// machine.
-func (d *decisions) tick(now time.Time, boot time.Duration) {
+// awake notices that the machine was suspended, before anything else is taken:
+// what waits to be read may be out of date. boot is a steady clock that counts
+// the time of a suspended machine.
+func (d *decisions) awake(now time.Time, boot time.Duration) {
 	if gap := boot - d.lastBoot; d.lastBoot > 0 && gap > suspension {
 		d.suspended(now, gap)
 	}
 	d.lastBoot = boot
+}
+
+// tick advances time.
+func (d *decisions) tick(now time.Time) {
 	d.roster.Tick(now)
 	for name, at := range d.heardAt {
 		if now.Sub(at) > roster.ForgetAfter {
@@ -122,7 +132,7 @@
 	for _, x := range d.ordered() {
 		d.release(now, x, "the host was suspended")
 	}
-	d.deposedAt = now
+	d.deposedAt, d.wokeAt = now, now
 }
 
 // receive takes a message of another host, or of the own one.
@@ -200,6 +210,10 @@
 // submit takes a caller's job. Its outcome is sent to out, which has room for
 // one; the result names the caller for callerLeft.
 func (d *decisions) submit(now time.Time, o peer.JobOffer, deadline time.Time, out chan entry.Outcome) (waiter uint64) {
+	if !d.wokeAt.IsZero() && now.Sub(d.wokeAt) < staleRequests {
+		out <- entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the host was suspended"}
+		return 0
+	}
 	d.nextID++
 	d.waiters[d.nextID] = out
 	d.table.Submit(now, o, deadline, d.nextID)
--- a/internal/fleet/duty.go
+++ b/internal/fleet/duty.go
@@ -23,10 +23,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			h.decisions.tick(time.Now(), bootTime())
+			now := time.Now()
+			h.decisions.awake(now, bootTime())
+			h.decisions.tick(now)
 			h.publishGauges()
 		case f := <-h.inputs.C():
-			f(time.Now())
+			h.take(f)
 			h.batch()
 		}
 		h.decisions.flush(time.Now())
@@ -38,13 +40,19 @@
 	for range maxBatch {
 		select {
 		case f := <-h.inputs.C():
-			f(time.Now())
+			h.take(f)
 		default:
 			return
 		}
 	}
 }
 
+func (h *Host) take(f func(now time.Time)) {
+	now := time.Now()
+	h.decisions.awake(now, bootTime())
+	f(now)
+}
+
 // bootTime returns a steady clock that counts the time of a suspended machine.
 func bootTime() time.Duration {
 	var t unix.Timespec
