fleet: randomised runs of whole failure domains in virtual time

Change: a simulation of hosts, minions, callers and a network in test files, seeded and repeatable. Orders of messages no longer depend on the order of Go's maps.

Ruled out: a second composition of the decisions in internal/emulator; it would not be the one that hosts run.

--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -117,7 +118,8 @@
 	if !d.self.Control {
 		return
 	}
-	for name, sent := range d.sentLog {
+	for _, name := range slices.Sorted(maps.Keys(d.sentLog)) {
+		sent := d.sentLog[name]
 		if sent >= d.roster.Log() {
 			continue
 		}
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
@@ -49,8 +52,13 @@
 	d.sendTo(key.to, &r.body)
 }
 
+func compareResults(a, b resultKey) int {
+	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.to, b.to), cmp.Compare(a.offer, b.offer))
+}
+
 func (d *decisions) tickResults(now time.Time) {
-	for key, r := range d.results {
+	for _, key := range slices.SortedFunc(maps.Keys(d.results), compareResults) {
+		r := d.results[key]
 		if now.Sub(r.sentAt) < resultResend {
 			continue
 		}
--- /dev/null
+++ b/internal/fleet/sim_link_test.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+)
+
+// simLink is one direction between two machines, with the messages of a
+// connection kept in order. What is sent into a cut is held back, as the
+// kernel does, until the sender gives the connection up.
+type simLink struct {
+	cuts   int
+	lastAt time.Duration
+	held   []func()
+	heldAt time.Duration // of the first held message
+}
+
+func (w *world) link(from, to string) *simLink {
+	key := [2]string{from, to}
+	l := w.links[key]
+	if l == nil {
+		l = &simLink{}
+		w.links[key] = l
+	}
+	return l
+}
+
+const (
+	simDelayLow  = 300 * time.Microsecond
+	simDelayHigh = 1500 * time.Microsecond
+)
+
+// deliver carries f over a link, after what was sent before.
+func (w *world) deliver(from, to string, f func()) {
+	l := w.link(from, to)
+	if l.cuts > 0 {
+		if len(l.held) == 0 {
+			l.heldAt = w.now
+		}
+		if w.now-l.heldAt < silentLink {
+			l.held = append(l.held, f)
+		} else {
+			l.held = nil // the connection was replaced
+		}
+		return
+	}
+	l.lastAt = max(l.lastAt, w.now+w.within(simDelayLow, simDelayHigh))
+	w.after(l.lastAt-w.now, f)
+}
+
+func (w *world) cut(from, to string) { w.link(from, to).cuts++ }
+
+func (w *world) join(from, to string) {
+	l := w.link(from, to)
+	l.cuts--
+	if l.cuts > 0 {
+		return
+	}
+	held := l.held
+	l.held = nil
+	if w.now-l.heldAt >= silentLink {
+		return
+	}
+	for _, f := range held {
+		w.deliver(from, to, f)
+	}
+}
+
+// sendBody carries a copy of a message: the receiver must not see later changes.
+func (w *world) sendBody(h *simHost, to string, b peer.Body) {
+	other := w.byName[to]
+	if other == nil {
+		return
+	}
+	encoded, err := peer.Encode(b)
+	if err != nil {
+		panic(err)
+	}
+	life, theirs := h.life, other.life
+	w.deliver(h.rec.Name, to, func() {
+		if h.life != life && w.chance(0.5) || other.life != theirs {
+			return // the connection ended with a process
+		}
+		body, err := peer.Decode(encoded)
+		if err != nil {
+			panic(err)
+		}
+		other.input(func(now time.Time) { other.d.receive(now, h.rec.Name, body) })
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -258,7 +258,8 @@
 // Tick forgets hosts that neither this host nor one that it hears of has heard
 // lately.
 func (r *Roster) Tick(now time.Time) {
-	for name, h := range r.hosts {
+	for _, h := range r.ordered() {
+		name := h.Name
 		silent := now.Sub(h.HeardAt)
 		if silent <= ForgetAfter {
 			continue
