fleet: a failure domain with many hosts is divided into cells

Entry hosts beat all others of their failure domain and dispatchers beat all entry hosts, five times a second; all entry hosts beat the same five control hosts, and control hosts passed every change to each other at once: messages grew with the square of the hosts.

Change: above 24 entry hosts a failure domain is divided into cells by a hash of hosts and minions (claim/cell.go), and what was done in a failure domain is done in a cell. The division is made by one host, the newest counts, and it spreads with beats and the roster. A dispatcher tells its load to its cell and to about 32 hosts outside. A failure domain has five hubs among the control hosts; control hosts tell their neighbours and the hubs, and gather changes for 60 ms. Systems of up to 24 entry hosts a domain and 32 outside work as before, but for the 60 ms.

Ruled out: one host of a domain that gathers all beats (its link of 25 Mbit/s carries some 80 hosts); longer intervals (takeovers take three beats).

--- /dev/null
+++ b/internal/claim/cell_test.go
@@ -0,0 +1,79 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/shoenig/test/must"
+)
+
+// A division lasts while the number of hosts varies around it.
+func TestDividedHasHysteresis(t *testing.T) {
+	must.Eq(t, 1, Divided(maxPerCell, 1))
+	must.Eq(t, 2, Divided(maxPerCell+1, 1))
+	must.Eq(t, 2, Divided(minPerCell*2, 2))
+	must.Eq(t, 1, Divided(minPerCell*2-1, 2))
+	must.Eq(t, 16, Divided(368, 1))
+	for hosts := range 400 {
+		n := Divided(hosts, 1)
+		must.Eq(t, n, Divided(hosts, n))
+	}
+}
+
+// Hosts and minions spread over all cells.
+func TestCellsAreEven(t *testing.T) {
+	counts := make(map[int]int)
+	for i := range 400 {
+		counts[CellOf(fmt.Sprintf("10.1.0.%d", i), peer.Division{Cells: 4, At: 9}).Number]++
+	}
+	must.MapLen(t, 4, counts)
+	for _, n := range counts {
+		must.Between(t, 70, n, 130)
+	}
+	must.Eq(t, peer.Cell{}, CellOf("any", peer.Division{Cells: 1}))
+}
+
+// Neighbours know each other, and all control hosts are connected.
+func TestNeighboursAreMutual(t *testing.T) {
+	var all []string
+	for i := range 50 {
+		all = append(all, fmt.Sprintf("c%02d", i))
+	}
+	reached := map[string]bool{all[0]: true}
+	for next := []string{all[0]}; len(next) > 0; next = next[1:] {
+		for _, n := range neighboursOf(next[0], all) {
+			must.SliceContains(t, neighboursOf(n, all), next[0])
+			if !reached[n] {
+				reached[n] = true
+				next = append(next, n)
+			}
+		}
+	}
+	must.MapLen(t, 50, reached)
+}
+
+func neighboursOf(self string, all []string) []string {
+	var others []string
+	for _, n := range all {
+		if n != self {
+			others = append(others, n)
+		}
+	}
+	return Neighbours(self, others)
+}
+
+// A dispatcher is followed by all of a few hosts, and by some of many.
+func TestFollowersAreBounded(t *testing.T) {
+	count := func(outside int) int {
+		n := 0
+		for i := range outside {
+			if Follows("d", fmt.Sprintf("e%d", i), outside) {
+				n++
+			}
+		}
+		return n
+	}
+	must.Eq(t, 32, count(32))
+	must.Between(t, 20, count(300), 46)
+}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -59,7 +59,7 @@
 		if slices.Contains(j.refused, d.place()) || t.moved[d.place()] {
 			continue
 		}
-		if j.tied && (d.FailureDomain != j.domain || d.Shard != j.offer.Shard || d.Of != j.offer.Of) {
+		if j.tied && !d.serves(j) {
 			continue
 		}
 		delay := t.delay(d, j)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,7 +67,8 @@
 	Host          string
 	FailureDomain string
 	Shard         int
-	Of            int // shards in the failure domain
+	Of            int // shards in the cell
+	Cell          peer.Cell
 	Load          peer.PoolLoad
 	LoadAt        time.Time // when Load was told
 }
@@ -80,6 +81,12 @@
 
 func (d *Dispatcher) place() place { return place{d.Host, d.Shard} }
 
+// serves reports whether the dispatcher's shard is the one that the job was
+// offered to last.
+func (d *Dispatcher) serves(j *open) bool {
+	return d.FailureDomain == j.domain && d.Shard == j.offer.Shard && d.Of == j.offer.Of && d.Cell == j.offer.Cell
+}
+
 // Ready is what follows from the inputs since the last call.
 type Ready struct {
 	Messages []Message
@@ -243,7 +250,7 @@
 	t.offers++
 	j.offer.Offer = t.offers
 	j.to, j.domain = d.place(), d.FailureDomain
-	j.offer.Shard, j.offer.Of = d.Shard, d.Of
+	j.offer.Shard, j.offer.Of, j.offer.Cell = d.Shard, d.Of, d.Cell
 	j.heardAt = time.Time{}
 	j.offer.MayHaveRun = j.tied
 	t.count(d, j)
@@ -366,7 +373,7 @@
 			t.place(now, j)
 			continue
 		}
-		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.place() == j.to && d.Of == j.offer.Of }) {
+		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.place() == j.to && d.serves(j) }) {
 			t.reoffer(now, j, "dispatcher is gone")
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,7 @@
 	MinionRecorded     ID = 3113
 	AnnouncementBad    ID = 3114
 	MinionAnswerBad    ID = 3115
+	DomainDivided      ID = 3116
 
 	PeerUp        ID = 4001
 	PeerDown      ID = 4002
@@ -142,6 +143,7 @@
 	{MinionRecorded, slog.LevelInfo, "minion's announcement changed", "None."},
 	{AnnouncementBad, slog.LevelWarn, "announcement refused as unreadable", "Check the sender."},
 	{MinionAnswerBad, slog.LevelWarn, "minion's answer unreadable", "Check the minion's release."},
+	{DomainDivided, slog.LevelInfo, "failure domain divided into another number of cells", "None."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -15,7 +15,12 @@
 const (
 	beatEvery    = 200 * time.Millisecond // to hosts of the failure domain and to dispatchers
 	controlEvery = 500 * time.Millisecond // to control hosts
-	maxControl   = 5                      // control hosts that an entry host beats
+	// enoughControl is how many control hosts must be heard for the seeds to be
+	// left alone: a failure domain's hubs outlive the loss of two.
+	enoughControl = 4
+	// pushEvery gathers changes of the roster: a minion that drains must be known
+	// everywhere in 2 s, and every push costs a message for each subscriber.
+	pushEvery = 60 * time.Millisecond
 )
 
 func (d *decisions) tickBeats(now time.Time) {
@@ -39,7 +44,7 @@
 
 // newBeat returns the beat for one host; self is the same for all of a round.
 func (d *decisions) newBeat(self *claim.Candidate, to string) *peer.Beat {
-	b := &peer.Beat{From: d.self, Config: d.version(), Leaving: self.Leaving, Claims: self.Claims}
+	b := &peer.Beat{From: d.self, Config: d.version(), Leaving: self.Leaving, Claims: self.Claims, Division: d.cells}
 	b.LogOf, b.Log = d.roster.Place(to)
 	return b
 }
@@ -47,31 +52,63 @@
 // targets returns the hosts that are beaten now; slow includes those that are
 // beaten less often.
 func (d *decisions) targets(slow bool) []string {
-	var out []string
-	add := func(name string) {
-		if name != d.self.Name && !slices.Contains(out, name) {
-			out = append(out, name)
+	out := make(map[string]bool)
+	outside := 0
+	for _, h := range d.roster.Hosts() {
+		if h.Entry && !d.inCell(h) {
+			outside++
 		}
 	}
-	control := 0
 	for _, h := range d.roster.Hosts() {
-		switch {
-		case h.Control && slow && (d.self.Control || control < maxControl):
-			control++
-			add(h.Name)
-		case h.Entry && d.self.Entry && (h.FailureDomain == d.self.FailureDomain || len(d.shards) > 0):
-			add(h.Name)
+		if h.Entry && d.self.Entry && (d.inCell(h) || len(d.shards) > 0 && claim.Follows(d.self.Name, h.Name, outside)) {
+			out[h.Name] = true
 		}
 	}
 	if slow {
-		for _, s := range d.seedHosts() {
-			add(s)
-		}
+		d.addControl(out)
 	}
 	for _, name := range d.table.Hosts() {
-		add(name)
+		out[name] = true
+	}
+	delete(out, d.self.Name)
+	return slices.Sorted(maps.Keys(out))
+}
+
+// addControl adds the control hosts that this host keeps in touch with.
+func (d *decisions) addControl(out map[string]bool) {
+	var control []string
+	domains := make(map[string]bool)
+	heard := 0
+	for _, h := range d.roster.Hosts() {
+		if h.Control {
+			control = append(control, h.Name)
+			if d.beatAt.Sub(h.HeardAt) < 2*controlEvery {
+				heard++
+			}
+		}
+		domains[h.FailureDomain] = true
+	}
+	var to []string
+	if d.self.Control {
+		all := append([]string{d.self.Name}, control...)
+		to = append(to, claim.Neighbours(d.self.Name, control)...)
+		for domain := range domains {
+			hubs := claim.Hubs(domain, all)
+			to = append(to, hubs...)
+			if slices.Contains(hubs, d.self.Name) {
+				to = append(to, control...)
+			}
+		}
+	}
+	if d.self.Entry {
+		to = append(to, claim.Hubs(d.self.FailureDomain, control)...)
+	}
+	if heard < enoughControl {
+		to = append(to, d.seedHosts()...)
+	}
+	for _, name := range to {
+		out[name] = true
 	}
-	return out
 }
 
 // beat takes the beat of another host.
@@ -114,10 +151,11 @@
 }
 
 // pushRoster tells subscribers at once what has changed.
-func (d *decisions) pushRoster() {
-	if !d.self.Control {
+func (d *decisions) pushRoster(now time.Time) {
+	if !d.self.Control || now.Sub(d.pushedAt) < pushEvery {
 		return
 	}
+	d.pushedAt = now
 	for _, name := range slices.Sorted(maps.Keys(d.sentLog)) {
 		sent := d.sentLog[name]
 		if sent >= d.roster.Log() {
@@ -128,7 +166,7 @@
 			delete(d.sentLog, name)
 			continue
 		}
-		if r := d.roster.Delta(sent, d.domainOf(h.Beat)); r != nil && len(r.Hosts)+len(r.Minions) > 0 {
+		if r := d.roster.Delta(sent, d.domainOf(h.Beat)); r != nil && len(r.Hosts)+len(r.Minions)+len(r.Divisions) > 0 {
 			d.sendTo(name, r)
 		}
 		d.sentLog[name] = d.roster.Log()
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -13,6 +13,9 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/roster"
 )
 
+// divideSettle is how long a host listens to its new cell before it claims.
+const divideSettle = 2 * beatEvery
+
 // shard is one part of the failure domain's minions that this host dispatches
 // on.
 type shard struct {
@@ -31,11 +34,19 @@
 	return out
 }
 
-// candidates returns the other live entry hosts of the failure domain.
+// inCell reports whether a host is an entry host of the own cell.
+func (d *decisions) inCell(h *roster.Host) bool {
+	return h.Entry && h.FailureDomain == d.self.FailureDomain && claim.CellOf(h.Name, d.cells) == d.cell
+}
+
+// ownMinion reports whether a minion belongs to the own cell.
+func (d *decisions) ownMinion(id string) bool { return claim.CellOf(id, d.cells) == d.cell }
+
+// candidates returns the other live entry hosts of the cell.
 func (d *decisions) candidates(now time.Time) []claim.Candidate {
 	var out []claim.Candidate
 	for _, h := range d.roster.Hosts() {
-		if h.Entry && h.FailureDomain == d.self.FailureDomain && alive(now, h) {
+		if d.inCell(h) && alive(now, h) && h.Beat.Division.At == d.cells.At {
 			out = append(out, claim.Candidate{Host: h.Name, Leaving: h.Beat.Leaving, Claims: h.Beat.Claims})
 		}
 	}
@@ -66,6 +77,7 @@
 }
 
 func (d *decisions) tickClaims(now time.Time) {
+	d.followDivision(now)
 	self, others := d.candidate(), d.candidates(now)
 	d.followLayout(now, self, others)
 	self = d.candidate()
@@ -84,11 +96,72 @@
 	d.tellTable(now, others)
 }
 
+// cellMinions returns how many minions are in the cell.
+func (d *decisions) cellMinions() int {
+	if log := d.roster.Log(); log != d.counted {
+		d.counted = log
+		d.minions = d.roster.CountMinions(d.self.FailureDomain, d.ownMinion)
+	}
+	return d.minions
+}
+
+// followDivision takes over the newest division of the failure domain, or makes
+// a new one when the number of hosts no longer suits it. Only the holder of the
+// first shard of the first cell makes one.
+func (d *decisions) followDivision(now time.Time) {
+	if v := d.roster.Division(d.self.FailureDomain); v.At > d.cells.At {
+		d.divide(now, v)
+	}
+	wanted := claim.Divided(d.domainHosts(), d.cells.Cells)
+	if wanted == d.cells.Cells || d.cell.Number != 0 || d.shards[0] == nil || !d.hearsHub(now) {
+		d.fewSince = time.Time{}
+		return
+	}
+	if d.fewSince.IsZero() {
+		d.fewSince = now
+	}
+	if now.Sub(d.fewSince) < claim.Relayout {
+		return
+	}
+	d.fewSince = time.Time{}
+	d.token = claim.Token(now, d.token, d.own)
+	d.roster.Divide(d.self.FailureDomain, peer.Division{Cells: wanted, At: d.token})
+	d.divide(now, d.roster.Division(d.self.FailureDomain))
+	d.beatSoon = true
+}
+
+// divide takes over a division. Shards of another one are given up.
+func (d *decisions) divide(now time.Time, v peer.Division) {
+	for _, x := range d.ordered() {
+		d.release(now, x, "the failure domain is divided anew")
+	}
+	d.note(event.DomainDivided, slog.Int("cells", v.Cells), slog.Uint64("at", v.At), slog.Int("hosts", d.domainHosts()))
+	d.cells, d.cell = v, claim.CellOf(d.self.Name, v)
+	d.of, d.layout, d.counted = 1, 0, 0
+	d.dividedAt = now
+}
+
+// domainHosts returns how many entry hosts the failure domain has.
+func (d *decisions) domainHosts() int {
+	n := 1
+	for _, h := range d.roster.Hosts() {
+		if h.Entry && h.FailureDomain == d.self.FailureDomain {
+			n++
+		}
+	}
+	return n
+}
+
+// hearsHub reports whether a control host is heard, so that the list of hosts
+// is not just those that beat this one.
+func (d *decisions) hearsHub(now time.Time) bool {
+	return slices.ContainsFunc(d.roster.Hosts(), func(h *roster.Host) bool { return h.Control && now.Sub(h.HeardAt) < 2*controlEvery })
+}
+
 // followLayout takes over the newest layout, or replaces one that no longer
 // suits the number of minions. Only the holder of the first shard replaces it.
 func (d *decisions) followLayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
-	minions := d.roster.Minions(d.self.FailureDomain)
-	wanted := claim.Wanted(len(minions), len(others)+1)
+	wanted := claim.Wanted(d.cellMinions(), len(others)+1)
 	of, layout := claim.Layout(append([]claim.Candidate{self}, others...))
 	if layout == 0 {
 		d.of, d.layout = wanted, 0
@@ -126,7 +199,7 @@
 
 // take claims a shard that no live host holds.
 func (d *decisions) take(now time.Time, number int) {
-	if d.shards[number] != nil || now.Sub(d.startedAt) < claim.Settle || !d.hearsAny(now) {
+	if d.shards[number] != nil || now.Sub(d.startedAt) < claim.Settle || now.Sub(d.dividedAt) < divideSettle || !d.hearsAny(now) {
 		return
 	}
 	if !d.deposedAt.IsZero() && now.Sub(d.deposedAt) < claim.Rebid {
@@ -141,7 +214,7 @@
 	x.pool.Claim(now, d.token)
 	n := 0
 	for _, m := range d.roster.Minions(d.self.FailureDomain) {
-		if claim.Shard(m.ID, d.of) == number {
+		if d.ownMinion(m.ID) && claim.Shard(m.ID, d.of) == number {
 			x.pool.Minion(now, m)
 			n++
 		}
@@ -174,26 +247,27 @@
 		if h := d.roster.Host(holder.Host); h != nil {
 			loadAt = h.LoadAt
 		}
-		list = append(list, dispatcher(holder.Host, d.self.FailureDomain, c, loadAt))
+		list = append(list, dispatcher(holder.Host, d.self.FailureDomain, d.cell, c, loadAt))
 	}
 	for _, h := range d.roster.Hosts() {
-		if !h.Entry || h.FailureDomain == d.self.FailureDomain || !alive(now, h) {
+		if !h.Entry || d.inCell(h) || !alive(now, h) {
 			continue
 		}
+		cell := claim.CellOf(h.Name, h.Beat.Division)
 		for _, c := range h.Beat.Claims {
-			list = append(list, dispatcher(h.Name, h.FailureDomain, c, h.LoadAt))
+			list = append(list, dispatcher(h.Name, h.FailureDomain, cell, c, h.LoadAt))
 		}
 	}
 	d.table.Dispatchers(now, list)
 	d.setDispatchers(len(list) > 0)
 }
 
-func dispatcher(host, domain string, c peer.Claim, loadAt time.Time) entry.Dispatcher {
-	return entry.Dispatcher{Host: host, FailureDomain: domain, Shard: c.Shard, Of: c.Of, Load: c.Load, LoadAt: loadAt}
+func dispatcher(host, domain string, cell peer.Cell, c peer.Claim, loadAt time.Time) entry.Dispatcher {
+	return entry.Dispatcher{Host: host, FailureDomain: domain, Cell: cell, Shard: c.Shard, Of: c.Of, Load: c.Load, LoadAt: loadAt}
 }
 
 func (d *decisions) minionChanged(now time.Time, m peer.MinionRecord) {
-	if m.FailureDomain != d.self.FailureDomain {
+	if m.FailureDomain != d.self.FailureDomain || !d.ownMinion(m.ID) {
 		return
 	}
 	if x := d.shards[claim.Shard(m.ID, d.of)]; x != nil {
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -51,7 +51,9 @@
 	roster  *roster.Roster
 	table   *entry.Table
 	shards  map[int]*shard // that this host dispatches on, by number
-	of      int            // shards in the failure domain
+	cells   peer.Division  // of the failure domain, that this host follows
+	cell    peer.Cell      // of this host
+	of      int            // shards in the cell
 	layout  uint64         // when they were laid out
 	token   uint64         // highest that was used or seen here
 	waiters map[uint64]chan entry.Outcome
@@ -63,9 +65,14 @@
 	startedAt time.Time
 	deposedAt time.Time     // when a claim was lost
 	farSince  time.Time     // when the layout began to be far from the wanted one
+	fewSince  time.Time     // when the division began to be far from the wanted one
+	counted   uint64        // place in the roster's log at which minions was counted
+	minions   int           // in the cell
+	pushedAt  time.Time     // when subscribers were told what has changed
 	beatAt    time.Time     // of the last beat
 	slowAt    time.Time     // of the last beat to control hosts
 	lastBoot  time.Duration // boot time at the last input
+	dividedAt time.Time     // when the division was taken over
 	wokeAt    time.Time     // when the host was last found to have been suspended
 	beatSoon  bool          // something changed that others should know at once
 	local     []peer.Body   // messages to the own host
@@ -89,7 +96,7 @@
 	return &decisions{
 		outside: out, self: self, own: own,
 		roster: roster.New(self), table: entry.New(now, self.Name, self.FailureDomain, offers, out.note),
-		shards: make(map[int]*shard), of: 1,
+		shards: make(map[int]*shard), of: 1, cells: peer.Division{Cells: 1},
 		waiters: make(map[uint64]chan entry.Outcome), results: make(map[resultKey]*pendingResult),
 		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), startedAt: now,
 	}
@@ -188,7 +195,7 @@
 			d.receive(now, d.self.Name, b)
 		}
 	}
-	d.pushRoster()
+	d.pushRoster(now)
 	if d.beatSoon {
 		d.sendBeats(now)
 	}
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -33,7 +33,7 @@
 		return
 	}
 	x := d.shards[o.Shard]
-	if x == nil || x.of != o.Of {
+	if x == nil || x.of != o.Of || o.Cell != d.cell {
 		r := &pendingResult{left: 1, body: peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, Clean: !o.MayHaveRun, Reason: "not the shard's dispatcher"}}
 		d.sendResult(now, key, r)
 		return
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -25,6 +25,7 @@
 	stood   time.Duration         // time that its steady clock did not count
 	ready   bool
 	leaving bool
+	sent    int // messages to other hosts
 }
 
 func (w *world) addHost(rec peer.HostRecord) {
--- a/internal/fleet/sim_link_test.go
+++ b/internal/fleet/sim_link_test.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		panic(err)
 	}
+	h.sent++
 	life, theirs := h.life, other.life
 	w.deliver(h.rec.Name, to, func() {
 		if h.life != life && w.chance(0.5) || other.life != theirs {
--- a/internal/fleet/sim_run_test.go
+++ b/internal/fleet/sim_run_test.go
@@ -35,6 +35,54 @@
 	}
 }
 
+// largeShape has failure domains that are divided into cells.
+var largeShape = simShape{domains: 2, entries: 30, minions: 24, load: 0.4, faults: 12 * time.Second, rest: 14 * time.Second}
+
+// The same, where failure domains are large enough to be divided.
+func TestRandomFaultsInDividedDomains(t *testing.T) {
+	for seed := range uint64(1) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			w, broken := playSeed(largeShape, seed, false)
+			must.SliceEmpty(t, broken, must.Sprint(strings.Join(broken, "\n")))
+			for _, h := range w.hosts {
+				if h.rec.Entry && h.up {
+					must.Eq(t, 2, h.d.cells.Cells, must.Sprint(h.rec.Name))
+				}
+			}
+		})
+	}
+}
+
+// What a host sends is bounded whatever the number of hosts: a cell and the
+// followers of a dispatcher, five times a second, and the messages of jobs.
+func TestTrafficOfAHostIsFlat(t *testing.T) {
+	perHost := func(entries int) float64 {
+		shape := simShape{domains: 3, entries: entries, minions: 2 * entries, load: 0.05, faults: 0, rest: 12 * time.Second}
+		w := newWorld(shape, 1)
+		var before, after int
+		w.after(9*time.Second, func() { before = w.sentByEntries() })
+		w.after(14*time.Second, func() { after = w.sentByEntries() })
+		w.run()
+		must.SliceEmpty(t, w.ledger.finish())
+		return float64(after-before) / 5 / float64(3*entries)
+	}
+	small, large := perHost(12), perHost(36)
+	t.Logf("messages a second of an entry host: %.0f with 36 of them, %.0f with 108", small, large)
+	const cell, followers, jobs = 24, 32, 50
+	must.Less(t, 5*(cell+followers)+jobs, large)
+}
+
+func (w *world) sentByEntries() int {
+	n := 0
+	for _, h := range w.hosts {
+		if h.rec.Entry {
+			n += h.sent
+		}
+	}
+	return n
+}
+
 // TestOneSeed plays the seed that LW_SEED names and prints what happens.
 func TestOneSeed(t *testing.T) {
 	seed, err := strconv.ParseUint(os.Getenv("LW_SEED"), 10, 64)
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -41,10 +41,29 @@
 	Labels        []string `msgpack:"l,omitempty"`
 }
 
+// Division says into how many cells the hosts and minions of a failure domain are
+// divided, so that the work of a host does not grow with their number.
+type Division struct {
+	Cells int    `msgpack:"c"`
+	At    uint64 `msgpack:"a"` // when it was made: the highest one counts; 0: undivided
+}
+
+// DomainDivision is the division of one failure domain.
+type DomainDivision struct {
+	FailureDomain string   `msgpack:"d"`
+	Division      Division `msgpack:"v"`
+}
+
+// Cell is one part of a division.
+type Cell struct {
+	Number int    `msgpack:"n"`
+	At     uint64 `msgpack:"a"` // of the division
+}
+
 // Claim says that the sender dispatches on the minions of one shard.
 type Claim struct {
 	Shard  int      `msgpack:"s"`
-	Of     int      `msgpack:"o"` // shards in the failure domain
+	Of     int      `msgpack:"o"` // shards in the sender's cell
 	Layout uint64   `msgpack:"l"` // when they were laid out: the highest one counts
 	Token  uint64   `msgpack:"t"` // fencing token of the claim
 	Load   PoolLoad `msgpack:"p"`
@@ -66,6 +85,8 @@
 	Claims  []Claim                `msgpack:"m,omitempty"`
 	Log     uint64                 `msgpack:"g"` // how much of the receiver's roster log the sender has
 	LogOf   membership.Incarnation `msgpack:"o"` // whose log that is
+
+	Division Division `msgpack:"v"` // of the sender's failure domain, as it follows it
 }
 
 // Roster carries the records of the sender's log after the receiver's place.
@@ -75,6 +96,8 @@
 	Log     uint64                 `msgpack:"g"`
 	Hosts   []HostRecord           `msgpack:"h,omitempty"`
 	Minions []MinionRecord         `msgpack:"m,omitempty"`
+
+	Divisions []DomainDivision `msgpack:"d,omitempty"`
 }
 
 // TaskStep is a set of equal tasks of a job.
@@ -96,7 +119,8 @@
 	Job        string     `msgpack:"j"`
 	Offer      uint64     `msgpack:"o"` // number of the offer, chosen by its sender
 	Shard      int        `msgpack:"h"` // whose minions are to run it
-	Of         int        `msgpack:"f"` // shards in the failure domain
+	Of         int        `msgpack:"f"` // shards in the cell
+	Cell       Cell       `msgpack:"k"` // of the shard
 	Queue      string     `msgpack:"q"` // route, for learning run times
 	Service    string     `msgpack:"s"`
 	Payload    string     `msgpack:"p"` // given to each task
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -37,11 +37,18 @@
 	at uint64
 }
 
+type divisionEntry struct {
+	peer.Division
+	at uint64
+}
+
 // Roster is what one host knows.
 type Roster struct {
 	self    peer.HostRecord
 	hosts   map[string]*Host
 	minions map[string]*minionEntry
+	cells   map[string]*divisionEntry // by failure domain
+	listed  []*Host                   // by name; nil: to be listed anew
 	log     uint64
 	places  map[string]place // of other hosts' logs
 }
@@ -54,7 +61,7 @@
 
 // New returns the roster of a host that knows nobody.
 func New(self peer.HostRecord) *Roster {
-	return &Roster{self: self, hosts: make(map[string]*Host), minions: make(map[string]*minionEntry), places: make(map[string]place)}
+	return &Roster{self: self, hosts: make(map[string]*Host), minions: make(map[string]*minionEntry), cells: make(map[string]*divisionEntry), places: make(map[string]place)}
 }
 
 // Log returns the number of the newest change.
@@ -82,10 +89,12 @@
 		h = &Host{tellers: make(map[string]bool)}
 		r.hosts[b.From.Name] = h
 	}
+	r.Divide(b.From.FailureDomain, b.Division)
 	restarted = h.Beat != nil && h.Incarnation != b.From.Incarnation
 	if h.HostRecord != b.From || h.HeardAt.IsZero() || h.gone {
 		h.HostRecord = b.From
 		h.at = r.next()
+		r.listed = nil
 	}
 	h.Beat, h.HeardAt, h.LoadAt, h.Closed, h.gone = b, now, now, time.Time{}, false
 	return restarted
@@ -120,6 +129,7 @@
 		for _, h := range r.hosts {
 			delete(h.tellers, from) // a new process lists anew
 		}
+		r.listed = nil
 	}
 	if p.of != m.Of {
 		p = place{of: m.Of}
@@ -132,6 +142,9 @@
 	for _, rec := range m.Hosts {
 		r.told(from, rec)
 	}
+	for _, c := range m.Divisions {
+		r.Divide(c.FailureDomain, c.Division)
+	}
 	var changed []peer.MinionRecord
 	for _, rec := range m.Minions {
 		if r.Announce(rec) {
@@ -146,6 +159,7 @@
 	if rec.Name == r.self.Name {
 		return
 	}
+	r.listed = nil
 	h := r.hosts[rec.Name]
 	if rec.Gone {
 		if h != nil {
@@ -216,9 +230,40 @@
 	return out
 }
 
-// Hosts returns the other hosts that are listed, by name.
+// CountMinions returns how many minions of a failure domain have not gone and
+// are in a cell.
+func (r *Roster) CountMinions(domain string, in func(id string) bool) int {
+	n := 0
+	for _, m := range r.minions {
+		if m.FailureDomain == domain && !m.Gone && in(m.ID) {
+			n++
+		}
+	}
+	return n
+}
+
+// Division returns how a failure domain is divided; it has one cell at least.
+func (r *Roster) Division(domain string) peer.Division {
+	if c := r.cells[domain]; c != nil {
+		return c.Division
+	}
+	return peer.Division{Cells: 1}
+}
+
+// Divide takes a failure domain's division, if it is newer than the known one.
+func (r *Roster) Divide(domain string, c peer.Division) {
+	if c.Cells > 0 && c.At > r.Division(domain).At {
+		r.cells[domain] = &divisionEntry{Division: c, at: r.next()}
+	}
+}
+
+// Hosts returns the other hosts that are listed, by name. The caller does not
+// change the slice.
 func (r *Roster) Hosts() []*Host {
-	return slices.DeleteFunc(r.ordered(), func(h *Host) bool { return h.gone && len(h.tellers) == 0 })
+	if r.listed == nil {
+		r.listed = slices.DeleteFunc(r.ordered(), func(h *Host) bool { return h.gone && len(h.tellers) == 0 })
+	}
+	return r.listed
 }
 
 func (r *Roster) ordered() []*Host {
@@ -247,6 +292,11 @@
 			d.Minions = append(d.Minions, m.MinionRecord)
 		}
 	}
+	for _, domain := range slices.Sorted(maps.Keys(r.cells)) {
+		if c := r.cells[domain]; c.at > after {
+			d.Divisions = append(d.Divisions, peer.DomainDivision{FailureDomain: domain, Division: c.Division})
+		}
+	}
 	slices.SortFunc(d.Minions, func(a, b peer.MinionRecord) int { return cmp.Compare(a.ID, b.ID) })
 	return d
 }
@@ -267,15 +317,18 @@
 		if !h.HeardAt.IsZero() && !h.gone {
 			h.gone = true
 			h.at = r.next()
+			r.listed = nil
 		}
 		for t := range h.tellers {
 			if teller := r.hosts[t]; teller == nil || now.Sub(teller.HeardAt) > ForgetAfter {
 				delete(h.tellers, t)
+				r.listed = nil
 			}
 		}
 		if len(h.tellers) == 0 && (h.HeardAt.IsZero() || silent > keepGone) {
 			delete(r.hosts, name)
 			delete(r.places, name)
+			r.listed = nil
 		}
 	}
 }
