--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,7 +77,7 @@
 // New opens the listener for other hosts and the data folder; Run starts the
 // duties.
 func New(s settings.Fleet, minions Minions, log *slog.Logger) (*Host, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(s.IP, s.PeerPort))
+	l, err := net.Listen("tcp", s.PeerAddress())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for hosts")
 	}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net"
 	"os"
 
 	"github.com/pkg/errors"
@@ -19,7 +20,8 @@
 	ReadyAddress  string   `json:"ready_address"`
 	ControlAddr   string   `json:"control_address"`
 	PeerPort      string   `json:"peer_port" validate:"required,numeric"`
-	MetricsPort   int      `json:"metrics_port" validate:"min=0,max=65535"` // 0: none
+	PeerListen    string   `json:"peer_listen" validate:"omitempty,hostname_port"` // empty: ip and peer_port
+	MetricsPort   int      `json:"metrics_port" validate:"min=0,max=65535"`        // 0: none
 	Seeds         []string `json:"seeds" validate:"dive,hostname_port"`
 	FirstStart    bool     `json:"first_start"`                             // of the whole system
 	DataFolder    string   `json:"data_folder"`                             // empty: no disk
@@ -41,6 +43,14 @@
 	return Fleet{Losses: 1, Log: FleetLog{Level: "info"}}
 }
 
+// PeerAddress returns where connections of other hosts arrive.
+func (s *Fleet) PeerAddress() string {
+	if s.PeerListen != "" {
+		return s.PeerListen
+	}
+	return net.JoinHostPort(s.IP, s.PeerPort)
+}
+
 // LoadFleet reads, decodes and checks a settings file. The error names the
 // file, and the line and key of each problem.
 func LoadFleet(path string) (Fleet, error) {
