metrics: synced writes, control group, orders to minions

Change: store_write_us, control_group and orders_by_kind_answer under /debug/vars; durations share one type.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,7 +138,7 @@
 			Timing:      control.DefaultTiming(),
 			GroupSize:   h.settings.ControlGroup(),
 		},
-		Store: s, Mesh: h.mesh, Apply: h.apply, Log: h.log,
+		Store: s, Mesh: h.mesh, Apply: h.apply, Saved: h.metrics.saved, Log: h.log,
 	})
 	if s != nil {
 		h.note(event.DiskOpened, slog.String("disk", state.Disk), slog.Uint64("version", state.Version()), slog.Bool("voting", h.control.View().Voting))
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/eventlog"
+	"github.com/laburnumwalk/laburnumwalk/internal/pool"
 )
 
 // metrics are the counters and gauges of one host; docs/OPERATIONS.md lists
@@ -23,18 +24,56 @@
 	free       expvar.Int // of these, not in use
 	hosts      expvar.Int // other hosts that are listed
 
-	mu    sync.Mutex
-	times map[string]*hdrhistogram.Histogram // answer times in microseconds, by outcome
+	orders expvar.Map // to minions, by kind and answer
+
+	answers times // of answers to callers, by outcome
+	saves   times // of synced writes of a control host's state
+}
+
+// times are durations in microseconds, by name.
+type times struct {
+	mu     sync.Mutex
+	byName map[string]*hdrhistogram.Histogram
+}
+
+// add counts one duration.
+func (t *times) add(name string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.byName[name]
+	if h == nil {
+		h = hdrhistogram.New(1, longestTime, timeDigits)
+		t.byName[name] = h
+	}
+	_ = h.RecordValue(min(took.Microseconds(), longestTime)) // in range
+}
+
+// quantiles returns what is published.
+func (t *times) quantiles() any {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]map[string]int64)
+	for name, h := range t.byName {
+		row := map[string]int64{"count": h.TotalCount(), "max": h.Max()}
+		for _, q := range quantiles {
+			row["p"+strconv.FormatFloat(q, 'f', -1, 64)] = h.ValueAtQuantile(q)
+		}
+		out[name] = row
+	}
+	return out
 }
 
 const (
-	longestAnswer = int64(60 * time.Second / time.Microsecond)
-	timeDigits    = 2 // significant digits of answer times
+	longestTime = int64(60 * time.Second / time.Microsecond)
+	timeDigits  = 2 // significant digits
 )
 
 func newMetrics() *metrics {
-	m := &metrics{times: make(map[string]*hdrhistogram.Histogram)}
+	m := &metrics{}
 	m.jobs.Init()
+	m.orders.Init()
+	m.answers.byName = make(map[string]*hdrhistogram.Histogram)
+	m.saves.byName = make(map[string]*hdrhistogram.Histogram)
 	return m
 }
 
@@ -42,31 +81,30 @@
 func (m *metrics) answered(queue string, o *entry.Outcome, took time.Duration) {
 	outcome := strconv.Itoa(int(o.Outcome))
 	m.jobs.Add(queue+"/"+outcome+"/"+o.Reason, 1)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	h := m.times[outcome]
-	if h == nil {
-		h = hdrhistogram.New(1, longestAnswer, timeDigits)
-		m.times[outcome] = h
-	}
-	_ = h.RecordValue(min(took.Microseconds(), longestAnswer)) // in range
+	m.answers.add(outcome, took)
 }
 
-// quantiles are those of answer times that are published.
+func (m *metrics) saved(took time.Duration) { m.saves.add("state", took) }
+
+// ordered counts an order to a minion.
+func (m *metrics) ordered(kind string, a pool.Answer) {
+	m.orders.Add(kind+"/"+strconv.Itoa(int(a)), 1)
+}
+
+// quantiles are those of durations that are published.
 var quantiles = []float64{50, 90, 99, 99.9}
 
-func (m *metrics) answerTimes() any {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make(map[string]map[string]int64)
-	for outcome, h := range m.times {
-		row := map[string]int64{"count": h.TotalCount(), "max": h.Max()}
-		for _, q := range quantiles {
-			row["p"+strconv.FormatFloat(q, 'f', -1, 64)] = h.ValueAtQuantile(q)
+// controlGroup returns the hosts that choose documents, as this host knows them,
+// and whether this one is among them.
+func (h *Host) controlGroup() any {
+	v := h.control.View()
+	var names []string
+	if v.Record != nil {
+		for _, m := range v.Record.Group {
+			names = append(names, m.Host)
 		}
-		out[outcome] = row
 	}
-	return out
+	return map[string]any{"hosts": names, "voting": v.Voting}
 }
 
 // PublishMetrics publishes the host's metrics under the expvar name
@@ -77,7 +115,10 @@
 	v.Set("events_by_number", events.Counts())
 	v.Set("log_lines_dropped", expvar.Func(func() any { return events.Dropped() }))
 	v.Set("jobs_by_queue_outcome_reason", &m.jobs)
-	v.Set("answer_time_us_by_outcome", expvar.Func(m.answerTimes))
+	v.Set("answer_time_us_by_outcome", expvar.Func(m.answers.quantiles))
+	v.Set("store_write_us", expvar.Func(m.saves.quantiles))
+	v.Set("orders_by_kind_answer", &m.orders)
+	v.Set("control_group", expvar.Func(func() any { return h.controlGroup() }))
 	v.Set("open_jobs", &m.openJobs)
 	v.Set("dispatched_jobs", &m.dispatched)
 	v.Set("queued_jobs", &m.queued)
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -42,6 +42,7 @@
 func (o *orders) start(p *pool.Pool, s *pool.Start) {
 	err := o.starts.Submit(func() {
 		a, clock := o.minions.Start(context.Background(), s)
+		o.host.metrics.ordered("start", a)
 		o.answered(func(now time.Time) { p.Started(now, *s, a, clock) })
 	})
 	if err != nil { // all workers are busy: nothing was sent
@@ -52,6 +53,7 @@
 func (o *orders) stop(p *pool.Pool, s *pool.Stop) {
 	err := o.starts.Submit(func() {
 		a := o.minions.Stop(context.Background(), s)
+		o.host.metrics.ordered("stop", a)
 		o.answered(func(now time.Time) { p.Stopped(now, *s, a) })
 	})
 	if err != nil {
@@ -62,6 +64,7 @@
 func (o *orders) hold(p *pool.Pool, h *pool.Hold) {
 	err := o.holds.Submit(func() {
 		a, l := o.minions.Hold(context.Background(), h)
+		o.host.metrics.ordered("hold", a)
 		o.answered(func(now time.Time) { p.Held(now, h.Minion, h.Serial, a, l) })
 	})
 	if err != nil {
--- a/internal/register/controller.go
+++ b/internal/register/controller.go
@@ -46,7 +46,9 @@
 	// GroupOf returns the control hosts that a proposed document names; nil:
 	// documents name none.
 	GroupOf func(document []byte) ([]peer.ControlMember, error)
-	Log     *slog.Logger
+	// Saved takes how long each synced write of the state took; nil: nobody asks.
+	Saved func(took time.Duration)
+	Log   *slog.Logger
 }
 
 // Controller is the duty that agrees on configuration versions, keeps them
@@ -59,6 +61,7 @@
 	mesh        Messenger
 	apply       func(*peer.ConfigRecord)
 	groupOf     func(document []byte) ([]peer.ControlMember, error)
+	saved       func(took time.Duration)
 	waiters     map[uint64]chan control.Outcome // by ticket
 	readers     map[uint64]chan bool            // by ticket
 	self        string
@@ -81,6 +84,7 @@
 		mesh:        o.Mesh,
 		apply:       o.Apply,
 		groupOf:     o.GroupOf,
+		saved:       o.Saved,
 		waiters:     make(map[uint64]chan control.Outcome),
 		readers:     make(map[uint64]chan bool),
 		self:        o.Machine.Self.Name,
@@ -222,8 +226,12 @@
 }
 
 func (c *Controller) save(ctx context.Context, state *control.State) bool {
+	begin := time.Now()
 	err := saveState(c.store, state)
 	if err == nil {
+		if c.saved != nil {
+			c.saved(time.Since(begin))
+		}
 		return true
 	}
 	c.machine.StoreFailed()
