claim, entry: jobs wait for the first dispatcher while they are of use

A process listened for 1.2 s before its first claim.

Change: a process that has heard a control host and every listed host of its cell claims after 0.4 s.

Before and after: TestClaimsAfterAllHostsStarted finds no claim 0.7 s after the start without it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
@@ -324,7 +325,7 @@
 		t.offer(now, j, d)
 		return
 	}
-	if !j.tied && now.Sub(t.waitsSince(j)) >= takeoverTime {
+	if !j.tied && (now.Sub(t.waitsSince(j)) >= takeoverTime || now.After(j.lastStart())) {
 		t.answer(now, j, noDispatcher)
 	}
 }
@@ -346,10 +347,21 @@
 // noDispatcher is what a caller is told when there is nobody to run its job.
 var noDispatcher = Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
 
-// takeoverTime is for how long a job waits for the next dispatcher when the last
-// one has handed over or is lost: that is noticed within 0.6 s, and the minions
-// are claimed within a few beats.
-const takeoverTime = 800 * time.Millisecond
+// takeoverTime is for how long a job waits for the next dispatcher. A lost one is
+// noticed within 0.6 s; where all hosts start anew they claim the minions within
+// claim.Settle. Most jobs are hopeless sooner.
+const takeoverTime = claim.Settle + 200*time.Millisecond
+
+// lastStart returns until when the job can start and still be of use to its
+// caller, by its declared times.
+func (j *open) lastStart() time.Time {
+	chain := peer.LongestChain(j.offer.Steps, (*peer.TaskStep).Declared)
+	goal := chain*time.Duration(j.offer.StretchPct)/100 + time.Duration(j.offer.AddMS)*time.Millisecond
+	if goal <= 0 {
+		return j.deadline // it has no objective
+	}
+	return j.arrived.Add(peer.LateFactor*goal - chain)
+}
 
 // noDispatcherRetry is what a caller is told when no dispatcher is known: a
 // takeover lasts about as long.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -272,3 +272,25 @@
 	must.Eq(t, "near", m[0].To)
 	must.Eq(t, first.Offer, m[0].Body.(*peer.JobCancel).Offer)
 }
+
+// While hosts start anew a job waits for the first dispatcher as long as its
+// answer would be of use, and is refused as soon as it would not.
+func TestJobWaitsForTheFirstDispatcherWhileItIsOfUse(t *testing.T) {
+	x := New(begin, "self", "a", 1, func(event.ID, ...slog.Attr) {})
+	for _, o := range []peer.JobOffer{
+		// Objectives of 156 and 380 ms: hopeless after 408 and 940 ms.
+		{Job: "short", StretchPct: 160, AddMS: 60, Steps: []peer.TaskStep{{Count: 1, EstimateMS: 60}}},
+		{Job: "long", StretchPct: 160, AddMS: 60, Steps: []peer.TaskStep{{Count: 1, EstimateMS: 200}}},
+	} {
+		x.Submit(begin, o, begin.Add(5*time.Second), 1)
+	}
+	x.Tick(begin.Add(400 * ms))
+	must.Len(t, 0, x.Ready().Answers)
+	x.Tick(begin.Add(420 * ms))
+	a := x.Ready().Answers
+	must.Len(t, 1, a)
+	must.Eq(t, "short", a[0].Job)
+	must.Eq(t, peer.JobRefused, a[0].Outcome.Outcome)
+	x.Dispatchers(begin.Add(900*ms), []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	must.Len(t, 1, offers(x.Ready()))
+}
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -197,9 +197,19 @@
 	d.of = of
 }
 
+// settled reports whether a new process knows the claims of the others in its
+// cell, so that it takes nothing from them.
+func (d *decisions) settled(now time.Time) bool {
+	age := now.Sub(d.startedAt)
+	if age >= claim.Settle || age < claim.QuickSettle || !d.hearsHub(now) {
+		return age >= claim.Settle
+	}
+	return !slices.ContainsFunc(d.roster.Hosts(), func(h *roster.Host) bool { return d.inCell(h) && h.HeardAt.IsZero() })
+}
+
 // take claims a shard that no live host holds.
 func (d *decisions) take(now time.Time, number int) {
-	if d.shards[number] != nil || now.Sub(d.startedAt) < claim.Settle || now.Sub(d.dividedAt) < divideSettle || !d.hearsAny(now) {
+	if d.shards[number] != nil || !d.settled(now) || now.Sub(d.dividedAt) < divideSettle || !d.hearsAny(now) {
 		return
 	}
 	if !d.deposedAt.IsZero() && now.Sub(d.deposedAt) < claim.Rebid {
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -29,3 +29,23 @@
 	now = now.Add(staleRequests)
 	must.Zero(t, len(submit("fresh")))
 }
+
+// When all hosts start at once, the minions are claimed as soon as every host
+// has been heard.
+func TestClaimsAfterAllHostsStarted(t *testing.T) {
+	w := newWorld(simShape{domains: 2, entries: 3, minions: 6, load: 0.3, rest: 12 * time.Second}, 1)
+	const killed, started, bound = 8 * time.Second, 9 * time.Second, 700 * time.Millisecond
+	for _, h := range w.hosts {
+		w.after(killed, func() { h.die(true) })
+		w.after(started, h.launch)
+	}
+	claims := 0
+	w.after(started+bound, func() {
+		for _, h := range w.hosts {
+			claims += len(h.d.shards)
+		}
+	})
+	w.run()
+	must.Eq(t, 2, claims, must.Sprint("one of each failure domain"))
+	must.SliceEmpty(t, w.ledger.finish())
+}
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/laburnumwalk/laburnumwalk/internal/membership"
+import (
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+)
 
 // Kinds of the messages between hosts that find each other and share leased
 // minions.
@@ -100,6 +104,10 @@
 	Divisions []DomainDivision `msgpack:"d,omitempty"`
 }
 
+// LateFactor is after how many times its objective an answer is worth nothing to
+// its caller (the users' rules).
+const LateFactor = 3
+
 // TaskStep is a set of equal tasks of a job.
 type TaskStep struct {
 	Count        int    `msgpack:"n"`
@@ -113,6 +121,25 @@
 	MaxPerMinion int    `msgpack:"x,omitempty"` // 0: no bound
 }
 
+// Declared returns the run time of a task as its caller declared it.
+func (s *TaskStep) Declared() time.Duration { return time.Duration(s.EstimateMS) * time.Millisecond }
+
+// LongestChain returns the time of the longest chain of steps that wait for each
+// other, by the time that a task of each takes.
+func LongestChain(steps []TaskStep, takes func(*TaskStep) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i := range steps {
+		var from time.Duration
+		for _, a := range steps[i].After {
+			from = max(from, ends[a])
+		}
+		ends[i] = from + takes(&steps[i])
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // JobOffer hands a job to the host that dispatches it. It is repeated until it
 // is answered.
 type JobOffer struct {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -79,20 +79,7 @@
 }
 
 // chain returns the expected time of the longest chain of steps.
-func (j *job) chain() time.Duration {
-	ends := make([]time.Duration, len(j.offer.Steps))
-	var longest time.Duration
-	for i := range j.offer.Steps {
-		s := &j.offer.Steps[i]
-		var from time.Duration
-		for _, a := range s.After {
-			from = max(from, ends[a])
-		}
-		ends[i] = from + j.expected(s)
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
+func (j *job) chain() time.Duration { return peer.LongestChain(j.offer.Steps, j.expected) }
 
 // left returns the expected time until the job's end, if all that can start
 // starts now.
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -4,14 +4,15 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
 // What an answer is worth to its caller (the users' tables of kinds).
 const (
 	worthInTime = 1.0
 	worthLate   = 0.2  // after the objective
-	worthServed = 0.02 // after lateFactor times the objective: hardly anything
-	lateFactor  = 3
+	worthServed = 0.02 // after peer.LateFactor times the objective: hardly anything
 	// Of a job's worth, fixedShare is the same for every job of its queue; the
 	// rest grows with its work, up to maxWorth.
 	fixedShare = 0.3
@@ -49,7 +50,7 @@
 
 // useful returns until when an answer is worth something to the caller.
 func (j *job) useful() time.Time {
-	t := j.arrived.Add(lateFactor * j.goal.Sub(j.arrived))
+	t := j.arrived.Add(peer.LateFactor * j.goal.Sub(j.arrived))
 	if j.deadline.Before(t) {
 		return j.deadline
 	}
