pool, entry: a new owner that does not know all minions waits

Ruled out: the listing (the minion was not in its list of minions at all).

Change: dispatchers tell a digest of their minions with their load; a job that is handed over or lost carries the digest of its last dispatcher, and only an owner with the same minions takes a listing of all for proof. Others wait until the earlier owner's time is over (1.7 s).

Before and after: TestJobWaitsWhereTheEarlierOwnerHadOtherMinions fails without it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,6 +108,7 @@
 	retryMS  int64     // shortest of their hints
 	tied     bool      // may have run on the minions of its shard
 	touched  bool      // may have run anywhere: never answered as not run
+	minions  uint64    // digest of the dispatcher's minions, as last heard
 	lostAt   time.Time // when its last dispatcher was lost
 	lost     lostOffer // to that dispatcher, until it is cancelled there
 }
@@ -253,7 +254,8 @@
 	j.to, j.domain = d.place(), d.FailureDomain
 	j.offer.Shard, j.offer.Of, j.offer.Cell = d.Shard, d.Of, d.Cell
 	j.heardAt = time.Time{}
-	j.offer.MayHaveRun = j.tied
+	j.offer.MayHaveRun, j.offer.Minions = j.tied, j.minions
+	j.minions = d.Load.Minions
 	t.count(d, j)
 	t.note(event.EntryJobForwarded, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.String("dispatcher", d.Host),
 		slog.Int64("load_age_ms", now.Sub(d.LoadAt).Milliseconds()), slog.Int64("free_cpu", d.Load.Free), slog.Int64("queued", d.Load.Queued),
@@ -275,7 +277,7 @@
 // Ack takes a dispatcher's word that it has the offer.
 func (t *Table) Ack(now time.Time, from string, a *peer.JobAck) {
 	if j := t.jobs[a.Job]; j != nil && j.to.host == from && j.offer.Offer == a.Offer {
-		j.heardAt = now
+		j.heardAt, j.minions = now, a.Load.Minions
 	}
 }
 
@@ -292,6 +294,7 @@
 		t.refused(now, j, r)
 	case peer.JobMoved:
 		j.offer.Done = r.Done
+		j.minions = r.Minions
 		j.tied = !r.Clean
 		j.touched = j.touched || j.tied
 		j.to = place{}
@@ -385,15 +388,21 @@
 			t.place(now, j)
 			continue
 		}
-		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.place() == j.to && d.serves(j) }) {
+		i := slices.IndexFunc(list, func(d Dispatcher) bool { return d.place() == j.to && d.serves(j) })
+		if i < 0 {
 			t.reoffer(now, j, "dispatcher is gone")
+			continue
 		}
+		j.minions = list[i].Load.Minions
 	}
 }
 
 // reoffer gives a job whose dispatcher is gone to the next one.
 func (t *Table) reoffer(now time.Time, j *open, reason string) {
 	t.note(event.EntryJobReoffered, slog.String("job", j.offer.Job), slog.String("from", j.to.host), slog.String("reason", reason))
+	if j.offer.MayHaveRun && now.Sub(j.lostAt) < endedTimeout {
+		j.minions = 0 // those of the dispatcher before this one are not known
+	}
 	j.tied, j.touched = true, true
 	j.lost, j.to = lostOffer{j.to, j.offer.Offer}, place{}
 	j.lostAt = now
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -294,3 +294,21 @@
 	x.Dispatchers(begin.Add(900*ms), []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
 	must.Len(t, 1, offers(x.Ready()))
 }
+
+// The next dispatcher is told which minions the lost one had; after two losses
+// nobody knows those of the first.
+func TestMinionsOfTheLostDispatcherAreTold(t *testing.T) {
+	x := newTable()
+	near := dispatcherOf("near", "a", 100_000, 0)
+	x.Dispatchers(begin, []Dispatcher{near})
+	submit(x, "j")
+	x.Ready()
+	near.Load.Minions = 7
+	x.Dispatchers(begin, []Dispatcher{near})
+	next := dispatcherOf("next", "a", 100_000, 0)
+	next.Load.Minions = 8
+	x.Dispatchers(begin, []Dispatcher{next})
+	must.Eq(t, 7, offers(x.Ready())[0].Body.(*peer.JobOffer).Minions)
+	x.Dispatchers(begin.Add(ms), []Dispatcher{dispatcherOf("third", "a", 100_000, 0)})
+	must.Eq(t, 0, offers(x.Ready())[0].Body.(*peer.JobOffer).Minions)
+}
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -34,7 +34,7 @@
 	}
 	x := d.shards[o.Shard]
 	if x == nil || x.of != o.Of || o.Cell != d.cell {
-		r := &pendingResult{left: 1, body: peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, Clean: !o.MayHaveRun, Reason: "not the shard's dispatcher"}}
+		r := &pendingResult{left: 1, body: peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, Clean: !o.MayHaveRun, Minions: o.Minions, Reason: "not the shard's dispatcher"}}
 		d.sendResult(now, key, r)
 		return
 	}
@@ -42,7 +42,7 @@
 	if from != d.self.Name {
 		d.sendTo(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
 	} else {
-		d.table.Ack(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer})
+		d.table.Ack(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Load: peer.PoolLoad{Minions: x.pool.MinionSet()}})
 	}
 }
 
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -75,9 +75,10 @@
 
 // PoolLoad is the state of the sender's queue and minions.
 type PoolLoad struct {
-	Capacity int64 `msgpack:"c"` // thousandths of a processor on minions that take work
-	Free     int64 `msgpack:"f"` // of these, not in use, in pieces that a usual task fits into
-	Queued   int64 `msgpack:"q"` // processor-milliseconds (thousandths of a processor times ms) of tasks that wait
+	Capacity int64  `msgpack:"c"` // thousandths of a processor on minions that take work
+	Free     int64  `msgpack:"f"` // of these, not in use, in pieces that a usual task fits into
+	Queued   int64  `msgpack:"q"` // processor-milliseconds (thousandths of a processor times ms) of tasks that wait
+	Minions  uint64 `msgpack:"m"` // digest of the minions that may run something, for whoever takes over
 }
 
 // Beat tells that the sender lives. It is sent at a fixed interval to the
@@ -159,6 +160,7 @@
 	LeftMS     int64      `msgpack:"l"`           // until the caller stops waiting
 	MayHaveRun bool       `msgpack:"u,omitempty"` // it was with another dispatcher of the failure domain
 	MayRunMS   int64      `msgpack:"m,omitempty"` // with MayHaveRun: how long that one may go on running it on minions that it reaches
+	Minions    uint64     `msgpack:"x,omitempty"` // with MayHaveRun: digest of that one's minions, as last heard
 	Done       []int      `msgpack:"d,omitempty"` // tasks, numbered over all steps, that are known to have ended
 }
 
@@ -190,6 +192,7 @@
 	RetryMS int64      `msgpack:"r,omitempty"` // of JobRefused: when there should be room
 	Done    []int      `msgpack:"d,omitempty"` // of JobMoved
 	Clean   bool       `msgpack:"c,omitempty"` // of JobMoved: nothing of it has run
+	Minions uint64     `msgpack:"m,omitempty"` // of JobMoved: digest of the sender's minions
 	Reason  string     `msgpack:"n,omitempty"`
 }
 
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -149,7 +149,7 @@
 
 // Load returns the state that other hosts choose by.
 func (p *Pool) Load() peer.PoolLoad {
-	var l peer.PoolLoad
+	l := peer.PoolLoad{Minions: p.set}
 	for _, m := range p.ordered {
 		if m.takesWork() {
 			l.Capacity += m.CPU
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
@@ -203,11 +204,11 @@
 }
 
 // settledFor reports whether an earlier owner certainly runs nothing of the job
-// that is not known here: all minions have been listed under this owner's token,
-// or that owner's time is over. Until then it may go on renewing the leases of
-// minions that this owner does not reach.
+// that is not known here: all of its minions are known and have been listed under
+// this owner's token, or that owner's time is over. Until then it may go on
+// renewing the leases of minions that this owner does not know or reach.
 func (p *Pool) settledFor(now time.Time, j *job) bool {
-	return p.allListed() || !now.Before(j.doubtful)
+	return j.offer.Minions == p.set && p.allListed() || !now.Before(j.doubtful)
 }
 
 // settled reports whether every minion that can answer has done so since the
@@ -216,6 +217,11 @@
 	return p.allListed() || now.Sub(p.tookAt) > p.cfg.Timing.MaxLease
 }
 
+// doubts reports whether a task may still run under an earlier owner.
+func (j *job) doubts() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.state == taskDoubtful })
+}
+
 func (p *Pool) allListed() bool {
 	for _, m := range p.ordered {
 		if !m.listed {
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
@@ -91,6 +92,7 @@
 		m = &minion{MinionRecord: r, runs: make(map[TaskRef]*run), calls: make(map[uint64]*holdCall)}
 		p.minions[r.ID] = m
 		p.ordered = append(p.ordered, m)
+		p.set ^= xxhash.Sum64String(r.ID)
 		slices.SortFunc(p.ordered, func(a, b *minion) int { return cmp.Compare(a.ID, b.ID) })
 		p.renew(now, m)
 		return
@@ -111,6 +113,7 @@
 
 func (p *Pool) drop(m *minion) {
 	delete(p.minions, m.ID)
+	p.set ^= xxhash.Sum64String(m.ID)
 	p.ordered = slices.DeleteFunc(p.ordered, func(x *minion) bool { return x == m })
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,6 +15,7 @@
 	cfg     Config
 	minions map[string]*minion
 	ordered []*minion // by ID
+	set     uint64    // digest of their IDs
 	jobs    map[string]*job
 	kinds   map[string]*kind
 	order   func(a, b rank) int
@@ -63,6 +64,10 @@
 // Token returns the highest token that the pool has used.
 func (p *Pool) Token() uint64 { return p.tokens.last }
 
+// MinionSet returns a digest of the minions that may run something of this pool.
+// An owner that takes over has heard all of them only if its own is the same.
+func (p *Pool) MinionSet() uint64 { return p.set }
+
 // Freeze ends new starts, before the minions are handed over.
 func (p *Pool) Freeze() { p.frozen = true }
 
@@ -70,10 +75,14 @@
 // that are known to be done.
 func (p *Pool) Release(now time.Time) {
 	for _, j := range p.sortedJobs() {
-		p.finish(now, j, peer.JobResult{Outcome: peer.JobMoved, Done: j.done(), Clean: !j.touched, Reason: "dispatcher hands over"})
+		r := peer.JobResult{Outcome: peer.JobMoved, Done: j.done(), Clean: !j.touched, Minions: p.set, Reason: "dispatcher hands over"}
+		if j.doubts() {
+			r.Minions = 0 // an owner before this one may have others
+		}
+		p.finish(now, j, r)
 	}
 	clear(p.minions)
-	p.ordered = nil
+	p.ordered, p.set = nil, 0
 	clear(p.ends)
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -263,3 +263,30 @@
 	s.pass(120 * ms)
 	must.Len(t, 1, s.out.Starts)
 }
+
+// An earlier owner may have run a job on a minion that this owner has not heard
+// of: that all known ones are listed says nothing then.
+func TestJobWaitsWhereTheEarlierOwnerHadOtherMinions(t *testing.T) {
+	earlier := newScript(t)
+	earlier.minion("a", 64_000)
+	earlier.minion("b", 64_000)
+	must.NotEq(t, 0, earlier.p.MinionSet())
+	s := newScript(t)
+	s.minion("a", 64_000)
+	offer := func(id string, minions uint64) {
+		s.p.Offer(s.now, "entry", &peer.JobOffer{
+			Job: id, Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, LeftMS: 5000, MayHaveRun: true, MayRunMS: 1700,
+			Minions: minions, Steps: []peer.TaskStep{{Count: 1, CPU: 27_000, MemoryMB: 1, EstimateMS: 100}},
+		})
+		s.take()
+	}
+	offer("other", earlier.p.MinionSet())
+	must.Len(t, 0, s.out.Starts)
+	offer("same", s.p.MinionSet())
+	must.Len(t, 1, s.out.Starts)
+	must.Eq(t, "same", s.out.Starts[0].Task.Job)
+	s.pass(1700 * ms)
+	s.held("a", &Listing{Running: []Running{{Task: s.out.Starts[0].Task, Run: 1, Percent: 50}}})
+	s.pass(20 * ms)
+	must.Len(t, 2, s.out.Starts)
+}
