settings: the time that a stop may take comes from the deployment

Cause: a stopping process answered requests for 5 s whatever the deployment allowed; where it is killed after 4 s that would cut requests in progress.

Change: stop_grace_s, filled in from the platform's bounds; five sixths of it are for requests, 5 s at most. Unchanged at 6 s.

--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -25,6 +26,7 @@
 	Seeds         []string `json:"seeds" validate:"dive,hostname_port"`
 	FirstStart    bool     `json:"first_start"`                             // of the whole system
 	DataFolder    string   `json:"data_folder"`                             // empty: no disk
+	StopGraceS    float64  `json:"stop_grace_s" validate:"min=1,max=60"`    // from a stop signal until the process is killed
 	Losses        int      `json:"tolerated_losses" validate:"min=0,max=3"` // control hosts that may be lost at once
 	Log           FleetLog `json:"log"`
 }
@@ -40,7 +42,7 @@
 
 // FleetDefaults returns the settings of every key that has a default.
 func FleetDefaults() Fleet {
-	return Fleet{Losses: 1, Log: FleetLog{Level: "info"}}
+	return Fleet{StopGraceS: 6, Losses: 1, Log: FleetLog{Level: "info"}}
 }
 
 // PeerAddress returns where connections of other hosts arrive.
@@ -51,6 +53,20 @@
 	return net.JoinHostPort(s.IP, s.PeerPort)
 }
 
+const (
+	// longestLinger is how long a stopping host takes jobs at most: few run longer.
+	longestLinger = 5 * time.Second
+	// closeShare is the part of the grace that is left for the last answers and
+	// for a process that gets little processor time.
+	closeShare = 6
+)
+
+// Linger returns for how long a stopping host goes on answering requests.
+func (s *Fleet) Linger() time.Duration {
+	grace := time.Duration(s.StopGraceS * float64(time.Second))
+	return min(longestLinger, grace-grace/closeShare)
+}
+
 // LoadFleet reads, decodes and checks a settings file. The error names the
 // file, and the line and key of each problem.
 func LoadFleet(path string) (Fleet, error) {
