pool: a start answered by the new process of a minion is not repeated

Ruled out: telling the processes apart by the clock in the answer: that of the new process passes the old reading when it has lived as long. Answers to starts do not carry the time of birth.

Before and after: TestStartAnsweredByTheNewProcessIsNotRepeated fails without it; TestRunsOfAMinionBornOutOfReachEnd bounds the wait.

--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -34,6 +34,7 @@
 	percent  float64
 	seenAt   time.Time // of the newest listing with it
 	movedAt  time.Time // when percent last rose
+	orphanAt time.Time // when the minion was found to have started anew; zero: it was not
 	stopping bool
 	stopAt   time.Time // when the stop was sent last
 	stopOK   time.Time // when it was confirmed; zero: not yet
@@ -53,6 +54,12 @@
 	return max(x.expected/10, x.expected-elapsed)
 }
 
+// orphaned reports whether a run that was confirmed before its minion was found
+// to have started anew has ended in either process: none has renewed its lease.
+func (x *run) orphaned(now time.Time, t *Timing) bool {
+	return !x.started && !x.orphanAt.IsZero() && now.Sub(x.orphanAt) > time.Duration(float64(t.MaxLease)/clockError)+holdGrace
+}
+
 // holdCall is a Hold without an answer.
 type holdCall struct {
 	token  uint64
@@ -117,8 +124,9 @@
 	p.ordered = slices.DeleteFunc(p.ordered, func(x *minion) bool { return x == m })
 }
 
-// restarted ends what an earlier process of the minion ran. A start without an
-// answer may still arrive at the new process: the next listing tells.
+// restarted doubts what runs on a minion that has started anew. A start may have
+// been answered by the new process already, or still arrive there: the next
+// listing under a newer token tells.
 func (p *Pool) restarted(now time.Time, m *minion, born int64) {
 	p.cfg.Note(event.PoolMinionReborn, slog.String("minion", m.ID), slog.Int64("born", born), slog.Int("runs", len(m.runs)))
 	m.Born = born
@@ -129,7 +137,7 @@
 	clear(m.calls) // their answers are the earlier process's
 	for _, x := range m.sortedRuns() {
 		if x.started {
-			p.endRun(now, m, x, EndLapsed)
+			x.started, x.orphanAt = false, now
 		}
 	}
 	p.renew(now, m)
@@ -299,6 +307,10 @@
 		m.token = p.tokens.next()
 	}
 	for _, x := range m.sortedRuns() {
+		if !m.reachable && x.orphaned(now, &p.cfg.Timing) {
+			p.endRun(now, m, x, EndLapsed)
+			continue
+		}
 		if x.stopping || x.owner == nil && now.Sub(p.tookAt) >= p.cfg.Timing.Adopt {
 			p.stop(now, m, x)
 			continue
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -290,3 +290,46 @@
 	s.pass(20 * ms)
 	must.Len(t, 2, s.out.Starts)
 }
+
+// A start may be answered by the new process of a minion before that is known
+// to be new: the task is not started elsewhere until a listing tells.
+func TestStartAnsweredByTheNewProcessIsNotRepeated(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.offer("j", 1, 27_000, 100)
+	first := s.started(AnswerOK)[0] // by the process that was born meanwhile
+	s.minion("b", 64_000)
+	s.pass(5 * ms)
+	s.p.Minion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1, Born: 9})
+	s.take()
+	must.Len(t, 0, s.out.Starts)
+	s.held("a", &Listing{Born: 9, Running: []Running{{Task: first.Task, Run: 1, Percent: 5}}})
+	s.pass(20 * ms)
+	must.Len(t, 0, s.out.Starts)
+	s.held("a", &Listing{Born: 9, Ended: []Ended{{Number: 1, Task: first.Task, Run: 1, How: EndDone}}})
+	must.Len(t, 1, s.out.Results)
+	must.Eq(t, peer.JobComplete, s.out.Results[0].Body.Outcome)
+}
+
+// Where the new process is out of reach, what ran there has ended with its
+// lease.
+func TestRunsOfAMinionBornOutOfReachEnd(t *testing.T) {
+	s := newScript(t)
+	s.minion("a", 64_000)
+	s.offer("j", 1, 27_000, 100)
+	s.started(AnswerOK)
+	s.minion("b", 64_000)
+	s.p.Minion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1, Born: 9})
+	s.take()
+	for range 5 {
+		s.pass(200 * ms)
+		s.held("b", &Listing{})
+	}
+	must.Len(t, 0, s.out.Starts)
+	for range 3 {
+		s.pass(200 * ms)
+		s.held("b", &Listing{})
+	}
+	must.Len(t, 1, s.out.Starts)
+	must.Eq(t, "b", s.out.Starts[0].Minion)
+}
