fleet, roster: readers of every control host's log get direct records only

Each push was also built anew for each subscriber, over all minions.

Ruled out: changes at a steady state (announcements that say nothing new are not logged).

Change: to a control host that is no neighbour only what minions announced here is told; neighbours still get everything, so a cut link is bridged. Subscribers that have read equally far share what is built.

--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -10,6 +10,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/roster"
 )
 
 const (
@@ -76,22 +77,19 @@
 
 // addControl adds the control hosts that this host keeps in touch with.
 func (d *decisions) addControl(out map[string]bool) {
-	var control []string
+	control := d.controlHosts()
 	domains := make(map[string]bool)
 	heard := 0
 	for _, h := range d.roster.Hosts() {
-		if h.Control {
-			control = append(control, h.Name)
-			if d.beatAt.Sub(h.HeardAt) < 2*controlEvery {
-				heard++
-			}
+		if h.Control && d.beatAt.Sub(h.HeardAt) < 2*controlEvery {
+			heard++
 		}
 		domains[h.FailureDomain] = true
 	}
 	var to []string
 	if d.self.Control {
 		all := append([]string{d.self.Name}, control...)
-		to = append(to, claim.Neighbours(d.self.Name, control)...)
+		to = append(to, d.neighbours()...)
 		for domain := range domains {
 			hubs := claim.Hubs(domain, all)
 			to = append(to, hubs...)
@@ -132,7 +130,7 @@
 	if b.LogOf != d.self.Incarnation {
 		after = 0
 	}
-	if r := d.roster.Delta(after, d.domainOf(b)); r != nil {
+	if r := d.roster.Delta(after, audience(b, d.neighbours())); r != nil {
 		d.sendTo(b.From.Name, r)
 	}
 	d.sentLog[b.From.Name] = d.roster.Log()
@@ -142,12 +140,27 @@
 	}
 }
 
-// domainOf returns whose minions a host is told of; empty: all.
-func (d *decisions) domainOf(b *peer.Beat) string {
-	if b.From.Control {
-		return ""
+// audience returns which minions a host is told of. Control hosts that are no
+// neighbours are hubs, which read every log.
+func audience(b *peer.Beat, neighbours []string) roster.Audience {
+	if !b.From.Control {
+		return roster.Audience{FailureDomain: b.From.FailureDomain}
 	}
-	return b.From.FailureDomain
+	return roster.Audience{Direct: !slices.Contains(neighbours, b.From.Name)}
+}
+
+// neighbours returns the control hosts that this one passes everything on to.
+func (d *decisions) neighbours() []string { return claim.Neighbours(d.self.Name, d.controlHosts()) }
+
+// controlHosts returns the other control hosts, by name.
+func (d *decisions) controlHosts() []string {
+	var out []string
+	for _, h := range d.roster.Hosts() {
+		if h.Control {
+			out = append(out, h.Name)
+		}
+	}
+	return out
 }
 
 // pushRoster tells subscribers at once what has changed.
@@ -156,6 +169,12 @@
 		return
 	}
 	d.pushedAt = now
+	neighbours := d.neighbours()
+	type part struct {
+		after uint64
+		to    roster.Audience
+	}
+	parts := make(map[part]*peer.Roster) // most subscribers have read as far as the others
 	for _, name := range slices.Sorted(maps.Keys(d.sentLog)) {
 		sent := d.sentLog[name]
 		if sent >= d.roster.Log() {
@@ -166,7 +185,13 @@
 			delete(d.sentLog, name)
 			continue
 		}
-		if r := d.roster.Delta(sent, d.domainOf(h.Beat)); r != nil && len(r.Hosts)+len(r.Minions)+len(r.Divisions) > 0 {
+		p := part{sent, audience(h.Beat, neighbours)}
+		r, known := parts[p]
+		if !known {
+			r = d.roster.Delta(p.after, p.to)
+			parts[p] = r
+		}
+		if r != nil && len(r.Hosts)+len(r.Minions)+len(r.Divisions) > 0 {
 			d.sendTo(name, r)
 		}
 		d.sentLog[name] = d.roster.Log()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,7 +34,14 @@
 
 type minionEntry struct {
 	peer.MinionRecord
-	at uint64
+	direct bool // announced to this host, not told by another
+	at     uint64
+}
+
+// Audience is what a reader of the log wants of the minions.
+type Audience struct {
+	FailureDomain string // of the minions; empty: all
+	Direct        bool   // only those that were announced here
 }
 
 type divisionEntry struct {
@@ -147,7 +154,7 @@
 	}
 	var changed []peer.MinionRecord
 	for _, rec := range m.Minions {
-		if r.Announce(rec) {
+		if r.learn(rec, false) {
 			changed = append(changed, rec)
 		}
 	}
@@ -179,10 +186,12 @@
 
 // Announce takes a minion's record and reports whether it tells something new.
 // Announcements of an earlier life, or overtaken ones, tell nothing.
-func (r *Roster) Announce(rec peer.MinionRecord) bool {
+func (r *Roster) Announce(rec peer.MinionRecord) bool { return r.learn(rec, true) }
+
+func (r *Roster) learn(rec peer.MinionRecord, direct bool) bool {
 	m := r.minions[rec.ID]
 	if m == nil {
-		r.minions[rec.ID] = &minionEntry{MinionRecord: rec, at: r.next()}
+		r.minions[rec.ID] = &minionEntry{MinionRecord: rec, direct: direct, at: r.next()}
 		return true
 	}
 	if c := cmp.Or(cmp.Compare(rec.Born, m.Born), cmp.Compare(rec.Seq, m.Seq)); c <= 0 {
@@ -194,7 +203,7 @@
 		m.Seq = rec.Seq
 		return false
 	}
-	m.MinionRecord = rec
+	m.MinionRecord, m.direct = rec, direct
 	m.at = r.next()
 	return true
 }
@@ -273,9 +282,8 @@
 // Host returns another host, or nil.
 func (r *Roster) Host(name string) *Host { return r.hosts[name] }
 
-// Delta returns what changed after a place in the log, for a host of the given
-// failure domain, or for all of them when it is empty; nil: nothing.
-func (r *Roster) Delta(after uint64, domain string) *peer.Roster {
+// Delta returns what changed after a place in the log; nil: nothing.
+func (r *Roster) Delta(after uint64, to Audience) *peer.Roster {
 	if after >= r.log {
 		return nil
 	}
@@ -288,7 +296,7 @@
 		}
 	}
 	for _, m := range r.minions {
-		if m.at > after && (domain == "" || m.FailureDomain == domain) {
+		if m.at > after && (to.FailureDomain == "" || m.FailureDomain == to.FailureDomain) && (m.direct || !to.Direct) {
 			d.Minions = append(d.Minions, m.MinionRecord)
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -34,7 +34,7 @@
 	control, entry := New(record("control")), New(record("entry"))
 	control.Heard(begin, beatOf("far"))
 	entry.Heard(begin, beatOf("control"))
-	entry.Merge("control", control.Delta(0, "a"))
+	entry.Merge("control", control.Delta(0, Audience{FailureDomain: "a"}))
 	for s := range 30 {
 		now := begin.Add(time.Duration(s) * time.Second)
 		control.Heard(now, beatOf("far"))
@@ -44,7 +44,7 @@
 	}
 	must.Eq(t, []string{"control", "far"}, names(entry))
 	_, place := entry.Place("control")
-	must.Nil(t, control.Delta(place, "a"), must.Sprint("nothing has changed"))
+	must.Nil(t, control.Delta(place, Audience{FailureDomain: "a"}), must.Sprint("nothing has changed"))
 }
 
 // A host that its tellers no longer hear of is dropped, and listed again when
@@ -52,17 +52,17 @@
 func TestLostHostsAreDropped(t *testing.T) {
 	control, entry := New(record("control")), New(record("entry"))
 	control.Heard(begin, beatOf("far"))
-	entry.Merge("control", control.Delta(0, "a"))
+	entry.Merge("control", control.Delta(0, Audience{FailureDomain: "a"}))
 	later := begin.Add(ForgetAfter + time.Second)
 	entry.Heard(later, beatOf("control"))
 	control.Tick(later)
 	_, place := entry.Place("control")
-	entry.Merge("control", control.Delta(place, "a"))
+	entry.Merge("control", control.Delta(place, Audience{FailureDomain: "a"}))
 	entry.Tick(later)
 	must.Eq(t, []string{"control"}, names(entry))
 	control.Heard(later, beatOf("far"))
 	_, place = entry.Place("control")
-	entry.Merge("control", control.Delta(place, "a"))
+	entry.Merge("control", control.Delta(place, Audience{FailureDomain: "a"}))
 	must.Eq(t, []string{"control", "far"}, names(entry))
 }
 
@@ -71,7 +71,7 @@
 	control, entry := New(record("control")), New(record("entry"))
 	control.Heard(begin, beatOf("far"))
 	entry.Heard(begin, beatOf("control"))
-	entry.Merge("control", control.Delta(0, "a"))
+	entry.Merge("control", control.Delta(0, Audience{FailureDomain: "a"}))
 	entry.Tick(begin.Add(ForgetAfter + time.Second))
 	must.Len(t, 0, names(entry))
 }
@@ -100,24 +100,37 @@
 func TestDeltaByDomain(t *testing.T) {
 	r := New(record("control"))
 	r.Announce(minionOf(1, false))
-	must.Len(t, 1, r.Delta(0, "a").Minions)
-	must.Len(t, 0, r.Delta(0, "b").Minions)
-	must.Len(t, 1, r.Delta(0, "").Minions)
-	must.Nil(t, r.Delta(r.Log(), ""))
+	must.Len(t, 1, r.Delta(0, Audience{FailureDomain: "a"}).Minions)
+	must.Len(t, 0, r.Delta(0, Audience{FailureDomain: "b"}).Minions)
+	must.Len(t, 1, r.Delta(0, Audience{}).Minions)
+	must.Nil(t, r.Delta(r.Log(), Audience{}))
 }
 
 // A part of the log that was lost is read again, though a later one arrived.
 func TestLostPartIsReadAgain(t *testing.T) {
 	control, entry := New(record("control")), New(record("entry"))
 	control.Announce(minionOf(1, false))
-	lost := control.Delta(0, "a")
+	lost := control.Delta(0, Audience{FailureDomain: "a"})
 	must.NotNil(t, lost)
 	place := control.Log()
 	control.Heard(begin, beatOf("far"))
-	entry.Merge("control", control.Delta(place, "a"))
+	entry.Merge("control", control.Delta(place, Audience{FailureDomain: "a"}))
 	_, read := entry.Place("control")
-	entry.Merge("control", control.Delta(read, "a"))
+	entry.Merge("control", control.Delta(read, Audience{FailureDomain: "a"}))
 	must.Len(t, 1, entry.Minions("a"))
 	_, read = entry.Place("control")
 	must.Eq(t, control.Log(), read)
 }
+
+// A reader of all control hosts' logs is told each minion once, by the host that
+// it announced itself to.
+func TestReadersOfAllLogsGetDirectRecordsOnly(t *testing.T) {
+	first, second := New(peer.HostRecord{Name: "first", Incarnation: "1"}), New(peer.HostRecord{Name: "second", Incarnation: "2"})
+	first.Announce(minionOf(1, false))
+	must.Len(t, 1, first.Delta(0, Audience{Direct: true}).Minions)
+	must.Len(t, 1, second.Merge("first", first.Delta(0, Audience{})))
+	must.Len(t, 0, second.Delta(0, Audience{Direct: true}).Minions)
+	must.Len(t, 1, second.Delta(0, Audience{}).Minions)
+	second.Announce(minionOf(2, true))
+	must.Len(t, 1, second.Delta(0, Audience{Direct: true}).Minions)
+}
