fleet: the simulation sees drains, callers that left and suspended hosts

Change: jobs of seconds, so that what goes on after its caller left shows; callers of a silent host come again at another; planned work after the faults. The test of the last fix lets a tick pass before the listing.

--- a/internal/fleet/sim_caller_test.go
+++ b/internal/fleet/sim_caller_test.go
@@ -12,6 +12,7 @@
 const (
 	simResend   = 1300 * time.Millisecond // platform's retransmit_ms
 	simPatience = 8 * time.Second         // of a caller over all its tries
+	simLongWait = 12 * time.Second        // for a job of seconds
 )
 
 // simCall is a caller with one job.
@@ -53,8 +54,14 @@
 		Attempts: 4, StretchPct: 160, AddMS: 60,
 	}
 	work := w.within(60*time.Millisecond, 440*time.Millisecond)
+	long := w.chance(0.01)
+	if long {
+		work = w.within(4*time.Second, 6*time.Second)
+	}
 	step := peer.TaskStep{Count: 1 + w.rng.IntN(4), CPU: 27_000, MemoryMB: 64, EstimateMS: max(1, int64(float64(work.Milliseconds())*(0.6+w.rng.Float64())))}
 	switch {
+	case long:
+		step.Count = 1
 	case w.chance(0.05):
 		step.MaxPerMinion = 1
 	case w.chance(0.03):
@@ -80,6 +87,9 @@
 	c.tries++
 	c.host = w.frontFor(c.domain)
 	c.deadline = w.now + w.within(1500*time.Millisecond, 3*time.Second)
+	if c.work[0] > 2*time.Second {
+		c.deadline = w.now + simLongWait
+	}
 	c.life, c.submitted = c.host.life, false
 	c.out = make(chan entry.Outcome, 1)
 	h, life, out := c.host, c.life, c.out
@@ -108,8 +118,14 @@
 	if w.chance(0.04) {
 		w.after(w.within(20*time.Millisecond, 500*time.Millisecond), func() { c.leave(out) })
 	}
-	// A host that does not answer at all loses its caller.
-	w.after(lasts+500*time.Millisecond, func() { c.leave(out) })
+	// A host that does not answer at all loses its caller, for good or to another.
+	w.after(lasts+500*time.Millisecond, func() {
+		if w.chance(0.5) {
+			c.reset(out)
+		} else {
+			c.leave(out)
+		}
+	})
 	if w.chance(0.01) {
 		w.after(w.within(20*time.Millisecond, 500*time.Millisecond), func() { c.reset(out) })
 	}
@@ -139,6 +155,7 @@
 	}
 	c.hangUp()
 	c.close(0)
+	c.w.after(simCancelBound+simStopTime, func() { c.w.ledger.left(c) })
 }
 
 // reset breaks the caller's connection; it comes again.
--- a/internal/fleet/sim_ledger_test.go
+++ b/internal/fleet/sim_ledger_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// left holds what runs of a job against its caller's leaving some time ago.
+func (l *simLedger) left(c *simCall) {
+	if !l.w.calm(2 * simCancelBound) {
+		return
+	}
+	for s := range c.offer.Steps {
+		for i := range c.offer.Steps[s].Count {
+			if m := l.present[simTask{Job: c.offer.Job, Step: s, Index: i}]; m != nil && !m.disturbed() {
+				l.breach("%s runs a task of %s, whose caller left at %v", m, c.offer.Job, c.closedAt)
+			}
+		}
+	}
+}
+
 func (l *simLedger) over(m *simMinion, x *simRun) {
 	if l.present[x.task] == m {
 		delete(l.present, x.task)
--- a/internal/fleet/sim_minion_test.go
+++ b/internal/fleet/sim_minion_test.go
@@ -304,6 +304,9 @@
 	return l
 }
 
+// disturbed reports whether orders may not reach the minion in time.
+func (m *simMinion) disturbed() bool { return m.lateness > 0 || m.w.now < m.muteFor }
+
 func (m *simMinion) String() string {
 	return fmt.Sprintf("%s life %d token %d", m.id, m.life, m.token)
 }
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -98,6 +98,8 @@
 	const settle = 4 * time.Second
 	w.after(settle, w.nextJob)
 	w.after(settle, w.nextFault)
+	// When all faults are over, planned work goes on.
+	w.after(settle+w.shape.faults+w.shape.rest/2, func() { w.minionDrain(time.Second) })
 	end := settle + w.shape.faults + w.shape.rest
 	for len(w.events) > 0 && w.events[0].at <= end+10*time.Second {
 		e := heap.Pop(&w.events).(simEvent)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -301,7 +301,7 @@
 	s.minion("b", 64_000)
 	s.pass(5 * ms)
 	s.p.Minion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1, Born: 9})
-	s.take()
+	s.pass(ms)
 	must.Len(t, 0, s.out.Starts)
 	s.held("a", &Listing{Born: 9, Running: []Running{{Task: first.Task, Run: 1, Percent: 5}}})
 	s.pass(20 * ms)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -118,4 +118,25 @@
 mutant 'leased: told hosts are forgotten' internal/roster/roster.go 's/	h.tellers\[from\] = true/	h.tellers[from] = false; delete(h.tellers, from)/' ./internal/roster ToldHosts
 mutant 'leased: late announcements count' internal/roster/roster.go 's/cmp.Compare(rec.Seq, m.Seq)); c <= 0 {/cmp.Compare(rec.Seq, m.Seq)); c == 0 {/' ./internal/roster Overtaken
 mutant 'leased: one answer makes a read' internal/control/read.go 's/return n >= majority(len(m.state.Chosen.Group))/return n >= 1/' ./internal/control SelfManaged
+mutant 'leased: an earlier owner that lives is not waited for' internal/pool/job.go 's/ || !now.Before(j.doubtful)$/ || now.Sub(p.tookAt) > 1070*time.Millisecond/' ./internal/pool LiveOwner
+mutant 'leased: minions of the earlier owner are not compared' internal/pool/job.go 's/return j.offer.Minions == p.set \&\& /return /' ./internal/pool OtherMinions
+mutant 'leased: confirmed runs end when their minion starts anew' internal/pool/minion.go 's/			x.started, x.orphanAt = false, now/			p.endRun(now, m, x, EndLapsed)/' ./internal/pool NewProcess
+mutant 'leased: a lost dispatcher is not told after a takeover' internal/entry/entry.go 's/	if j.lost.host != "" \&\& now/	if j.to.host == "" \&\& j.lost.host != "" \&\& now/' ./internal/entry CancelledAfter
+mutant 'leased: every log repeats what others told' internal/roster/roster.go 's/ \&\& (m.direct || !to.Direct)//' ./internal/roster DirectRecords
+# What the simulation of whole failure domains sees.
+readonly fleet='./internal/fleet RandomFaults$'
+mutant 'simulated: capacity is not counted' internal/pool/place.go 's/return m.usedCPU+s.CPU <= m.CPU \&\& /return /' $fleet
+mutant 'simulated: an unanswered start is repeated at once' internal/pool/place.go 's/^			p.renew(now, m)$/			p.endRun(now, m, x, EndStopped)/' $fleet
+mutant 'simulated: a lost minion is given up early' internal/pool/lease.go 's/m.clockMS(now) > m.maxUntil/m.clockMS(now) > m.maxUntil-300/' $fleet
+mutant 'simulated: steps do not wait for each other' internal/pool/job.go 's/j.tasks\[i\].ref.Step == a \&\& j.tasks\[i\].state != taskDone/j.tasks[i].ref.Step == a-100/' $fleet
+mutant 'simulated: spread over minions is ignored' internal/pool/place.go 's/if t.step.MaxPerMinion > 0 \&\& /if false \&\& /' $fleet
+mutant 'simulated: labels are ignored' internal/pool/place.go 's/(s.Label == "" || slices.Contains(m.Labels, s.Label))/true/' $fleet
+mutant 'simulated: minions that drain get work' internal/pool/place.go 's/ || m.Draining || m.Gone || m.replaced || m.clock == 0/ || m.clock == 0/' $fleet
+mutant 'simulated: a started job is refused as not run' internal/entry/entry.go 's/if o.Outcome == peer.JobRefused \&\& j.touched {/if false {/' $fleet
+mutant 'simulated: a suspended host goes on' internal/fleet/decisions.go 's/suspension = 500 \* time.Millisecond/suspension = time.Hour/' $fleet
+mutant 'simulated: callers that left are not missed' internal/fleet/decisions.go 's/^	d.table.Leave(now, job, waiter)/	_ = job/' $fleet
+mutant 'simulated: an answer before the last task' internal/pool/job.go 's/if j.open == 0 \&\& p.jobs/if j.open <= 1 \&\& p.jobs/' $fleet
+mutant 'simulated: an earlier owner that lives is not waited for' internal/pool/job.go 's/ || !now.Before(j.doubtful)$/ || now.Sub(p.tookAt) > 1070*time.Millisecond/' $fleet
+mutant 'simulated: lost dispatchers free their jobs at once' internal/entry/entry.go 's/j.tied, j.touched = true, true/j.touched = true/' $fleet
+mutant 'simulated: takeovers never happen' internal/claim/claim.go 's/case holder == nil || holder.Leaving:/case holder == nil \&\& len(others) > 3:/' $fleet
 exit $failed
