pool: overdue starts are asked about

The listing that tells what became of it may be lost as well, and was repeated after 100 ms.

A hold without an answer does not make a minion unreachable that has answered a later one.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	PoolMinionHeld     ID = 3104
 	PoolLeaseLapsed    ID = 3105
 	PoolDeposed        ID = 3108
+	PoolStartOverdue   ID = 3109
 	ClaimTaken         ID = 3111
 	ClaimReleased      ID = 3112
 	MinionRecorded     ID = 3113
@@ -138,6 +139,7 @@
 	{PoolMinionHeld, slog.LevelInfo, "minion held", "None."},
 	{PoolLeaseLapsed, slog.LevelWarn, "lease lapsed on a minion out of reach", "None; its tasks run elsewhere."},
 	{PoolDeposed, slog.LevelWarn, "minion obeys a newer token", "None; another host has taken it over."},
+	{PoolStartOverdue, slog.LevelInfo, "start overdue, minion is asked", "None."},
 	{ClaimTaken, slog.LevelInfo, "minions taken over", "None."},
 	{ClaimReleased, slog.LevelInfo, "minions handed over", "None."},
 	{MinionRecorded, slog.LevelInfo, "minion's announcement changed", "None."},
--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -14,7 +14,7 @@
 		return
 	}
 	m.tick(now, l.ClockMS)
-	m.failures = 0
+	m.failures, m.heardAt = 0, now
 	m.nextHold = now
 	if !m.reachable {
 		m.reachable = true
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -84,6 +84,7 @@
 	listClock int64     // of the newest listing
 	maxUntil  int64     // latest end of a lease that was asked for
 	calls     map[uint64]*holdCall
+	heardAt   time.Time // when the newest listing arrived
 	failures  int
 	nextHold  time.Time
 	health    health
@@ -182,7 +183,7 @@
 	case AnswerOtherProcess:
 		p.processEnded(now, m)
 	default:
-		p.holdFailed(now, m)
+		p.holdFailed(now, m, call)
 		p.tickMinion(now, m)
 	}
 	p.dispatch(now)
@@ -206,7 +207,11 @@
 	p.endAll(now, m)
 }
 
-func (p *Pool) holdFailed(now time.Time, m *minion) {
+// holdFailed notes a hold without an answer.
+func (p *Pool) holdFailed(now time.Time, m *minion, call *holdCall) {
+	if call.sentAt.Before(m.heardAt) {
+		return // the minion has answered another one since
+	}
 	if m.reachable {
 		p.cfg.Note(event.PoolMinionLost, slog.String("minion", m.ID), slog.String("reason", "no answer"), slog.Int("runs", len(m.runs)))
 	}
@@ -293,7 +298,7 @@
 		c := m.calls[serial]
 		if now.After(c.until) {
 			delete(m.calls, serial)
-			p.holdFailed(now, m)
+			p.holdFailed(now, m, c)
 			continue
 		}
 		regular = regular || !c.urgent
@@ -301,6 +306,7 @@
 	if !regular && !now.Before(m.nextHold) {
 		p.hold(now, m, p.waitOf(m), false)
 	}
+	p.chase(now, m)
 	if !m.reachable && m.lapsed(now) && len(m.runs) > 0 {
 		p.cfg.Note(event.PoolLeaseLapsed, slog.String("minion", m.ID), slog.Int("runs", len(m.runs)))
 		p.endAll(now, m)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -154,6 +154,7 @@
 	}
 	switch a {
 	case AnswerOK:
+		p.answered(now.Sub(x.sentAt))
 		if !x.started {
 			x.started, x.ackAt, x.ackClock, x.movedAt = true, now, clock, now
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,11 +21,13 @@
 	order   func(a, b rank) int
 	taskCPU float64 // usual thousandths of a processor of a task; 0: not known
 	frozen  bool    // no new starts: the owner hands over
-	tokens  tokenSource
-	serial  uint64
-	tookAt  time.Time // when the pool began to take minions over
-	ends    map[TaskRef]pastEnd
-	ready   Ready
+
+	answerTime time.Duration // usual time to the answer of a start
+	tokens     tokenSource
+	serial     uint64
+	tookAt     time.Time // when the pool began to take minions over
+	ends       map[TaskRef]pastEnd
+	ready      Ready
 }
 
 // pastEnd is an end that was listed before its job was offered here.
