pool: two holds of a busy minion while holds are lost

Change: for 3 s after a hold was lost, busy minions have two holds, half their wait apart; one of them lists an end at once. Otherwise one, as before.

Ruled out: two holds always (each look at a minion costs).

--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -209,6 +209,7 @@
 
 // holdFailed notes a hold without an answer.
 func (p *Pool) holdFailed(now time.Time, m *minion, call *holdCall) {
+	p.lostAt = now
 	if call.sentAt.Before(m.heardAt) {
 		return // the minion has answered another one since
 	}
@@ -293,7 +294,8 @@
 
 // tickMinion keeps the minion held, repeats stops, and ends what has lapsed.
 func (p *Pool) tickMinion(now time.Time, m *minion) {
-	regular := false
+	regular := 0
+	var newest time.Time
 	for _, serial := range slices.Sorted(maps.Keys(m.calls)) {
 		c := m.calls[serial]
 		if now.After(c.until) {
@@ -301,10 +303,15 @@
 			p.holdFailed(now, m, c)
 			continue
 		}
-		regular = regular || !c.urgent
+		if !c.urgent {
+			regular++
+			newest = c.sentAt
+		}
 	}
-	if !regular && !now.Before(m.nextHold) {
-		p.hold(now, m, p.waitOf(m), false)
+	wait := p.waitOf(m)
+	second := regular == 1 && p.lossy(now) && len(m.runs) > 0 && m.reachable && now.Sub(newest) >= wait/2
+	if (regular == 0 || second) && !now.Before(m.nextHold) {
+		p.hold(now, m, wait, false)
 	}
 	p.chase(now, m)
 	if !m.reachable && m.lapsed(now) && len(m.runs) > 0 {
--- a/internal/pool/overdue.go
+++ b/internal/pool/overdue.go
@@ -29,6 +29,15 @@
 	p.answerTime += time.Duration(answerRate * float64(took-p.answerTime))
 }
 
+// lossyFor is for how long after a lost hold busy minions have two at a time.
+const lossyFor = 3 * time.Second
+
+// lossy reports whether holds are being lost. An end is then listed by a second
+// hold, which would otherwise wait until the loss of the first is noticed.
+func (p *Pool) lossy(now time.Time) bool {
+	return !p.lostAt.IsZero() && now.Sub(p.lostAt) < lossyFor
+}
+
 // chase asks a minion about starts that are overdue, long before they count as
 // unanswered: a job of many tasks would be late for one order that is lost. The
 // listing is asked for under a newer token, so that it is final.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,6 +23,7 @@
 	frozen  bool    // no new starts: the owner hands over
 
 	answerTime time.Duration // usual time to the answer of a start
+	lostAt     time.Time     // when a hold was last found to be lost
 	tokens     tokenSource
 	serial     uint64
 	tookAt     time.Time // when the pool began to take minions over
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -389,3 +389,22 @@
 	}
 	must.Between(t, 75*ms, s.p.overdue(), 81*ms)
 }
+
+// While holds are lost a busy minion has two of them, half their wait apart.
+func TestBusyMinionsHaveTwoHoldsWhileSomeAreLost(t *testing.T) {
+	holds := func(lostBefore time.Duration) int {
+		s := newScript(t)
+		s.minion("a", 64_000)
+		s.offer("j", 1, 27_000, 1000)
+		running := []Running{{Task: s.started(AnswerOK)[0].Task, Run: 1}}
+		s.p.lostAt = s.now.Add(-lostBefore)
+		s.held("a", &Listing{Running: running})
+		s.out.Holds = nil
+		for range 4 {
+			s.pass(20 * ms)
+		}
+		return len(s.out.Holds)
+	}
+	must.Eq(t, 1, holds(lossyFor))
+	must.Eq(t, 2, holds(0))
+}
