fleet, pool: a host that stops last goes on dispatching

Both hosts were told to stop, 1.2 s apart. The second one stopped starting because there was another live host; that one was leaving as well, and nobody claimed the minions before a new process did.

Ruled out: the backlog (no run was on the minions); claims that were lost.

Change: starts end only where a host that stays can claim, and for 0.1 s: an owner that nobody has succeeded by then goes on.

Before and after: TestOverlappingStopsGoOnServing fails without it.

--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -2,8 +2,10 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
@@ -256,9 +258,11 @@
 func (d *decisions) shutDown(now time.Time) {
 	d.leaving = true
 	d.beatSoon = true
-	if len(d.candidates(now)) > 0 {
-		for _, x := range d.shards {
-			x.pool.Freeze()
-		}
+	staying := slices.ContainsFunc(d.candidates(now), func(c claim.Candidate) bool { return !c.Leaving })
+	if !staying {
+		return // this host dispatches to its end
+	}
+	for _, x := range d.ordered() {
+		x.pool.Freeze(now)
 	}
 }
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -49,3 +49,29 @@
 	must.Eq(t, 2, claims, must.Sprint("one of each failure domain"))
 	must.SliceEmpty(t, w.ledger.finish())
 }
+
+// When all hosts of a failure domain are stopped one after the other, the last
+// goes on dispatching until it ends.
+func TestOverlappingStopsGoOnServing(t *testing.T) {
+	w := newWorld(simShape{domains: 1, entries: 2, minions: 12, load: 0.5, rest: 14 * time.Second}, 1)
+	const first, second, linger = 8 * time.Second, 9 * time.Second, 5 * time.Second
+	w.after(first, func() { w.byName["e0-0"].shutDown(linger) })
+	w.after(second, func() { w.byName["e0-1"].shutDown(linger) })
+	w.after(second+linger+time.Second, func() { w.byName["e0-0"].launch(); w.byName["e0-1"].launch() })
+	asked, served := 0, 0
+	w.after(second+linger, func() {
+		for _, c := range w.calls {
+			left := c.closed && c.outcome == 0
+			if c.began > second && c.began < second+linger-time.Second && c.work[0] < time.Second && !left {
+				asked++
+				if c.outcome == peer.JobComplete {
+					served++
+				}
+			}
+		}
+	})
+	w.run()
+	must.SliceEmpty(t, w.ledger.finish())
+	must.Greater(t, 30, asked)
+	must.GreaterEq(t, 9*asked, 10*served, must.Sprintf("%d of %d", served, asked))
+}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -35,7 +35,7 @@
 // dispatch starts what can be started, in the order of the queue. It looks
 // past a task that fits nowhere: a smaller one behind it may fit.
 func (p *Pool) dispatch(now time.Time) {
-	if p.frozen || !p.anyRoom() {
+	if now.Before(p.frozen) || !p.anyRoom() {
 		return
 	}
 	for _, r := range p.queue(now) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,8 +19,8 @@
 	jobs    map[string]*job
 	kinds   map[string]*kind
 	order   func(a, b rank) int
-	taskCPU float64 // usual thousandths of a processor of a task; 0: not known
-	frozen  bool    // no new starts: the owner hands over
+	taskCPU float64   // usual thousandths of a processor of a task; 0: not known
+	frozen  time.Time // until when there are no new starts: the owner hands over
 
 	answerTime time.Duration // usual time to the answer of a start
 	lostAt     time.Time     // when a hold was last found to be lost
@@ -58,7 +58,7 @@
 func (p *Pool) Claim(now time.Time, token uint64) {
 	p.tokens.raise(token)
 	p.tookAt = now
-	p.frozen = false
+	p.frozen = time.Time{}
 	for _, m := range p.ordered {
 		p.renew(now, m)
 	}
@@ -71,8 +71,12 @@
 // An owner that takes over has heard all of them only if its own is the same.
 func (p *Pool) MinionSet() uint64 { return p.set }
 
-// Freeze ends new starts, before the minions are handed over.
-func (p *Pool) Freeze() { p.frozen = true }
+// handOver is for how long an owner that is about to hand over starts nothing: the
+// next one claims within two ticks. If none does, this one goes on.
+const handOver = 100 * time.Millisecond
+
+// Freeze ends new starts for a while, before the minions are handed over.
+func (p *Pool) Freeze(now time.Time) { p.frozen = now.Add(handOver) }
 
 // Release gives up all minions and jobs: every job is moved, with the tasks
 // that are known to be done.
