fleet: a host's new process is noticed by its first message

A host that has just started offers its first jobs up to 0.2 s before its first beat reaches the dispatcher; that beat told of the new process, and everything of the host was taken for the earlier one's.

Ruled out: silence of the host (the jobs were given up within 0.1 s of the offers).

Change: each message carries its sender's process already; the first one of a new process ends what the earlier one left, and late ones of an earlier process are dropped. The roster's report of restarts is gone with its test; the fleet's test TestNewProcessOfAHostEndsTheEarlierOnesJobs checks that and more.

Before and after: that test fails without it.

--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -112,13 +112,7 @@
 // beat takes the beat of another host.
 func (d *decisions) beat(now time.Time, b *peer.Beat) {
 	known := d.roster.Host(b.From.Name) != nil
-	if d.roster.Heard(now, b) {
-		d.table.HostRestarted(now, b.From.Name)
-		for _, x := range d.ordered() {
-			x.pool.HostLost(now, b.From.Name)
-		}
-		delete(d.sentLog, b.From.Name)
-	}
+	d.roster.Heard(now, b)
 	if !known {
 		d.note(event.PeerUp, slog.String("host", b.From.Name), slog.String("failure_domain", b.From.FailureDomain))
 		d.hostsChanged()
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -63,6 +63,7 @@
 	results map[resultKey]*pendingResult
 	sentLog map[string]uint64    // by host: how much of the roster log was sent
 	heardAt map[string]time.Time // by host that offers jobs: its newest message
+	lives   map[string]lives     // by host, while it is in heardAt
 
 	startedAt time.Time
 	deposedAt time.Time     // when a claim was lost
@@ -100,7 +101,7 @@
 		roster: roster.New(self), table: entry.New(now, self.Name, self.FailureDomain, offers, out.note),
 		shards: make(map[int]*shard), of: 1, cells: peer.Division{Cells: 1},
 		waiters: make(map[uint64]chan entry.Outcome), results: make(map[resultKey]*pendingResult),
-		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), startedAt: now,
+		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), lives: make(map[string]lives), startedAt: now,
 	}
 }
 
@@ -120,6 +121,7 @@
 	for name, at := range d.heardAt {
 		if now.Sub(at) > roster.ForgetAfter {
 			delete(d.heardAt, name)
+			delete(d.lives, name)
 		}
 	}
 	if d.self.Entry {
@@ -144,8 +146,37 @@
 	d.deposedAt, d.wokeAt = now, now
 }
 
+// lives are the processes that a host's messages came from.
+type lives struct {
+	present, before membership.Incarnation
+}
+
+// ofThisLife reports whether a message is from a host's present process. The
+// first one of a new process, whatever it is, ends what the earlier one left.
+func (d *decisions) ofThisLife(now time.Time, from string, inc membership.Incarnation) bool {
+	l := d.lives[from]
+	switch inc {
+	case l.present:
+		return true
+	case l.before:
+		return false
+	}
+	d.lives[from] = lives{present: inc, before: l.present}
+	if l.present != "" {
+		d.table.HostRestarted(now, from)
+		for _, x := range d.ordered() {
+			x.pool.HostLost(now, from)
+		}
+		delete(d.sentLog, from)
+	}
+	return true
+}
+
 // receive takes a message of another host, or of the own one.
-func (d *decisions) receive(now time.Time, from string, b peer.Body) {
+func (d *decisions) receive(now time.Time, from string, inc membership.Incarnation, b peer.Body) {
+	if !d.ofThisLife(now, from, inc) {
+		return
+	}
 	d.heardAt[from] = now
 	switch m := b.(type) {
 	case *peer.Beat:
@@ -194,7 +225,7 @@
 		local := d.local
 		d.local = nil
 		for _, b := range local {
-			d.receive(now, d.self.Name, b)
+			d.receive(now, d.self.Name, d.self.Incarnation, b)
 		}
 	}
 	d.pushRoster(now)
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/pool"
 	"github.com/shoenig/test/must"
 )
 
@@ -75,3 +77,30 @@
 	must.Greater(t, 30, asked)
 	must.GreaterEq(t, 9*asked, 10*served, must.Sprintf("%d of %d", served, asked))
 }
+
+// The first message of a host's new process, whatever it is, ends the jobs of
+// the earlier one. A beat that comes after it ends none of its own.
+func TestNewProcessOfAHostEndsTheEarlierOnesJobs(t *testing.T) {
+	w := newWorld(simShape{domains: 1, entries: 2, minions: 2, rest: time.Second}, 1)
+	h := w.byName["e0-0"]
+	h.launch()
+	x := &shard{of: 1, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Note: h.note})}
+	x.pool.Minion(simBegin, peer.MinionRecord{ID: "m", Service: "s", CPU: simCPU, MemoryMB: 100, Seq: 1})
+	h.d.shards[0] = x
+	offer := func(inc membership.Incarnation, job string) {
+		h.d.receive(simBegin, "far", inc, &peer.JobOffer{Job: job, Offer: 1, Of: 1, Service: "s", StretchPct: 160, AddMS: 60, LeftMS: 1000,
+			Steps: []peer.TaskStep{{Count: 1, CPU: 1000, MemoryMB: 1, EstimateMS: 100}}})
+	}
+	beat := func(inc membership.Incarnation) {
+		h.d.receive(simBegin, "far", inc, &peer.Beat{From: peer.HostRecord{Name: "far", Entry: true, Incarnation: inc}})
+	}
+	beat("1")
+	offer("1", "earlier")
+	must.Eq(t, 1, x.pool.Jobs())
+	offer("2", "new")
+	must.Eq(t, 1, x.pool.Jobs(), must.Sprint("the earlier process's job is given up"))
+	beat("2")
+	must.Eq(t, 1, x.pool.Jobs(), must.Sprint("the new process's job goes on"))
+	offer("1", "late")
+	must.Eq(t, 1, x.pool.Jobs(), must.Sprint("a late message of the earlier process counts for nothing"))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -229,7 +229,7 @@
 func (h *Host) push(f func(now time.Time)) bool { return h.inputs.TryPush(f) }
 
 // receive takes a message of another host.
-func (h *Host) receive(from string, _ membership.Incarnation, b peer.Body) {
+func (h *Host) receive(from string, inc membership.Incarnation, b peer.Body) {
 	if peer.IsControl(b.Kind()) {
 		h.control.Receive(from, b)
 		return
@@ -237,7 +237,7 @@
 	if beat, ok := b.(*peer.Beat); ok {
 		h.control.Hint(from, beat.Config)
 	}
-	h.push(func(now time.Time) { h.decisions.receive(now, from, b) })
+	h.push(func(now time.Time) { h.decisions.receive(now, from, inc, b) })
 }
 
 func (h *Host) connectionClosed(from string, inc membership.Incarnation) {
--- a/internal/fleet/sim_link_test.go
+++ b/internal/fleet/sim_link_test.go
@@ -78,7 +78,7 @@
 		panic(err)
 	}
 	h.sent++
-	life, theirs := h.life, other.life
+	life, theirs, inc := h.life, other.life, h.rec.Incarnation
 	w.deliver(h.rec.Name, to, func() {
 		if h.life != life && w.chance(0.5) || other.life != theirs {
 			return // the connection ended with a process
@@ -87,6 +87,6 @@
 		if err != nil {
 			panic(err)
 		}
-		other.input(func(now time.Time) { other.d.receive(now, h.rec.Name, body) })
+		other.input(func(now time.Time) { other.d.receive(now, h.rec.Name, inc, body) })
 	})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -85,11 +85,10 @@
 	return r.log
 }
 
-// Heard takes a beat and reports whether its sender has started anew since the
-// last one.
-func (r *Roster) Heard(now time.Time, b *peer.Beat) (restarted bool) {
+// Heard takes a beat.
+func (r *Roster) Heard(now time.Time, b *peer.Beat) {
 	if b.From.Name == r.self.Name {
-		return false
+		return
 	}
 	h := r.hosts[b.From.Name]
 	if h == nil {
@@ -97,14 +96,12 @@
 		r.hosts[b.From.Name] = h
 	}
 	r.Divide(b.From.FailureDomain, b.Division)
-	restarted = h.Beat != nil && h.Incarnation != b.From.Incarnation
 	if h.HostRecord != b.From || h.HeardAt.IsZero() || h.gone {
 		h.HostRecord = b.From
 		h.at = r.next()
 		r.listed = nil
 	}
 	h.Beat, h.HeardAt, h.LoadAt, h.Closed, h.gone = b, now, now, time.Time{}, false
-	return restarted
 }
 
 // Loaded takes the load of a shard that its dispatcher told between two beats.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -88,14 +88,6 @@
 	must.False(t, r.Announce(minionOf(9, true)), must.Sprint("of an earlier life"))
 }
 
-func TestRestartIsNoticed(t *testing.T) {
-	r := New(record("self"))
-	must.False(t, r.Heard(begin, beatOf("x")))
-	again := beatOf("x")
-	again.From.Incarnation = "j"
-	must.True(t, r.Heard(begin, again))
-}
-
 // Deltas carry the minions of the asker's failure domain only.
 func TestDeltaByDomain(t *testing.T) {
 	r := New(record("control"))
