--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -85,6 +85,7 @@
 	h := w.byName["e0-0"]
 	h.launch()
 	x := &shard{of: 1, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Note: h.note})}
+	x.pool.Claim(simBegin, 1<<30)
 	x.pool.Minion(simBegin, peer.MinionRecord{ID: "m", Service: "s", CPU: simCPU, MemoryMB: 100, Seq: 1})
 	h.d.shards[0] = x
 	offer := func(inc membership.Incarnation, job string) {
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -179,7 +179,7 @@
 func (w *world) seeds() []string {
 	var out []string
 	for _, h := range w.hosts {
-		if h.rec.Control {
+		if h.rec.Control && strings.HasSuffix(h.rec.Name, "-0") {
 			out = append(out, h.rec.Name)
 		}
 	}
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -39,6 +39,7 @@
 // simShape is the size of a simulated system and what happens to it.
 type simShape struct {
 	domains, entries, minions int // entries and minions of each domain
+	controls                  int // of each domain; 0: one
 	load                      float64
 	faults                    time.Duration // for how long faults come
 	rest                      time.Duration // after the last fault
@@ -76,7 +77,9 @@
 	w.ledger.starts = make(map[string]int)
 	for d := range shape.domains {
 		domain := fmt.Sprintf("z%d", d)
-		w.addHost(peer.HostRecord{Name: fmt.Sprintf("c%d", d), FailureDomain: domain, Control: true})
+		for i := range max(1, shape.controls) {
+			w.addHost(peer.HostRecord{Name: fmt.Sprintf("c%d-%d", d, i), FailureDomain: domain, Control: true})
+		}
 		for i := range shape.entries {
 			w.addHost(peer.HostRecord{Name: fmt.Sprintf("e%d-%d", d, i), FailureDomain: domain, Entry: true})
 		}
