fleet, entry, link: offers that a cut link held back are ignored

The sender had replaced the connection after 1 s and repeated its offers on the next one. When the cut healed, the repetitions came first and were refused as too old, which callers were told as not run; then the originals of the first connection came, looked new, and were started (jobs 68, 69 and 6a in the logs of 127.9.40.2).

Ruled out: refused jobs that were started before (each start follows the refusal); a result that was lost.

Change: beats carry a clock of the sender; an offer carries the newest clock that was heard from its receiver and how long ago, so the receiver knows its time on the way and ignores what took over 0.4 s. Offers that have ended are remembered for 0.8 s. An acknowledgement of an offer that is no longer wanted is answered by a cancellation. A connection that has fallen silent is reset, so that the kernel drops what it holds.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -274,10 +274,16 @@
 	t.send(j.to.host, &o)
 }
 
-// Ack takes a dispatcher's word that it has the offer.
+// Ack takes a dispatcher's word that it has the offer. One that is no longer
+// wanted is cancelled there: the cancellation may have come before the offer.
 func (t *Table) Ack(now time.Time, from string, a *peer.JobAck) {
-	if j := t.jobs[a.Job]; j != nil && j.to.host == from && j.offer.Offer == a.Offer {
+	j := t.jobs[a.Job]
+	if j != nil && j.to.host == from && j.offer.Offer == a.Offer {
 		j.heardAt, j.minions = now, a.Load.Minions
+		return
+	}
+	if j == nil || j.lost.host != from || j.lost.number != a.Offer {
+		t.send(from, &peer.JobCancel{Job: a.Job, Offer: a.Offer, Shard: a.Shard})
 	}
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -312,3 +312,19 @@
 	x.Dispatchers(begin.Add(ms), []Dispatcher{dispatcherOf("third", "a", 100_000, 0)})
 	must.Eq(t, 0, offers(x.Ready())[0].Body.(*peer.JobOffer).Minions)
 }
+
+// A dispatcher that takes an offer which is no longer wanted is told so: the
+// cancellation may have overtaken the offer.
+func TestUnwantedAckIsCancelled(t *testing.T) {
+	x := newTable()
+	x.Dispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+	submit(x, "j")
+	o := offers(x.Ready())[0].Body.(*peer.JobOffer)
+	x.Ack(begin, "near", &peer.JobAck{Job: "j", Offer: o.Offer})
+	must.Len(t, 0, x.Ready().Messages)
+	x.Ack(begin, "far", &peer.JobAck{Job: "j", Offer: o.Offer - 1, Shard: 3})
+	m := x.Ready().Messages
+	must.Len(t, 1, m)
+	must.Eq(t, "far", m[0].To)
+	must.Eq(t, peer.JobCancel{Job: "j", Offer: o.Offer - 1, Shard: 3}, *m[0].Body.(*peer.JobCancel))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,7 @@
 	AnnouncementBad    ID = 3114
 	MinionAnswerBad    ID = 3115
 	DomainDivided      ID = 3116
+	OfferStale         ID = 3117
 
 	PeerUp        ID = 4001
 	PeerDown      ID = 4002
@@ -146,6 +147,7 @@
 	{AnnouncementBad, slog.LevelWarn, "announcement refused as unreadable", "Check the sender."},
 	{MinionAnswerBad, slog.LevelWarn, "minion's answer unreadable", "Check the minion's release."},
 	{DomainDivided, slog.LevelInfo, "failure domain divided into another number of cells", "None."},
+	{OfferStale, slog.LevelInfo, "offer ignored that was long on its way", "None; its sender repeats it."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -45,7 +45,7 @@
 
 // newBeat returns the beat for one host; self is the same for all of a round.
 func (d *decisions) newBeat(self *claim.Candidate, to string) *peer.Beat {
-	b := &peer.Beat{From: d.self, Config: d.version(), Leaving: self.Leaving, Claims: self.Claims, Division: d.cells}
+	b := &peer.Beat{From: d.self, Config: d.version(), Leaving: self.Leaving, Claims: self.Claims, Division: d.cells, Clock: d.clock()}
 	b.LogOf, b.Log = d.roster.Place(to)
 	return b
 }
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -61,9 +61,10 @@
 	waiters map[uint64]chan entry.Outcome
 	nextID  uint64
 	results map[resultKey]*pendingResult
-	sentLog map[string]uint64    // by host: how much of the roster log was sent
-	heardAt map[string]time.Time // by host that offers jobs: its newest message
-	lives   map[string]lives     // by host, while it is in heardAt
+	ended   map[resultKey]time.Time // offers that have ended here lately
+	sentLog map[string]uint64       // by host: how much of the roster log was sent
+	heardAt map[string]time.Time    // by host that offers jobs: its newest message
+	lives   map[string]lives        // by host, while it is in heardAt
 
 	startedAt time.Time
 	deposedAt time.Time     // when a claim was lost
@@ -100,7 +101,7 @@
 		outside: out, self: self, own: own,
 		roster: roster.New(self), table: entry.New(now, self.Name, self.FailureDomain, offers, out.note),
 		shards: make(map[int]*shard), of: 1, cells: peer.Division{Cells: 1},
-		waiters: make(map[uint64]chan entry.Outcome), results: make(map[resultKey]*pendingResult),
+		waiters: make(map[uint64]chan entry.Outcome), results: make(map[resultKey]*pendingResult), ended: make(map[resultKey]time.Time),
 		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), lives: make(map[string]lives), startedAt: now,
 	}
 }
@@ -132,6 +133,7 @@
 			x.pool.Tick(now)
 		}
 		d.tickResults(now)
+		d.forgetOffers(now)
 	}
 	d.tickBeats(now)
 }
@@ -193,6 +195,7 @@
 	case *peer.JobResultAck:
 		delete(d.results, resultKey{from, m.Job, m.Offer})
 	case *peer.JobCancel:
+		d.ended[resultKey{from, m.Job, m.Offer}] = now
 		if x := d.shards[m.Shard]; x != nil {
 			x.pool.Cancel(now, from, m)
 		}
@@ -215,7 +218,7 @@
 // flush carries out what the decisions ask for.
 func (d *decisions) flush(now time.Time) {
 	for range maxRounds {
-		d.flushTable()
+		d.flushTable(now)
 		for _, x := range d.ordered() {
 			d.flushPool(now, x)
 		}
@@ -234,9 +237,12 @@
 	}
 }
 
-func (d *decisions) flushTable() {
+func (d *decisions) flushTable(now time.Time) {
 	r := d.table.Ready()
 	for _, m := range r.Messages {
+		if o, ok := m.Body.(*peer.JobOffer); ok {
+			d.stamp(now, m.To, o)
+		}
 		d.sendTo(m.To, m.Body)
 	}
 	for _, a := range r.Answers {
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -89,7 +89,7 @@
 	x.pool.Minion(simBegin, peer.MinionRecord{ID: "m", Service: "s", CPU: simCPU, MemoryMB: 100, Seq: 1})
 	h.d.shards[0] = x
 	offer := func(inc membership.Incarnation, job string) {
-		h.d.receive(simBegin, "far", inc, &peer.JobOffer{Job: job, Offer: 1, Of: 1, Service: "s", StretchPct: 160, AddMS: 60, LeftMS: 1000,
+		h.d.receive(simBegin, "far", inc, &peer.JobOffer{Job: job, Offer: 1, Heard: h.d.clock(), Of: 1, Service: "s", StretchPct: 160, AddMS: 60, LeftMS: 1000,
 			Steps: []peer.TaskStep{{Count: 1, CPU: 1000, MemoryMB: 1, EstimateMS: 100}}})
 	}
 	beat := func(inc membership.Incarnation) {
@@ -105,3 +105,38 @@
 	offer("1", "late")
 	must.Eq(t, 1, x.pool.Jobs(), must.Sprint("a late message of the earlier process counts for nothing"))
 }
+
+// An offer that was on its way for long is ignored: its job may have ended or run
+// elsewhere. So is a second copy of one that has ended.
+func TestStaleOffersAreIgnored(t *testing.T) {
+	w := newWorld(simShape{domains: 1, entries: 2, minions: 2, rest: time.Second}, 1)
+	h := w.byName["e0-0"]
+	h.launch()
+	now, boot := simBegin, time.Hour
+	h.d.awake(now, boot)
+	x := &shard{of: 1, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Note: h.note})}
+	x.pool.Claim(now, 1<<30)
+	x.pool.Minion(now, peer.MinionRecord{ID: "m", Service: "s", CPU: simCPU, MemoryMB: 100, Seq: 1})
+	h.d.shards[0] = x
+	offer := func(job string, heard, ago int64) {
+		h.d.receive(now, "far", "1", &peer.JobOffer{Job: job, Offer: 1, Of: 1, Service: "s", StretchPct: 160, AddMS: 60, LeftMS: 1000, Heard: heard, HeardAgoMS: ago,
+			Steps: []peer.TaskStep{{Count: 1, CPU: 1000, MemoryMB: 1, EstimateMS: 100}}})
+	}
+	heard := h.d.clock()
+	pass := func(d time.Duration) {
+		now, boot = now.Add(d), boot+d
+		h.d.awake(now, boot)
+	}
+	pass(300 * time.Millisecond)
+	offer("fresh", heard, 250) // 50 ms on its way
+	must.Eq(t, 1, x.pool.Jobs())
+	pass(450 * time.Millisecond)
+	offer("late", heard, 300) // 450 ms
+	offer("unheard", 0, 0)
+	offer("other process", heard-1_000_000, 0)
+	must.Eq(t, 1, x.pool.Jobs())
+	h.d.receive(now, "far", "1", &peer.JobCancel{Job: "fresh", Offer: 1})
+	must.Eq(t, 0, x.pool.Jobs())
+	offer("fresh", h.d.clock(), 0)
+	must.Eq(t, 0, x.pool.Jobs())
+}
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -32,6 +32,9 @@
 		d.sendResult(now, key, r) // it ended meanwhile
 		return
 	}
+	if _, ended := d.ended[key]; ended || !d.fresh(from, o) {
+		return
+	}
 	x := d.shards[o.Shard]
 	if x == nil || x.of != o.Of || o.Cell != d.cell {
 		r := &pendingResult{left: 1, body: peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, Clean: !o.MayHaveRun, Minions: o.Minions, Reason: "not the shard's dispatcher"}}
@@ -88,6 +91,7 @@
 		key := resultKey{out.To, out.Body.Job, out.Body.Offer}
 		if out.To != d.self.Name {
 			d.results[key] = p
+			d.ended[key] = now
 		}
 		d.sendResult(now, key, p)
 	}
--- a/internal/fleet/sim_link_test.go
+++ b/internal/fleet/sim_link_test.go
@@ -7,12 +7,14 @@
 )
 
 // simLink is one direction between two machines, with the messages of a
-// connection kept in order. What is sent into a cut is held back, as the
-// kernel does, until the sender gives the connection up.
+// connection kept in order. What is sent into a cut is held back, as the kernel
+// does, until the sender gives the connection up; what was held back then may
+// still arrive after what the next connection carries.
 type simLink struct {
 	cuts   int
 	lastAt time.Duration
 	held   []func()
+	late   []func()      // of connections that were given up
 	heldAt time.Duration // of the first held message
 }
 
@@ -38,11 +40,11 @@
 		if len(l.held) == 0 {
 			l.heldAt = w.now
 		}
-		if w.now-l.heldAt < silentLink {
-			l.held = append(l.held, f)
-		} else {
-			l.held = nil // the connection was replaced
+		if w.now-l.heldAt >= silentLink {
+			l.late = append(l.late, l.held...)
+			l.held, l.heldAt = nil, w.now
 		}
+		l.held = append(l.held, f)
 		return
 	}
 	l.lastAt = max(l.lastAt, w.now+w.within(simDelayLow, simDelayHigh))
@@ -57,14 +59,16 @@
 	if l.cuts > 0 {
 		return
 	}
-	held := l.held
-	l.held = nil
-	if w.now-l.heldAt >= silentLink {
-		return
-	}
+	held, late := l.held, l.late
+	l.held, l.late = nil, nil
 	for _, f := range held {
 		w.deliver(from, to, f)
 	}
+	for _, f := range late {
+		if w.chance(0.5) {
+			w.after(w.within(0, 300*time.Millisecond), f)
+		}
+	}
 }
 
 // sendBody carries a copy of a message: the receiver must not see later changes.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -224,6 +224,7 @@
 		case b := <-out.C():
 			idle.touch()
 			if beat != nil && answered(b) && beat.sent(time.Now()) > m.open.AnswerTimeout {
+				discard(conn)
 				return false
 			}
 			err := write(conn, b)
@@ -257,6 +258,14 @@
 	return closed
 }
 
+// discard makes the end of a connection drop what has not arrived yet: it would
+// otherwise be delivered when a cut heals, after what the next one carries.
+func discard(conn net.Conn) {
+	if t, ok := conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only when the connection has ended
+	}
+}
+
 func (m *Mesh) countDropped() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/internal/link/open_test.go
@@ -0,0 +1,48 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/shoenig/test/must"
+)
+
+// A connection whose beats stay without an answer is reset: what it holds back
+// must not arrive after what the next one carries.
+func TestSilentConnectionIsReset(t *testing.T) {
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer far.Close()
+	_, port, err := net.SplitHostPort(far.Addr().String())
+	must.NoError(t, err)
+	own, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	const silent = 50 * time.Millisecond
+	m := NewOpen(own, peer.Hello{Version: peer.Version, Host: "a", Incarnation: "i"},
+		OpenOptions{Port: port, Closed: func(string, membership.Incarnation) {}, DialTimeout: time.Second, AnswerTimeout: silent, Idle: time.Minute, Pause: silent},
+		func(string, membership.Incarnation, peer.Body) {}, func(string, error) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { m.Run(ctx) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			m.Send("127.0.0.1", &peer.Beat{})
+			time.Sleep(silent / 5)
+		}
+	})
+	defer wg.Wait()
+	defer cancel()
+	conn := acceptHello(t, far)
+	defer conn.Close()
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+	for err == nil {
+		_, err = read(conn) // and no answer
+	}
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -92,6 +92,10 @@
 	LogOf   membership.Incarnation `msgpack:"o"` // whose log that is
 
 	Division Division `msgpack:"v"` // of the sender's failure domain, as it follows it
+
+	// Clock is the sender's, in milliseconds that go on while its machine is
+	// suspended, from a number that is its process's own.
+	Clock int64 `msgpack:"t"`
 }
 
 // Roster carries the records of the sender's log after the receiver's place.
@@ -161,6 +165,8 @@
 	MayHaveRun bool       `msgpack:"u,omitempty"` // it was with another dispatcher of the failure domain
 	MayRunMS   int64      `msgpack:"m,omitempty"` // with MayHaveRun: how long that one may go on running it on minions that it reaches
 	Minions    uint64     `msgpack:"x,omitempty"` // with MayHaveRun: digest of that one's minions, as last heard
+	Heard      int64      `msgpack:"e,omitempty"` // newest clock that the sender has heard from the receiver
+	HeardAgoMS int64      `msgpack:"i,omitempty"` // and how long ago: together they tell the offer's time on its way
 	Done       []int      `msgpack:"d,omitempty"` // tasks, numbered over all steps, that are known to have ended
 }
 
