--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -259,7 +259,10 @@
 // one; the result names the caller for callerLeft.
 func (d *decisions) submit(now time.Time, o peer.JobOffer, deadline time.Time, out chan entry.Outcome) (waiter uint64) {
 	if !d.wokeAt.IsZero() && now.Sub(d.wokeAt) < staleRequests {
-		out <- entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the host was suspended"}
+		refusal := entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the request may have waited while the host was suspended"}
+		d.note(event.EntryJobAnswered, slog.String("job", o.Job), slog.String("queue", o.Queue), slog.Int("outcome", int(refusal.Outcome)),
+			slog.String("reason", refusal.Reason), slog.Int64("retry_ms", refusal.RetryMS))
+		out <- refusal
 		return 0
 	}
 	d.nextID++
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -50,7 +50,7 @@
 		deadline = *end // jobs that would take longer are refused
 	}
 	if !time.Now().Before(deadline) {
-		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "the host shuts down"}
+		return h.Refuse(j.ID, j.Request, j.Queue.Name, "the host shuts down")
 	}
 	h.note(event.EntryJobAccepted, slog.String("job", j.ID), slog.String("request", j.Request), slog.String("queue", j.Queue.Name),
 		slog.Int64("left_ms", time.Until(deadline).Milliseconds()), slog.Uint64("document", h.control.View().Version))
@@ -60,7 +60,7 @@
 		waiter = h.decisions.submit(now, o, deadline, out)
 	})
 	if !ok {
-		return entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: "ring of the decisions is full"}
+		return h.Refuse(j.ID, j.Request, j.Queue.Name, "ring of the decisions is full")
 	}
 	begin := time.Now()
 	select {
@@ -76,6 +76,16 @@
 	return entry.Outcome{Outcome: peer.JobUnknown, Reason: "caller is gone"}
 }
 
+// Refuse refuses a job that no decision is made about, and logs it. queue is
+// empty where it is not known.
+func (h *Host) Refuse(job, request, queue, reason string) entry.Outcome {
+	o := entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetry.Milliseconds(), Reason: reason}
+	h.note(event.EntryJobAnswered, slog.String("job", job), slog.String("request", request), slog.String("queue", queue),
+		slog.Int("outcome", int(o.Outcome)), slog.String("reason", reason), slog.Int64("retry_ms", o.RetryMS))
+	h.metrics.answered(queue, &o, 0)
+	return o
+}
+
 // busyRetry is what a caller is told when the host is out of room for inputs.
 const busyRetry = 500 * time.Millisecond
 
--- a/internal/fleet/serve_test.go
+++ b/internal/fleet/serve_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -16,3 +18,14 @@
 	must.False(t, h.Announce(peer.MinionRecord{ID: "b"}))
 	must.False(t, h.Gone("a"))
 }
+
+// A refusal that no decision is made about is logged and counted like others.
+func TestRefusalsAreLogged(t *testing.T) {
+	var log bytes.Buffer
+	h := &Host{log: slog.New(slog.NewJSONHandler(&log, nil)), metrics: newMetrics()}
+	o := h.Refuse("j", "r", "q", "the host shuts down")
+	must.Eq(t, peer.JobRefused, o.Outcome)
+	must.StrContains(t, log.String(), `"event":2111`)
+	must.StrContains(t, log.String(), `"reason":"the host shuts down"`)
+	must.Eq(t, "1", h.metrics.jobs.Get("q/3/the host shuts down").String())
+}
