fleet: requests wait for the first document of a process that has just started

Change: such a request waits for it, 0.3 s at most.

Ruled out: a copy of the document on entry hosts (they have no disk).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,8 @@
 	decisions *decisions
 	orders    *orders
 	document  atomic.Pointer[queue.Document]
+	known     chan struct{} // closed when there is a document
+	learned   sync.Once     // closes known
 	seeds     atomic.Pointer[[]string]
 	ready     atomic.Bool
 	leaving   atomic.Bool
@@ -82,7 +84,7 @@
 		return nil, errors.Wrap(err, "listen for hosts")
 	}
 	h := &Host{
-		settings: s, log: log, metrics: newMetrics(), done: make(chan struct{}),
+		settings: s, log: log, metrics: newMetrics(), done: make(chan struct{}), known: make(chan struct{}),
 		inputs: ring.New[func(time.Time)](inputRing),
 		self: peer.HostRecord{
 			Name: s.IP, FailureDomain: s.FailureDomain, Region: s.Region, Incarnation: membership.Incarnation(uuid.NewString()),
@@ -214,6 +216,7 @@
 		return
 	}
 	h.document.Store(d)
+	h.learned.Do(func() { close(h.known) })
 	h.note(event.ConfigApplied, slog.Uint64("version", r.Version), slog.Uint64("document", d.Version), slog.Int("queues", len(d.Queues)))
 }
 
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -25,8 +25,22 @@
 // Leaving reports whether the host shuts down.
 func (h *Host) Leaving() bool { return h.leaving.Load() }
 
-// Document returns the document in force, or nil.
-func (h *Host) Document() *queue.Document { return h.document.Load() }
+// documentWait is how long a request waits for the first document of a process
+// that has just started: a control host tells it within a few beats.
+const documentWait = 300 * time.Millisecond
+
+// AwaitDocument returns the document in force, or nil when none has come soon.
+func (h *Host) AwaitDocument(ctx context.Context) *queue.Document {
+	if d := h.document.Load(); d != nil {
+		return d
+	}
+	select {
+	case <-h.known:
+	case <-ctx.Done():
+	case <-time.After(documentWait):
+	}
+	return h.document.Load()
+}
 
 // Job is one job of a caller.
 type Job struct {
--- a/internal/fleet/serve_test.go
+++ b/internal/fleet/serve_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/queue"
 	"github.com/laburnumwalk/laburnumwalk/internal/ring"
 	"github.com/shoenig/test/must"
 )
@@ -29,3 +31,26 @@
 	must.StrContains(t, log.String(), `"reason":"the host shuts down"`)
 	must.Eq(t, "1", h.metrics.jobs.Get("q/3/the host shuts down").String())
 }
+
+// A request that comes before the first document waits for it for a while.
+func TestRequestsWaitForTheFirstDocument(t *testing.T) {
+	h := &Host{known: make(chan struct{}), log: slog.New(slog.DiscardHandler)}
+	begin := time.Now()
+	must.Nil(t, h.AwaitDocument(t.Context()))
+	must.GreaterEq(t, documentWait, time.Since(begin))
+	encoded, err := (&queue.Document{Version: 3}).Encode()
+	must.NoError(t, err)
+	var packed bytes.Buffer // as control hosts store it
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	must.NoError(t, err)
+	_, err = w.Write(encoded)
+	must.NoError(t, err)
+	must.NoError(t, w.Close())
+	go func() {
+		time.Sleep(documentWait / 10)
+		h.apply(&peer.ConfigRecord{Version: 1, Document: packed.Bytes()})
+	}()
+	d := h.AwaitDocument(t.Context())
+	must.NotNil(t, d)
+	must.Eq(t, 3, d.Version)
+}
