fleet: a file for each duty; broken variants for the last fixes

The functions are moved, not changed. The package comment says which file holds what.

scripts/mutants.sh has six more variants, each killed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,8 +1,15 @@
 // Package fleet runs a host whose minions execute tasks under leases. An entry
 // host takes callers' jobs and dispatches on the minions that it has claimed; a
 // control host takes minions' announcements and operators' documents. Decisions
-// are in pure packages (entry, pool, claim, roster, control); this one carries
-// their messages and orders.
+// are in pure packages (entry, pool, claim, roster, control); this one composes
+// them and carries their messages and orders.
+//
+// decisions.go composes them, without I/O, clocks or goroutines; inputs.go is what
+// callers and minions bring, beats.go, hubs.go and subscribers.go who is told
+// what, claims.go which minions this host dispatches on, offers.go and fresh.go
+// jobs on their way between hosts, lives.go processes that were replaced. duty.go
+// feeds them and carries out what they ask for; the files named sim_*_test.go play
+// whole failure domains of them in virtual time.
 package fleet
 
 import (
--- /dev/null
+++ b/internal/fleet/subscribers.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/roster"
+)
+
+// pushEvery gathers changes of the roster: a minion that drains must be known
+// everywhere in 2 s (platform's drain_ms), and every push costs a message for
+// each subscriber.
+const pushEvery = 60 * time.Millisecond
+
+// audience returns which minions a host is told of: those of its failure domain,
+// or, a control host, all or what changes.
+func audience(b *peer.Beat) roster.Audience {
+	if !b.From.Control {
+		return roster.Audience{FailureDomain: b.From.FailureDomain}
+	}
+	return roster.Audience{Changes: !b.All}
+}
+
+// pushRoster tells subscribers, the hosts that beat this control host, what has
+// changed.
+func (d *decisions) pushRoster(now time.Time) {
+	if !d.self.Control || now.Sub(d.pushedAt) < pushEvery {
+		return
+	}
+	d.pushedAt = now
+	type part struct {
+		after uint64
+		to    roster.Audience
+	}
+	parts := make(map[part]*peer.Roster) // most subscribers have read as far as the others
+	for _, name := range slices.Sorted(maps.Keys(d.sentLog)) {
+		sent := d.sentLog[name]
+		if sent >= d.roster.Log() {
+			continue
+		}
+		h := d.roster.Host(name)
+		if h == nil || h.Beat == nil {
+			delete(d.sentLog, name)
+			continue
+		}
+		p := part{sent, audience(h.Beat)}
+		r, known := parts[p]
+		if !known {
+			r = d.roster.Delta(p.after, p.to)
+			parts[p] = r
+		}
+		if r != nil && len(r.Hosts)+len(r.Minions)+len(r.Divisions) > 0 {
+			d.sendTo(name, r)
+		}
+		d.sentLog[name] = d.roster.Log()
+	}
+}
+
+// merge takes a part of another host's roster.
+func (d *decisions) merge(now time.Time, from string, r *peer.Roster) {
+	before := len(d.roster.Hosts())
+	for _, m := range d.roster.Merge(from, r) {
+		d.minionChanged(now, m)
+	}
+	if len(d.roster.Hosts()) != before {
+		d.hostsChanged()
+	}
+}
+
+// hostsChanged tells the controller whom to push documents to.
+func (d *decisions) hostsChanged() {
+	var peers []membership.Host
+	for _, h := range d.roster.Hosts() {
+		peers = append(peers, membership.Host{Name: h.Name, FailureDomain: h.FailureDomain, Region: h.Region})
+	}
+	d.setPeers(peers)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,6 +123,11 @@
 mutant 'leased: confirmed runs end when their minion starts anew' internal/pool/minion.go 's/			x.started, x.orphanAt = false, now/			p.endRun(now, m, x, EndLapsed)/' ./internal/pool NewProcess
 mutant 'leased: a lost dispatcher is not told after a takeover' internal/entry/entry.go 's/	if j.lost.host != "" \&\& now/	if j.to.host == "" \&\& j.lost.host != "" \&\& now/' ./internal/entry CancelledAfter
 mutant 'leased: every log repeats what others told' internal/roster/roster.go 's/ \&\& (m.direct || !to.Direct)//' ./internal/roster DirectRecords
+mutant 'leased: offers that were long on their way count' internal/fleet/fresh.go 's/ \&\& flight <= maxFlight {/ {/' ./internal/fleet Stale
+mutant 'leased: offers that have ended are forgotten' internal/fleet/offers.go 's/if _, ended := d.ended\[key\]; ended || /if /' ./internal/fleet Stale
+mutant 'leased: unwanted acknowledgements are left' internal/entry/entry.go 's/	if j == nil || j.lost.host != from || j.lost.number != a.Offer {/	if false {/' ./internal/entry Unwanted
+mutant 'leased: overdue starts are not asked about' internal/pool/overdue.go 's/if now.Sub(x.sentAt) > p.overdue() {/if false {/' ./internal/pool Overdue
+mutant 'leased: silent connections are not reset' internal/link/link.go 's/^				discard(conn)$//' ./internal/link Silent
 # What the simulation of whole failure domains sees.
 readonly fleet='./internal/fleet RandomFaults$'
 mutant 'simulated: capacity is not counted' internal/pool/place.go 's/return m.usedCPU+s.CPU <= m.CPU \&\& /return /' $fleet
@@ -134,9 +139,10 @@
 mutant 'simulated: minions that drain get work' internal/pool/place.go 's/ || m.Draining || m.Gone || m.replaced || m.clock == 0/ || m.clock == 0/' $fleet
 mutant 'simulated: a started job is refused as not run' internal/entry/entry.go 's/if o.Outcome == peer.JobRefused \&\& j.touched {/if false {/' $fleet
 mutant 'simulated: a suspended host goes on' internal/fleet/decisions.go 's/suspension = 500 \* time.Millisecond/suspension = time.Hour/' $fleet
-mutant 'simulated: callers that left are not missed' internal/fleet/decisions.go 's/^	d.table.Leave(now, job, waiter)/	_ = job/' $fleet
+mutant 'simulated: callers that left are not missed' internal/fleet/inputs.go 's/^	d.table.Leave(now, job, waiter)/	_ = job/' $fleet
 mutant 'simulated: an answer before the last task' internal/pool/job.go 's/if j.open == 0 \&\& p.jobs/if j.open <= 1 \&\& p.jobs/' $fleet
 mutant 'simulated: an earlier owner that lives is not waited for' internal/pool/job.go 's/ || !now.Before(j.doubtful)$/ || now.Sub(p.tookAt) > 1070*time.Millisecond/' $fleet
 mutant 'simulated: lost dispatchers free their jobs at once' internal/entry/entry.go 's/j.tied, j.touched = true, true/j.touched = true/' $fleet
 mutant 'simulated: takeovers never happen' internal/claim/claim.go 's/case holder == nil || holder.Leaving:/case holder == nil \&\& len(others) > 3:/' $fleet
+mutant 'simulated: offers that were long on their way count' internal/fleet/fresh.go 's/ \&\& flight <= maxFlight {/ {/' $fleet
 exit $failed
