--- a/internal/claim/cell.go
+++ b/internal/claim/cell.go
@@ -48,49 +48,28 @@
 	return xxhash.Sum64String(dispatcher+"/"+entry)%uint64(outside) < followers
 }
 
-// ControlHost is a control host and where it is.
-type ControlHost struct{ Name, FailureDomain string }
-
-// Hubs returns the control hosts that keep a failure domain's hosts in touch, by
-// name: some of its own, which a cut leaves it, and others.
-func Hubs(domain string, control []ControlHost) []string {
-	const hubs, own = 5, 3 // a domain's hosts outlive the loss of four
+// Hubs returns the control hosts that keep a failure domain's hosts in touch.
+func Hubs(domain string, control []string) []string {
+	const hubs = 5 // a domain's hosts outlive the loss of four
 	ranked := slices.Clone(control)
-	slices.SortFunc(ranked, func(a, b ControlHost) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(domain+"/"+a.Name), xxhash.Sum64String(domain+"/"+b.Name)), cmp.Compare(a.Name, b.Name))
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(domain+"/"+a), xxhash.Sum64String(domain+"/"+b)), cmp.Compare(a, b))
 	})
-	var out []string
-	for _, c := range ranked {
-		if c.FailureDomain == domain && len(out) < own {
-			out = append(out, c.Name)
-		}
-	}
-	for _, c := range ranked {
-		if len(out) < hubs && !slices.Contains(out, c.Name) {
-			out = append(out, c.Name)
-		}
-	}
-	return out
+	return ranked[:min(hubs, len(ranked))]
 }
 
-// few is how many other control hosts all tell each other everything.
-const few = 8
-
-// AreFew reports whether a control host reads the whole logs of all others, and
-// not just those of its neighbours, of the hubs, and of one hub in whole.
-func AreFew(control []ControlHost) bool { return len(control) <= few }
-
 // Neighbours returns the control hosts that one of them tells what it hears: all
 // of a few, or those at distances of powers of two in the order of names.
 func Neighbours(self string, control []string) []string {
-	if len(control) <= few {
+	const most = 8
+	if len(control) <= most {
 		return control
 	}
 	all := append(slices.Clone(control), self)
 	slices.Sort(all)
 	at := slices.Index(all, self)
 	var out []string
-	for d := 1; d <= few; d *= 2 {
+	for d := 1; d <= most; d *= 2 {
 		out = append(out, all[(at+d)%len(all)], all[(at-d+len(all))%len(all)])
 	}
 	return out
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -39,7 +39,6 @@
 func (d *decisions) newBeat(self *claim.Candidate, to string) *peer.Beat {
 	b := &peer.Beat{From: d.self, Config: d.version(), Leaving: self.Leaving, Claims: self.Claims, Division: d.cells, Clock: d.clock()}
 	b.LogOf, b.Log = d.roster.Place(to)
-	b.All = d.self.Control && (d.readsAll || to == d.teacher)
 	return b
 }
 
@@ -83,7 +82,7 @@
 	if b.LogOf != d.self.Incarnation {
 		after = 0
 	}
-	if r := d.roster.Delta(after, audience(b)); r != nil {
+	if r := d.roster.Delta(after, audience(b, d.neighbours())); r != nil {
 		d.sendTo(b.From.Name, r)
 	}
 	d.sentLog[b.From.Name] = d.roster.Log()
--- a/internal/fleet/decisions.go
+++ b/internal/fleet/decisions.go
@@ -57,7 +57,6 @@
 	results map[resultKey]*pendingResult
 	ended   map[resultKey]time.Time // offers that have ended here lately
 	sentLog map[string]uint64       // by host: how much of the roster log was sent
-	teacher string                  // hub whose log this control host reads in whole
 	heardAt map[string]time.Time    // by host that offers jobs: its newest message
 	lives   map[string]lives        // by host, while it is in heardAt
 
@@ -74,7 +73,6 @@
 	dividedAt time.Time     // when the division was taken over
 	wokeAt    time.Time     // when the host was last found to have been suspended
 	beatSoon  bool          // something changed that others should know at once
-	readsAll  bool          // this control host reads the whole logs of all others
 	local     []peer.Body   // messages to the own host
 }
 
@@ -96,7 +94,7 @@
 	return &decisions{
 		outside: out, self: self, own: own,
 		roster: roster.New(self), table: entry.New(now, self.Name, self.FailureDomain, offers, out.note),
-		shards: make(map[int]*shard), of: 1, cells: peer.Division{Cells: 1}, readsAll: true,
+		shards: make(map[int]*shard), of: 1, cells: peer.Division{Cells: 1},
 		waiters: make(map[uint64]chan entry.Outcome), results: make(map[resultKey]*pendingResult), ended: make(map[resultKey]time.Time),
 		sentLog: make(map[string]uint64), heardAt: make(map[string]time.Time), lives: make(map[string]lives), startedAt: now,
 	}
--- a/internal/fleet/subscribers.go
+++ b/internal/fleet/subscribers.go
@@ -15,13 +15,13 @@
 // each subscriber.
 const pushEvery = 60 * time.Millisecond
 
-// audience returns which minions a host is told of: those of its failure domain,
-// or, a control host, all or what changes.
-func audience(b *peer.Beat) roster.Audience {
+// audience returns which minions a host is told of. Control hosts that are no
+// neighbours are hubs, which read every log.
+func audience(b *peer.Beat, neighbours []string) roster.Audience {
 	if !b.From.Control {
 		return roster.Audience{FailureDomain: b.From.FailureDomain}
 	}
-	return roster.Audience{Changes: !b.All}
+	return roster.Audience{Direct: !slices.Contains(neighbours, b.From.Name)}
 }
 
 // pushRoster tells subscribers, the hosts that beat this control host, what has
@@ -31,6 +31,7 @@
 		return
 	}
 	d.pushedAt = now
+	neighbours := d.neighbours()
 	type part struct {
 		after uint64
 		to    roster.Audience
@@ -46,7 +47,7 @@
 			delete(d.sentLog, name)
 			continue
 		}
-		p := part{sent, audience(h.Beat)}
+		p := part{sent, audience(h.Beat, neighbours)}
 		r, known := parts[p]
 		if !known {
 			r = d.roster.Delta(p.after, p.to)
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -93,8 +93,6 @@
 
 	Division Division `msgpack:"v"` // of the sender's failure domain, as it follows it
 
-	All bool `msgpack:"a,omitempty"` // from a control host: it wants every minion, not just changes
-
 	// Clock is the sender's, in milliseconds that go on while its machine is
 	// suspended, from a number that is its process's own.
 	Clock int64 `msgpack:"t"`
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,14 +34,14 @@
 
 type minionEntry struct {
 	peer.MinionRecord
-	passOn bool // announced to this host, or told as a change: not part of a whole log
+	direct bool // announced to this host, not told by another
 	at     uint64
 }
 
 // Audience is what a reader of the log wants of the minions.
 type Audience struct {
 	FailureDomain string // of the minions; empty: all
-	Changes       bool   // only those that were announced here, or told as changes
+	Direct        bool   // only those that were announced here
 }
 
 type divisionEntry struct {
@@ -80,14 +80,6 @@
 	return p.of, p.log
 }
 
-// ForgetPlaces makes the logs of the given hosts be read again from their
-// beginnings.
-func (r *Roster) ForgetPlaces(hosts ...string) {
-	for _, h := range hosts {
-		delete(r.places, h)
-	}
-}
-
 func (r *Roster) next() uint64 {
 	r.log++
 	return r.log
@@ -159,7 +151,7 @@
 	}
 	var changed []peer.MinionRecord
 	for _, rec := range m.Minions {
-		if r.learn(rec, m.After > 0) {
+		if r.learn(rec, false) {
 			changed = append(changed, rec)
 		}
 	}
@@ -193,10 +185,10 @@
 // Announcements of an earlier life, or overtaken ones, tell nothing.
 func (r *Roster) Announce(rec peer.MinionRecord) bool { return r.learn(rec, true) }
 
-func (r *Roster) learn(rec peer.MinionRecord, passOn bool) bool {
+func (r *Roster) learn(rec peer.MinionRecord, direct bool) bool {
 	m := r.minions[rec.ID]
 	if m == nil {
-		r.minions[rec.ID] = &minionEntry{MinionRecord: rec, passOn: passOn, at: r.next()}
+		r.minions[rec.ID] = &minionEntry{MinionRecord: rec, direct: direct, at: r.next()}
 		return true
 	}
 	if c := cmp.Or(cmp.Compare(rec.Born, m.Born), cmp.Compare(rec.Seq, m.Seq)); c <= 0 {
@@ -208,7 +200,7 @@
 		m.Seq = rec.Seq
 		return false
 	}
-	m.MinionRecord, m.passOn = rec, passOn
+	m.MinionRecord, m.direct = rec, direct
 	m.at = r.next()
 	return true
 }
@@ -301,7 +293,7 @@
 		}
 	}
 	for _, m := range r.minions {
-		if m.at > after && (to.FailureDomain == "" || m.FailureDomain == to.FailureDomain) && (m.passOn || !to.Changes) {
+		if m.at > after && (to.FailureDomain == "" || m.FailureDomain == to.FailureDomain) && (m.direct || !to.Direct) {
 			d.Minions = append(d.Minions, m.MinionRecord)
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -114,19 +114,15 @@
 	must.Eq(t, control.Log(), read)
 }
 
-// What a host has read as a whole log is not passed on as a change: its readers
-// have read such a log as well.
-func TestWholeLogsAreNotPassedOn(t *testing.T) {
-	first, second, third := New(peer.HostRecord{Name: "first", Incarnation: "1"}), New(peer.HostRecord{Name: "second", Incarnation: "2"}), New(peer.HostRecord{Name: "third", Incarnation: "3"})
-	changes := Audience{Changes: true}
+// A reader of all control hosts' logs is told each minion once, by the host that
+// it announced itself to.
+func TestReadersOfAllLogsGetDirectRecordsOnly(t *testing.T) {
+	first, second := New(peer.HostRecord{Name: "first", Incarnation: "1"}), New(peer.HostRecord{Name: "second", Incarnation: "2"})
 	first.Announce(minionOf(1, false))
-	must.Len(t, 1, first.Delta(0, changes).Minions)
+	must.Len(t, 1, first.Delta(0, Audience{Direct: true}).Minions)
 	must.Len(t, 1, second.Merge("first", first.Delta(0, Audience{})))
-	must.Len(t, 0, second.Delta(0, changes).Minions)
+	must.Len(t, 0, second.Delta(0, Audience{Direct: true}).Minions)
 	must.Len(t, 1, second.Delta(0, Audience{}).Minions)
-	first.Announce(minionOf(2, true))
-	_, read := second.Place("first")
-	must.Len(t, 1, second.Merge("first", first.Delta(read, changes)))
-	must.Len(t, 1, second.Delta(0, changes).Minions)
-	must.Len(t, 1, third.Merge("second", second.Delta(0, changes)))
+	second.Announce(minionOf(2, true))
+	must.Len(t, 1, second.Delta(0, Audience{Direct: true}).Minions)
 }
