--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint unit race bench capacity soak mutants
+.PHONY: build demo test lint unit race bench capacity soak fleet-soak mutants
 
 build:
 	@mkdir -p bin
@@ -35,7 +35,11 @@
 # is printed before its run; LW_SEED=N go test ./internal/emulator -run TestOneSeed
 # repeats one.
 soak:
-	LW_SOAK=$${LW_SOAK:-10m} go test ./internal/emulator ./internal/control -run TestSoak -count=1 -v -timeout 0
+	LW_SOAK=$${LW_SOAK:-10m} go test ./internal/emulator ./internal/control ./internal/fleet -run TestSoak -count=1 -v -timeout 0
+
+# The soak of real processes, with the seeds FIRST-LAST in LW_FLEET_SEEDS.
+fleet-soak:
+	LW_FLEET_SEEDS=$${LW_FLEET_SEEDS:-1-10} go test ./platform -run TestSoakSeeds -count=1 -v -timeout 0
 
 # Broken variants of the code that the tests must fail on; takes about a minute.
 mutants:
