fleet: offers that wait in a busy receiver are taken

After the restart of all hosts (49 to 52 s) 1,737 offers are ignored as long on their way (event 3117), with 402 to 800 ms: they had waited in the receiver, which has 0.19 processors, and their repetitions loaded it more.

Change: an offer may be on its way for 1 s in place of 0.4, and ended ones are remembered for 2 s. The sender places a job elsewhere 1.7 s after a loss.

--- a/internal/fleet/fresh.go
+++ b/internal/fleet/fresh.go
@@ -9,11 +9,12 @@
 )
 
 const (
-	// maxFlight is how long an offer may be on its way. One that a cut link held
-	// back may arrive when its job has ended, or runs elsewhere: its sender gives
-	// a job to others later than that, and repeats what it still wants. It is
-	// below entry's delay of cancellations to a lost dispatcher (0.7 s).
-	maxFlight = 400 * time.Millisecond
+	// maxFlight is how long an offer may be on its way, the time included that it
+	// waits in a busy receiver. One that a cut link held back for longer may
+	// arrive when its job has ended or runs elsewhere: its sender gives the job to
+	// another failure domain 1.7 s after it has lost the receiver, and answers the
+	// acknowledgement of an offer that it no longer wants by a cancellation.
+	maxFlight = time.Second
 	// keepEnded is how long an offer that has ended is remembered: another copy
 	// of it may be on its way for maxFlight, and its result was sent before.
 	keepEnded = 2 * maxFlight
