--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -124,8 +124,10 @@
 	}
 	heard := h.d.clock()
 	pass := func(d time.Duration) {
-		now, boot = now.Add(d), boot+d
-		h.d.awake(now, boot)
+		for ; d > 0; d -= 50 * time.Millisecond { // below a suspension
+			now, boot = now.Add(50*time.Millisecond), boot+50*time.Millisecond
+			h.d.awake(now, boot)
+		}
 	}
 	pass(300 * time.Millisecond)
 	offer("fresh", heard, 250) // 50 ms on its way
