--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -313,7 +313,7 @@
 	if (regular == 0 || second) && !now.Before(m.nextHold) {
 		p.hold(now, m, wait, false)
 	}
-	p.chase(now, m)
+	p.askOverdue(now, m)
 	if !m.reachable && m.lapsed(now) && len(m.runs) > 0 {
 		p.cfg.Note(event.PoolLeaseLapsed, slog.String("minion", m.ID), slog.Int("runs", len(m.runs)))
 		p.endAll(now, m)
--- a/internal/pool/overdue.go
+++ b/internal/pool/overdue.go
@@ -15,8 +15,8 @@
 	// answer, which grows where this host or its links are slow.
 	overdueFactor = 8
 	answerRate    = 0.02 // weight of a new answer in the usual time
-	// maxChases bounds the listings that are asked for at a time.
-	maxChases = 3
+	// maxAsks bounds the listings that are asked for at a time.
+	maxAsks = 3
 )
 
 // overdue returns the silence after which a start is asked about.
@@ -38,10 +38,10 @@
 	return !p.lostAt.IsZero() && now.Sub(p.lostAt) < lossyFor
 }
 
-// chase asks a minion about starts that are overdue, long before they count as
+// askOverdue asks a minion about starts that are overdue, long before they count as
 // unanswered: a job of many tasks would be late for one order that is lost. The
 // listing is asked for under a newer token, so that it is final.
-func (p *Pool) chase(now time.Time, m *minion) {
+func (p *Pool) askOverdue(now time.Time, m *minion) {
 	if !m.reachable || !m.listed {
 		return
 	}
@@ -78,7 +78,7 @@
 			}
 		}
 	}
-	if open < maxChases && now.Sub(newest) > p.overdue() {
+	if open < maxAsks && now.Sub(newest) > p.overdue() {
 		p.hold(now, m, 0, true)
 	}
 }
