pool: log what tells the causes of a minion over its capacity apart

Event 2106 has the capacity in use but neither the minion's capacity, nor the incarnation that announced it, nor the token of the newest listing; nothing said that a listing shows more than the minion carries. Event 3118 says so once, 2106 and 3113 carry the missing inputs. No decision changes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,6 +66,7 @@
 	MinionAnswerInvalid   ID = 3115
 	CellLayoutChanged     ID = 3116
 	OfferStale            ID = 3117
+	PoolMinionOverloaded  ID = 3118
 
 	PeerUp        ID = 4001
 	PeerDown      ID = 4002
@@ -148,6 +149,7 @@
 	{MinionAnswerInvalid, slog.LevelWarn, "minion's answer invalid", "Check the minion's release."},
 	{CellLayoutChanged, slog.LevelInfo, "cell layout of the failure domain changed", "None."},
 	{OfferStale, slog.LevelInfo, "stale job offer ignored", "None; its sender repeats it."},
+	{PoolMinionOverloaded, slog.LevelError, "runs exceed the minion's capacity", "Report it with the logs; OPERATIONS.md describes what its attributes tell."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
--- a/internal/fleet/inputs.go
+++ b/internal/fleet/inputs.go
@@ -43,7 +43,8 @@
 // changed record is passed on to the pool of the minion's shard.
 func (c *core) minionAnnounced(now time.Time, m peer.MinionRecord) {
 	if c.roster.ApplyAnnouncement(m) {
-		c.logEvent(event.AnnouncementChanged, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Left), slog.Uint64("seq", m.Seq))
+		c.logEvent(event.AnnouncementChanged, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Left), slog.Uint64("seq", m.Seq),
+			slog.Int64("born", m.Incarnation), slog.Int64("cpu", m.CPU), slog.Int64("mem_mb", m.MemoryMB))
 		c.minionChanged(now, m)
 	}
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -205,6 +205,7 @@
 		x.job, x.step, x.expectedTime = j, t.step, j.expected(t.step)
 		t.run, t.state, t.nextRun, t.lastMinion = x, taskPlaced, x.number+1, m.ID
 		m.reserve(x)
+		p.checkCapacity(m)
 		p.cfg.Log(event.PoolRunAdopted, slog.String("job", j.id), slog.Int("task", t.ref.Index), slog.Int("run", x.number), slog.String("minion", m.ID),
 			slog.Uint64("token", m.token))
 		return true
--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -29,6 +29,7 @@
 		return // a newer listing arrived first
 	}
 	m.listingClock = l.ClockMS
+	m.listedToken = max(m.listedToken, poll.token)
 	listed := make(map[TaskRef]bool, len(l.Running))
 	for i := range l.Running {
 		listed[l.Running[i].Task] = true
@@ -39,6 +40,7 @@
 			p.endRun(now, m, x, EndExpired)
 		}
 	}
+	p.checkCapacity(m)
 	if poll.token == m.token && !m.listed {
 		m.listed = true
 		// A lease granted to an earlier owner may last this long.
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -74,24 +74,27 @@
 // they use, its clock and lease, and the polls in flight.
 type minion struct {
 	peer.MinionRecord
-	token        uint64 // fencing token of new orders
-	runs         map[TaskRef]*run
-	usedCPU      int64 // thousandths of a processor
-	usedMem      int64 // MB
-	usedAcc      int64
-	lastEnd      uint64                  // number of the newest ended run that was processed
-	listed       bool                    // a listing under a token of the current claim has arrived
-	reachable    bool                    // set by a listing, cleared by a failed poll
-	replaced     bool                    // another process answers at the minion's address
-	clock        int64                   // newest known reading of the minion's clock, in milliseconds; 0: unknown
-	clockAt      time.Time               // when the minion's clock showed at least clock
-	listingClock int64                   // the minion's clock in the newest listing
-	maxLeaseEnd  int64                   // latest end of any lease that may have been granted, on the minion's clock
-	polls        map[uint64]*pendingPoll // by serial number
-	listedAt     time.Time               // when the newest listing arrived
-	failedPolls  int                     // in a row
-	nextPollAt   time.Time
-	health       health
+	recordIncarnation int64  // that announced MinionRecord; Incarnation may be newer, from a listing
+	token             uint64 // fencing token of new orders
+	listedToken       uint64 // highest token under which a listing has arrived
+	runs              map[TaskRef]*run
+	usedCPU           int64 // thousandths of a processor
+	usedMem           int64 // MB
+	usedAcc           int64
+	lastEnd           uint64                  // number of the newest ended run that was processed
+	overloaded        bool                    // the runs exceeded the capacity when it was last checked
+	listed            bool                    // a listing under a token of the current claim has arrived
+	reachable         bool                    // set by a listing, cleared by a failed poll
+	replaced          bool                    // another process answers at the minion's address
+	clock             int64                   // newest known reading of the minion's clock, in milliseconds; 0: unknown
+	clockAt           time.Time               // when the minion's clock showed at least clock
+	listingClock      int64                   // the minion's clock in the newest listing
+	maxLeaseEnd       int64                   // latest end of any lease that may have been granted, on the minion's clock
+	polls             map[uint64]*pendingPoll // by serial number
+	listedAt          time.Time               // when the newest listing arrived
+	failedPolls       int                     // in a row
+	nextPollAt        time.Time
+	health            health
 }
 
 // UpdateMinion adds a minion that the pool owns, or updates its record.
@@ -101,7 +104,7 @@
 		if r.Left {
 			return
 		}
-		m = &minion{MinionRecord: r, runs: make(map[TaskRef]*run), polls: make(map[uint64]*pendingPoll)}
+		m = &minion{MinionRecord: r, recordIncarnation: r.Incarnation, runs: make(map[TaskRef]*run), polls: make(map[uint64]*pendingPoll)}
 		p.minions[r.ID] = m
 		p.ordered = append(p.ordered, m)
 		p.minionDigest ^= xxhash.Sum64String(r.ID)
@@ -116,8 +119,9 @@
 		p.cfg.Log(event.PoolMinionDraining, slog.String("minion", r.ID), slog.Int("runs", len(m.runs)))
 	}
 	known := m.Incarnation
-	m.MinionRecord = r
+	m.MinionRecord, m.recordIncarnation = r, r.Incarnation
 	m.Incarnation = max(known, r.Incarnation)
+	p.checkCapacity(m)
 	if r.Left && len(m.runs) == 0 {
 		p.drop(m)
 	}
@@ -270,6 +274,17 @@
 	m.usedAcc -= x.step.Accelerators
 }
 
+// checkCapacity logs once when the minion's runs begin to exceed its capacity.
+func (p *Pool) checkCapacity(m *minion) {
+	overloaded := m.usedCPU > m.CPU || m.usedMem > m.MemoryMB || m.usedAcc > m.Accelerators
+	if overloaded && !m.overloaded {
+		p.cfg.Log(event.PoolMinionOverloaded, slog.String("minion", m.ID), slog.Int("runs", len(m.runs)), slog.Int64("used_cpu", m.usedCPU), slog.Int64("cpu", m.CPU),
+			slog.Int64("used_mem_mb", m.usedMem), slog.Int64("mem_mb", m.MemoryMB), slog.Int64("born", m.Incarnation), slog.Int64("record_born", m.recordIncarnation),
+			slog.Uint64("token", m.token), slog.Uint64("listed_token", m.listedToken))
+	}
+	m.overloaded = overloaded
+}
+
 // stop orders the minion to end a run, unless the minion has confirmed a stop of it
 // or one was sent within stopResendInterval.
 func (p *Pool) stop(now time.Time, m *minion, x *run) {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -140,7 +140,8 @@
 	t.nextRun++
 	j.mayHaveStarted = true
 	p.cfg.Log(event.PoolTaskStarted, slog.String("job", j.id), slog.Int("task", t.ref.Index), slog.Int("run", x.number), slog.String("minion", m.ID),
-		slog.Uint64("token", m.token), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()), slog.Int64("used_cpu", m.usedCPU))
+		slog.Uint64("token", m.token), slog.Uint64("listed_token", m.listedToken), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
+		slog.Int64("used_cpu", m.usedCPU), slog.Int64("cpu", m.CPU), slog.Int64("born", m.Incarnation), slog.Int64("record_born", m.recordIncarnation))
 	p.ready.Starts = append(p.ready.Starts, Start{
 		Minion: m.ID, Address: m.Address, Task: t.ref, Run: x.number, Payload: j.offer.Payload,
 		Token: m.token, LeaseEndMS: m.leaseEnd(now, p.cfg.Timing.Lease),
