pool: no start under a token that no listing has confirmed

What callers saw: a minion runs more than its capacity (LIMIT). Tokens are chosen without agreement, so the newer one may overtake that of another owner which has started runs meanwhile; the minion then obeys the start, and this owner does not know those runs. Only a listing under the same token closes the gap: after it no lower token starts anything, and a higher one fences this owner.

Evidence: TestNoStartUnderTokenWithoutListing and TestNoStartAfterLeaseExpiryWithoutListing failed before, one start each where none may be. Ruled out: counting the unknown run, nothing says what it uses before it is listed.

Change: a minion takes a start only when a listing under its present token has arrived, also one that a newer listing has overtaken.

--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -10,6 +10,11 @@
 	p.poll(now, m, 0, true)
 }
 
+// runsKnown reports whether a listing under the minion's present token has arrived. Until
+// then another owner with a token between the previous one and this one may have started
+// runs that this owner does not know.
+func (m *minion) runsKnown() bool { return m.listedToken == m.token }
+
 // poll asks the minion for a listing and renews its lease, if that is safe.
 func (p *Pool) poll(now time.Time, m *minion, wait time.Duration, urgent bool) {
 	p.pollSerial++
--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -25,11 +25,11 @@
 	for i := range l.Ended {
 		p.handleEnded(now, m, &l.Ended[i])
 	}
+	m.listedToken = max(m.listedToken, poll.token)
 	if l.ClockMS < m.listingClock {
 		return // a newer listing arrived first
 	}
 	m.listingClock = l.ClockMS
-	m.listedToken = max(m.listedToken, poll.token)
 	listed := make(map[TaskRef]bool, len(l.Running))
 	for i := range l.Running {
 		listed[l.Running[i].Task] = true
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -108,7 +108,7 @@
 // minion gets a single task at a time as a probe, and none that has failed or been
 // moved before.
 func (p *Pool) acceptsStart(now time.Time, m *minion, t *task) bool {
-	if !m.listed || !m.reachable || m.Draining || m.Left || m.replaced || m.clock == 0 || m.blockedByOrphan() {
+	if !m.listed || !m.reachable || m.Draining || m.Left || m.replaced || m.clock == 0 || m.blockedByOrphan() || !m.runsKnown() {
 		return false
 	}
 	if !m.health.ejected {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -414,3 +414,40 @@
 	must.Eq(t, 1, polls(lossPeriod))
 	must.Eq(t, 2, polls(0))
 }
+
+// A minion's newer token may overtake another owner's, whose runs only a listing shows.
+func TestNoStartUnderTokenWithoutListing(t *testing.T) {
+	s := newHarness(t)
+	s.addMinion("a", 64_000)
+	s.offerJob("j1", 1, 27_000, 1000)
+	s.out.Starts = nil // the answer is lost
+	s.advance(minOverdue + 5*ms)
+	s.offerJob("j2", 1, 27_000, 1000)
+	must.SliceEmpty(t, s.out.Starts)
+	foreign := TaskRef{"by the other owner", 0, 0}
+	s.answerPoll("a", &Listing{Running: []RunProgress{{Task: foreign, Run: 1}}})
+	s.advance(500 * ms) // the poll before the token was raised counts as lost
+	must.SliceEmpty(t, s.out.Starts)
+	s.answerPoll("a", &Listing{Ended: []EndedRun{{Number: 1, Task: foreign, Run: 1, How: EndDone}}})
+	must.SliceNotEmpty(t, s.out.Starts)
+}
+
+// The same after the lease of an unreachable minion has expired.
+func TestNoStartAfterLeaseExpiryWithoutListing(t *testing.T) {
+	s := newHarness(t)
+	s.addMinion("a", 64_000)
+	s.offerJob("j1", 1, 27_000, 2000)
+	s.answerStarts(AnswerOK)
+	for range 100 {
+		s.advance(20 * ms)
+		if s.p.minions["a"].token > s.lastPoll("a").Token {
+			break
+		}
+	}
+	must.Greater(t, s.lastPoll("a").Token, s.p.minions["a"].token, must.Sprint("the lease has expired"))
+	s.answerPoll("a", &Listing{}) // of a poll with the token before
+	must.SliceEmpty(t, s.out.Starts)
+	s.advance(20 * ms)
+	s.answerPoll("a", &Listing{})
+	must.SliceNotEmpty(t, s.out.Starts)
+}
