pool: a restarted minion takes no start before it has announced its capacity

What callers saw: a minion runs more than its capacity (LIMIT). A listing often shows the restart before the announcement arrives, and starts went on by the record of the earlier life; the pool also let a late record of that life replace the newer one. The labels are of that record too, so a task could start where its label is missing.

Why it was not seen: all minions of the simulation were of one size, in every life. They now differ, and hosts stall for want of processor time while their clocks go on.

Change: a record counts for the incarnation that announced it. Until that is the one that answers, the minion takes no start and is no capacity.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -87,7 +87,7 @@
 	h.launch()
 	x := &shard{shardCount: 1, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: h.logEvent})}
 	x.pool.Claim(simStart, 1<<30)
-	x.pool.UpdateMinion(simStart, peer.MinionRecord{ID: "m", Service: "s", CPU: simCPU, MemoryMB: 100, Seq: 1})
+	x.pool.UpdateMinion(simStart, peer.MinionRecord{ID: "m", Service: "s", CPU: simLargeCPU, MemoryMB: 100, Seq: 1})
 	h.core.shards[0] = x
 	offer := func(inc membership.Incarnation, job string) {
 		h.core.receive(simStart, "far", inc, &peer.JobOffer{Job: job, Offer: 1, ReceiverClock: h.core.heartbeatClock(), ShardCount: 1, Service: "s", StretchPct: 160, AddMS: 60, RemainingMS: 1000,
@@ -118,7 +118,7 @@
 	h.core.detectSuspension(now, boot)
 	x := &shard{shardCount: 1, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: h.logEvent})}
 	x.pool.Claim(now, 1<<30)
-	x.pool.UpdateMinion(now, peer.MinionRecord{ID: "m", Service: "s", CPU: simCPU, MemoryMB: 100, Seq: 1})
+	x.pool.UpdateMinion(now, peer.MinionRecord{ID: "m", Service: "s", CPU: simLargeCPU, MemoryMB: 100, Seq: 1})
 	h.core.shards[0] = x
 	offer := func(job string, clock, ago int64) {
 		h.core.receive(now, "far", "1", &peer.JobOffer{Job: job, Offer: 1, ShardCount: 1, Service: "s", StretchPct: 160, AddMS: 60, RemainingMS: 1000, ReceiverClock: clock, ReceiverClockAgeMS: ago,
--- a/internal/fleet/sim_checker_test.go
+++ b/internal/fleet/sim_checker_test.go
@@ -80,8 +80,8 @@
 			same++
 		}
 	}
-	if cpu > simCPU {
-		chk.reportViolation("%s runs tasks of %d thousandths of a processor in total", m, cpu)
+	if cpu > m.cpu {
+		chk.reportViolation("%s runs tasks of %d thousandths of a processor in total and has %d", m, cpu, m.cpu)
 	}
 	if x.step.MaxPerMinion > 0 && same > x.step.MaxPerMinion {
 		chk.reportViolation("%s runs %d tasks of step %d of %s", m, same, x.task.Step, x.task.Job)
--- a/internal/fleet/sim_faults_test.go
+++ b/internal/fleet/sim_faults_test.go
@@ -14,7 +14,7 @@
 	faults := []func(time.Duration){
 		sim.killHost, sim.killHost, sim.powerOffHost, sim.suspendHost, sim.suspendHost, sim.shutDownHost, sim.cutHost, sim.cutDomain,
 		sim.cutOneWay, sim.crashMinion, sim.crashMinion, sim.cutMinion, sim.slowMinion, sim.hangMinion, sim.failRuns, sim.delayOrders, sim.delayOrders,
-		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts,
+		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts, sim.overloadHosts, sim.overloadHosts,
 	}
 	faults[sim.rng.IntN(len(faults))](duration)
 }
@@ -41,6 +41,27 @@
 	sim.anyHost().suspend(duration)
 }
 
+// overloadHosts makes the processes of some hosts stall again and again.
+func (sim *simulation) overloadHosts(duration time.Duration) {
+	sim.faultLasts(duration)
+	until := sim.now + duration
+	for _, h := range sim.hosts {
+		if sim.chance(0.5) {
+			continue
+		}
+		var next func()
+		next = func() {
+			if sim.now >= until {
+				return
+			}
+			stall := sim.durationBetween(20*time.Millisecond, 700*time.Millisecond)
+			h.stall(stall)
+			sim.after(stall+sim.durationBetween(0, 300*time.Millisecond), next)
+		}
+		next()
+	}
+}
+
 func (sim *simulation) shutDownHost(time.Duration) {
 	h := sim.anyHost()
 	const linger, processEnd = 3 * time.Second, 3500 * time.Millisecond
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -120,11 +120,18 @@
 	h.launch()
 }
 
-func (h *simHost) suspend(duration time.Duration) {
+// suspend suspends the machine.
+func (h *simHost) suspend(duration time.Duration) { h.pause(duration, true) }
+
+// stall gives the process no processor time.
+func (h *simHost) stall(duration time.Duration) { h.pause(duration, false) }
+
+// pause stops the process for a time that its clock doesn't count if stopsClock is set.
+func (h *simHost) pause(duration time.Duration, stopsClock bool) {
 	if !h.up || h.suspended {
 		return
 	}
-	h.sim.trace("host %s is suspended for %v", h.rec.Name, duration)
+	h.sim.trace("host %s is paused for %v, its clock too: %v", h.rec.Name, duration, stopsClock)
 	h.suspended = true
 	incarnation := h.incarnation
 	h.sim.after(duration, func() {
@@ -132,7 +139,9 @@
 			return
 		}
 		h.suspended = false
-		h.suspendedFor += duration
+		if stopsClock {
+			h.suspendedFor += duration
+		}
 		inputs := h.pendingInputs
 		h.pendingInputs = nil
 		// The goroutines of the ticker and of the connections resume in any order, so
--- a/internal/fleet/sim_minion_test.go
+++ b/internal/fleet/sim_minion_test.go
@@ -14,7 +14,8 @@
 const (
 	simMaxLease         = time.Second // longest lease that a minion accepts; a limit of real minions
 	simMaxStopTime      = 50 * time.Millisecond
-	simCPU              = 64_000
+	simLargeCPU         = 64_000 // capacity of a minion, in thousandths of a processor
+	simSmallCPU         = 32_000
 	simAnnounceInterval = 1500 * time.Millisecond
 	simOrderTimeout     = 120 * time.Millisecond // for the answer to an order; same as orderTimeout in package platform
 	simPollTimeout      = 100 * time.Millisecond // in addition to the requested wait
@@ -43,6 +44,7 @@
 	startedAt        time.Duration
 	clockRate        float64 // speed of its clock; 1: that of the simulation
 	incarnation      int
+	cpu              int64 // its capacity, in thousandths of a processor
 	up               bool
 	draining         bool
 	drainAckAt       time.Duration // when its draining was acknowledged; 0: not yet
@@ -68,7 +70,10 @@
 	return m
 }
 
-// launch starts a new incarnation of a stopped minion.
+// smallMinionShare is the share of incarnations with the small capacity.
+const smallMinionShare = 0.3
+
+// launch starts a new incarnation of a stopped minion, maybe of another capacity.
 func (m *simMinion) launch() {
 	if m.up {
 		return
@@ -77,6 +82,10 @@
 	m.up, m.draining, m.drainAckAt = true, false, 0
 	m.startedMS, m.startedAt = simStart.Add(m.sim.now).UnixMilli(), m.sim.now
 	m.clockRate = 0.98 + 0.02*m.sim.rng.Float64()
+	m.cpu = simLargeCPU
+	if m.sim.chance(smallMinionShare) {
+		m.cpu = simSmallCPU
+	}
 	m.seq, m.token, m.leaseUntilMS, m.lastEnded = 0, 0, 0, 0
 	m.running, m.fencedRuns, m.ended, m.waitingPolls = make(map[simTask]*simRun), make(map[simTask]int), nil, nil
 	m.slowdown, m.stuck, m.failureRate = 1, false, 0
@@ -117,7 +126,7 @@
 	m.seq++
 	rec := peer.MinionRecord{
 		ID: m.id, Incarnation: m.startedMS, Seq: m.seq, Service: "s", Address: m.address, FailureDomain: m.domain, Draining: m.draining,
-		CPU: simCPU, MemoryMB: 131_072, Labels: []string{"r-" + m.id},
+		CPU: m.cpu, MemoryMB: 131_072, Labels: []string{"r-" + m.id},
 	}
 	draining := m.draining
 	controls := m.sim.controlHostNames()
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -112,6 +112,9 @@
 		p.raiseToken(now, m)
 		return
 	}
+	if r.Incarnation < m.recordIncarnation {
+		return // overtaken by the announcement of a later incarnation
+	}
 	if r.Incarnation > m.Incarnation {
 		p.restarted(now, m, r.Incarnation)
 	}
@@ -127,6 +130,10 @@
 	}
 }
 
+// capacityKnown reports whether the minion's present incarnation has announced its
+// capacity and labels. They may differ from those of an earlier incarnation.
+func (m *minion) capacityKnown() bool { return m.recordIncarnation == m.Incarnation }
+
 // drop removes a minion that has left and has no runs.
 func (p *Pool) drop(m *minion) {
 	delete(p.minions, m.ID)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -20,7 +20,7 @@
 // acceptsWork reports whether the minion counts as capacity for new runs. An ejected
 // minion does not, though it may get a probe.
 func (m *minion) acceptsWork() bool {
-	return m.listed && m.reachable && !m.Draining && !m.Left && !m.replaced && m.clock > 0 && !m.health.ejected
+	return m.listed && m.reachable && !m.Draining && !m.Left && !m.replaced && m.clock > 0 && !m.health.ejected && m.capacityKnown()
 }
 
 // fitsWhenEmpty reports whether the minion, without any runs, can run a task of the
@@ -108,7 +108,8 @@
 // minion gets a single task at a time as a probe, and none that has failed or been
 // moved before.
 func (p *Pool) acceptsStart(now time.Time, m *minion, t *task) bool {
-	if !m.listed || !m.reachable || m.Draining || m.Left || m.replaced || m.clock == 0 || m.blockedByOrphan() || !m.runsKnown() {
+	if !m.listed || !m.reachable || m.Draining || m.Left || m.replaced || m.clock == 0 || m.blockedByOrphan() ||
+		!m.runsKnown() || !m.capacityKnown() {
 		return false
 	}
 	if !m.health.ejected {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -451,3 +451,23 @@
 	s.answerPoll("a", &Listing{})
 	must.SliceNotEmpty(t, s.out.Starts)
 }
+
+// A listing may show a restart before the new incarnation has announced its capacity.
+func TestNoStartByCapacityOfEarlierIncarnation(t *testing.T) {
+	record := func(incarnation, cpu int64) peer.MinionRecord {
+		return peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: cpu, MemoryMB: 1000, Seq: 1, Incarnation: incarnation}
+	}
+	s := newHarness(t)
+	s.p.UpdateMinion(s.now, record(1, 64_000))
+	s.collect()
+	s.answerPoll("a", &Listing{Incarnation: 1})
+	s.advance(20 * ms)
+	s.answerPoll("a", &Listing{Incarnation: 2})
+	s.answerPoll("a", &Listing{Incarnation: 2})
+	s.offerJob("j", 2, 27_000, 1000)
+	must.SliceEmpty(t, s.out.Starts)
+	s.p.UpdateMinion(s.now, record(2, 32_000))
+	s.p.UpdateMinion(s.now, record(1, 64_000)) // late
+	s.offerJob("k", 2, 27_000, 1000)
+	must.Len(t, 1, s.out.Starts)
+}
