pool: a job of another owner is not started by an old listing

Ruled out: a restart of the minion (same incarnation throughout), a lease that ended early.

Change: the runs of a job by earlier owners are known when each minion has answered a poll sent after the job was offered, under its present token. Such polls are sent with the next tick; the tasks are resolved with the listing instead of the tick after it.

TestJobOfOtherOwnerIsNotStartedByOldListing failed before. In TestJobWaitsWhenEarlierOwnerHadOtherMinions the start now needs that listing, which the test plays: it demands more than before.

--- a/internal/fleet/sim_caller_test.go
+++ b/internal/fleet/sim_caller_test.go
@@ -13,6 +13,7 @@
 	simRetransmit     = 1300 * time.Millisecond // time after which a caller whose connection failed, or who got an unknown outcome, submits again
 	simCallerTimeout  = 8 * time.Second         // total time after which a caller stops retrying
 	simLongJobTimeout = 12 * time.Second        // deadline of jobs that run for seconds
+	simTaskCPU        = 27_000                  // demand of a task, in thousandths of a processor
 )
 
 // simCaller is a caller that submits one job, and resubmits it if the connection breaks
@@ -41,8 +42,12 @@
 	if sim.now >= sim.trafficEnd() {
 		return
 	}
-	// Each minion runs two tasks at a time; a job has 2.5 tasks of 0.25 s on average.
-	rate := sim.config.load * float64(sim.config.failureDomains*sim.config.minions*2) / (2.5 * 0.25)
+	tasksAtOnce := 0 // on all minions
+	for _, m := range sim.minions {
+		tasksAtOnce += int(m.cpu / simTaskCPU)
+	}
+	// A job has 2.5 tasks of 0.25 s on average.
+	rate := sim.config.load * float64(tasksAtOnce) / (2.5 * 0.25)
 	sim.after(time.Duration(sim.rng.ExpFloat64()/rate*float64(time.Second)), sim.nextCaller)
 	sim.newCaller().try()
 }
@@ -59,7 +64,7 @@
 	if long {
 		work = sim.durationBetween(4*time.Second, 6*time.Second)
 	}
-	step := peer.TaskStep{Count: 1 + sim.rng.IntN(4), CPU: 27_000, MemoryMB: 64, EstimateMS: max(1, int64(float64(work.Milliseconds())*(0.6+sim.rng.Float64())))}
+	step := peer.TaskStep{Count: 1 + sim.rng.IntN(4), CPU: simTaskCPU, MemoryMB: 64, EstimateMS: max(1, int64(float64(work.Milliseconds())*(0.6+sim.rng.Float64())))}
 	switch {
 	case long:
 		step.Count = 1
@@ -71,7 +76,7 @@
 	}
 	c.offer.Steps, c.work = []peer.TaskStep{step}, []time.Duration{work}
 	if sim.chance(0.1) {
-		c.offer.Steps = append(c.offer.Steps, peer.TaskStep{Count: 1 + sim.rng.IntN(2), CPU: 27_000, MemoryMB: 64, EstimateMS: 100, After: []int{0}})
+		c.offer.Steps = append(c.offer.Steps, peer.TaskStep{Count: 1 + sim.rng.IntN(2), CPU: simTaskCPU, MemoryMB: 64, EstimateMS: 100, After: []int{0}})
 		c.work = append(c.work, 100*time.Millisecond)
 	}
 	sim.callers = append(sim.callers, c)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -42,6 +42,7 @@
 	tasks             []task
 	openTasks         int       // tasks that are not done
 	mayHaveStarted    bool      // a start was sent, here or possibly by an earlier owner
+	offeredAt         time.Time // when it was offered to this owner
 	earlierOwnerUntil time.Time // until then an earlier owner may run tasks on minions not listed here
 	arrived           time.Time // when the caller's request arrived at its entry host
 	objective         time.Time // when its response-time objective ends
@@ -60,6 +61,7 @@
 func (p *Pool) newJob(now time.Time, o *peer.JobOffer) *job {
 	j := &job{
 		id: o.Job, offer: o, stats: p.statsFor(o.Queue), mayHaveStarted: o.MayHaveRun,
+		offeredAt:         now,
 		arrived:           now.Add(-time.Duration(o.AgeMS) * time.Millisecond),
 		deadline:          now.Add(time.Duration(o.RemainingMS) * time.Millisecond),
 		earlierOwnerUntil: now.Add(time.Duration(o.PriorRunsMS) * time.Millisecond),
@@ -215,11 +217,35 @@
 
 // earlierRunsKnown reports whether every run of the job by an earlier owner is
 // certainly known here: all of that owner's minions are known here and have been
-// listed under this owner's token, or earlierOwnerUntil has passed. Until then the
+// listed since the job was offered, or earlierOwnerUntil has passed. Until then the
 // earlier owner may renew the leases of minions that this owner does not know or
-// cannot reach.
+// cannot reach. An older listing proves nothing: the earlier owner may have had a
+// higher token meanwhile.
 func (p *Pool) earlierRunsKnown(now time.Time, j *job) bool {
-	return j.offer.MinionsDigest == p.minionDigest && p.allListed() || !now.Before(j.earlierOwnerUntil)
+	return j.offer.MinionsDigest == p.minionDigest && p.allListedSince(j.offeredAt) || !now.Before(j.earlierOwnerUntil)
+}
+
+// allListedSince reports whether there are minions, and each has answered a poll that
+// was sent at t or later with a listing under its present token.
+func (p *Pool) allListedSince(t time.Time) bool {
+	for _, m := range p.ordered {
+		if !m.listed || !m.runsKnown() || m.listedPollAt.Before(t) {
+			return false
+		}
+	}
+	return len(p.ordered) > 0
+}
+
+// newestUncertainOffer returns when the newest job with uncertain tasks was offered;
+// zero if there is none.
+func (p *Pool) newestUncertainOffer() time.Time {
+	var newest time.Time
+	for _, j := range p.jobs {
+		if j.offer.MayHaveRun && j.offeredAt.After(newest) && j.hasUncertainTasks() {
+			newest = j.offeredAt
+		}
+	}
+	return newest
 }
 
 // takeoverComplete reports whether every minion that can answer has been listed since
@@ -278,17 +304,24 @@
 	t.state = taskWaiting
 }
 
-// tickJob resolves uncertain tasks once the earlier owner's runs are known: it adopts
-// a task's run if there is one, and otherwise lets the task be started again. It ends a
-// job that can no longer be served in time.
-func (p *Pool) tickJob(now time.Time, j *job) {
-	if j.mayHaveStarted && p.earlierRunsKnown(now, j) {
+// resolveUncertainTasks resolves the uncertain tasks of each job whose runs by earlier
+// owners are known: it adopts a task's run if there is one, and otherwise lets the task
+// be started again.
+func (p *Pool) resolveUncertainTasks(now time.Time) {
+	for _, j := range p.sortedJobs() {
+		if !j.offer.MayHaveRun || !p.earlierRunsKnown(now, j) {
+			continue
+		}
 		for i := range j.tasks {
 			if t := &j.tasks[i]; t.state == taskUncertain && !p.adoptRun(now, j, t) {
 				t.state = taskWaiting
 			}
 		}
 	}
+}
+
+// tickJob ends a job that can no longer be served in time.
+func (p *Pool) tickJob(now time.Time, j *job) {
 	if r := p.expiryResult(now, j); r != nil {
 		p.finish(now, j, *r)
 	}
--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -26,6 +26,9 @@
 		p.handleEnded(now, m, &l.Ended[i])
 	}
 	m.listedToken = max(m.listedToken, poll.token)
+	if poll.token == m.token && poll.sentAt.After(m.listedPollAt) {
+		m.listedPollAt = poll.sentAt
+	}
 	if l.ClockMS < m.listingClock {
 		return // a newer listing arrived first
 	}
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -92,6 +92,7 @@
 	maxLeaseEnd       int64                   // latest end of any lease that may have been granted, on the minion's clock
 	polls             map[uint64]*pendingPoll // by serial number
 	listedAt          time.Time               // when the newest listing arrived
+	listedPollAt      time.Time               // when the newest poll under token was sent that a listing has answered
 	failedPolls       int                     // in a row
 	nextPollAt        time.Time
 	health            health
@@ -196,6 +197,9 @@
 	switch a {
 	case AnswerOK:
 		p.handleListing(now, m, poll, l)
+		if !p.uncertainOfferAt.IsZero() {
+			p.resolveUncertainTasks(now)
+		}
 	case AnswerFenced:
 		if poll.token == m.token {
 			p.tokenSuperseded(m)
@@ -351,6 +355,7 @@
 		p.poll(now, m, wait, false)
 	}
 	p.pollOverdueStarts(now, m)
+	p.pollForUncertainTasks(now, m)
 	if !m.reachable && m.leaseExpired(now) && len(m.runs) > 0 {
 		p.cfg.Log(event.PoolLeaseExpired, slog.String("minion", m.ID), slog.Int("runs", len(m.runs)))
 		p.expireAll(now, m)
--- a/internal/pool/overdue.go
+++ b/internal/pool/overdue.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// pollForUncertainTasks polls a minion that has not been listed since the newest job
+// with uncertain tasks was offered, without waiting for the end of the poll in flight.
+func (p *Pool) pollForUncertainTasks(now time.Time, m *minion) {
+	if !m.reachable || !m.listedPollAt.Before(p.uncertainOfferAt) {
+		return
+	}
+	for _, poll := range m.polls {
+		if poll.urgent && poll.token == m.token && !poll.sentAt.Before(p.uncertainOfferAt) {
+			return
+		}
+	}
+	p.poll(now, m, 0, true)
+}
+
 // repeatPoll repeats an unanswered poll for overdue starts, which may be lost as well.
 func (p *Pool) repeatPoll(now time.Time, m *minion) {
 	inFlight := 0
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,6 +26,7 @@
 	pollLostAt       time.Time     // when a poll was last counted as lost
 	tokens           tokenSource
 	pollSerial       uint64               // serial number of the newest poll
+	uncertainOfferAt time.Time            // when the newest job with uncertain tasks was offered, at the last tick
 	claimedAt        time.Time            // when the pool last claimed its minions
 	earlyEnds        map[TaskRef]earlyEnd // kept for earlyEndTTL
 	ready            Ready
@@ -199,9 +200,11 @@
 // expired and jobs that cannot be served in time, and starts tasks. The caller calls
 // it at a fixed interval.
 func (p *Pool) Tick(now time.Time) {
+	p.uncertainOfferAt = p.newestUncertainOffer()
 	for _, m := range slices.Clone(p.ordered) { // tickMinion removes minions that have left from p.ordered
 		p.tickMinion(now, m)
 	}
+	p.resolveUncertainTasks(now)
 	for _, j := range p.sortedJobs() {
 		p.tickJob(now, j)
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -301,6 +301,7 @@
 	must.NotEq(t, 0, earlier.p.MinionDigest())
 	s := newHarness(t)
 	s.addMinion("a", 64_000)
+	s.advance(ms)
 	offer := func(id string, minions uint64) {
 		s.p.Offer(s.now, "entry", &peer.JobOffer{
 			Job: id, Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, RemainingMS: 5000, MayHaveRun: true, PriorRunsMS: 1700,
@@ -311,6 +312,9 @@
 	offer("other", earlier.p.MinionDigest())
 	must.Len(t, 0, s.out.Starts)
 	offer("same", s.p.MinionDigest())
+	must.Len(t, 0, s.out.Starts)
+	s.advance(20 * ms)
+	s.answerPoll("a", &Listing{})
 	must.Len(t, 1, s.out.Starts)
 	must.Eq(t, "same", s.out.Starts[0].Task.Job)
 	s.advance(1700 * ms)
@@ -471,3 +475,24 @@
 	s.offerJob("k", 2, 27_000, 1000)
 	must.Len(t, 1, s.out.Starts)
 }
+
+// Another owner may have run a job on a minion after this owner last listed it.
+func TestJobOfOtherOwnerIsNotStartedByOldListing(t *testing.T) {
+	s := newHarness(t)
+	s.addMinion("a", 64_000)
+	s.addMinion("b", 64_000)
+	s.advance(ms)
+	s.p.Offer(s.now, "entry", &peer.JobOffer{
+		Job: "j", Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, RemainingMS: 5000, MayHaveRun: true, PriorRunsMS: 1700,
+		MinionsDigest: s.p.MinionDigest(), Steps: []peer.TaskStep{{Count: 1, CPU: 27_000, MemoryMB: 1, EstimateMS: 1000}},
+	})
+	s.advance(20 * ms)
+	s.answerPoll("b", &Listing{})
+	must.SliceEmpty(t, s.out.Starts)
+	s.answerPoll("a", &Listing{Running: []RunProgress{{Task: TaskRef{"j", 0, 0}, Run: 1, Percent: 10}}})
+	s.advance(600 * ms) // the poll in flight counts as lost, and another is sent
+	must.SliceEmpty(t, s.out.Starts)
+	s.answerPoll("a", &Listing{Ended: []EndedRun{{Number: 1, Task: TaskRef{"j", 0, 0}, Run: 1, How: EndDone}}})
+	must.Len(t, 1, s.out.Results)
+	must.Eq(t, peer.JobComplete, s.out.Results[0].Body.Outcome)
+}
