peer, platform: records that no minion can have are refused by every reader

Report of other operators: an odd entry among the minions, nested deeply, with a number too large or a port out of range, ends the hosts that read the list or keeps them from following it. Here: deep nesting and numbers beyond their type were refused already (encoding/json stops at 10,000 levels). Accepted were a port of 99999, host names, capacities up to the range of int64, whose sums overflow, a sequence number of 2^64-1, after which no later announcement under the ID counts, and labels of megabytes, which are passed on to every host with the rest of the log.

Change: MinionRecord.Check holds the bounds.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,3 +146,30 @@
 	offer("fresh", h.core.heartbeatClock(), 0)
 	must.Eq(t, 0, x.pool.JobCount())
 }
+
+// A record that names no possible minion must not keep a host from the rest of another
+// host's log.
+func TestInvalidRecordOfAnotherHostIsSkipped(t *testing.T) {
+	valid := peer.MinionRecord{ID: "m", Seq: 1, Service: "s", Address: "10.0.0.9:80", FailureDomain: "z0", CPU: simLargeCPU, MemoryMB: 100}
+	odd := func(id string, change func(*peer.MinionRecord)) peer.MinionRecord {
+		m := valid
+		m.ID = id
+		change(&m)
+		return m
+	}
+	sim := newSimulation(simConfig{}, 1)
+	sim.addHost(peer.HostRecord{Name: "e", FailureDomain: "z0", Entry: true})
+	h := sim.hosts[0]
+	h.launch()
+	h.core.receive(simStart, "c", "1", &peer.RosterUpdate{LogIncarnation: "1", LogIndex: 7, Minions: []peer.MinionRecord{
+		odd("port", func(m *peer.MinionRecord) { m.Address = "10.0.0.9:99999" }),
+		odd("cpu", func(m *peer.MinionRecord) { m.CPU = math.MaxInt64 }),
+		odd("negative", func(m *peer.MinionRecord) { m.MemoryMB = -1 }),
+		odd("seq", func(m *peer.MinionRecord) { m.Seq = math.MaxUint64 }),
+		odd("label", func(m *peer.MinionRecord) { m.Labels = []string{strings.Repeat("l", 1<<20)} }),
+		valid,
+	}})
+	must.Eq(t, []peer.MinionRecord{valid}, h.core.roster.Minions("z0"))
+	_, index := h.core.roster.ReadPosition("c")
+	must.Eq(t, 7, index)
+}
--- a/internal/fleet/subscribers.go
+++ b/internal/fleet/subscribers.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/roster"
@@ -62,8 +64,16 @@
 	}
 }
 
-// mergeRoster applies roster changes from another host.
+// mergeRoster applies roster changes from another host. It skips invalid records of
+// minions, so that one of them doesn't keep this host from the rest of the log.
 func (c *core) mergeRoster(now time.Time, from string, r *peer.RosterUpdate) {
+	r.Minions = slices.DeleteFunc(r.Minions, func(m peer.MinionRecord) bool {
+		err := m.Check()
+		if err != nil {
+			c.logEvent(event.AnnouncementInvalid, slog.String("minion", m.ID), slog.String("from", from), slog.String("error", err.Error()))
+		}
+		return err != nil
+	})
 	before := len(c.roster.Hosts())
 	for _, m := range c.roster.Merge(from, r) {
 		c.minionChanged(now, m)
