minion: announced numbers have upper bounds

Deep nesting, ports out of range and numbers beyond their type were refused already.

TestOddMinionAnnouncementsAreRefused failed before (milli_cpu).

--- a/internal/api/handlers_test.go
+++ b/internal/api/handlers_test.go
@@ -92,6 +92,25 @@
 	return servers, log
 }
 
+// Another writer's announcement may be nested deeply, or have a number or a port that is
+// out of range.
+func TestOddMinionAnnouncementsAreRefused(t *testing.T) {
+	const valid = `"name":"m","worker":"w","rack":"r","failure_domain":"d","services":["s"],"slots":1,"connections":1,"address":"127.0.0.1:1"`
+	nested := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	servers, _ := newServers(t)
+	post := func(body string) int {
+		w := ut.PerformRequest(servers[1].Engine, "POST", "/v1/minions", &ut.Body{Body: strings.NewReader(body), Len: len(body)})
+		return w.Code
+	}
+	must.Eq(t, 200, post("{"+valid+"}"))
+	for _, odd := range []string{
+		`"services":` + nested, `"milli_cpu":9223372036854775807`, `"memory_mb":1e400`, `"accelerators":-1`, `"generation":18446744073709551615`,
+		`"address":"127.0.0.1:99999"`, `"address":"127.0.0.1:0"`, `"address":"127.0.0.1"`, `"slots":1e30`, `"name":"` + strings.Repeat("n", 1<<20) + `"`,
+	} {
+		must.Eq(t, 400, post("{"+valid+","+odd+"}"), must.Sprintf("%.60s", odd))
+	}
+}
+
 // FuzzHandlers sends arbitrary bodies to every path. No handler may panic, and each
 // response must carry a known result code or have the HTTP status 200.
 func FuzzHandlers(f *testing.F) {
--- a/internal/minion/registry.go
+++ b/internal/minion/registry.go
@@ -25,12 +25,12 @@
 	Slots         int      `json:"slots" msgpack:"l" validate:"min=1,max=4096"`
 	Connections   int      `json:"connections" msgpack:"c" validate:"min=1,max=65536"`
 	Address       string   `json:"address" msgpack:"a" validate:"required,hostname_port"`
-	MilliCPU      int      `json:"milli_cpu" msgpack:"p" validate:"min=0"`
-	MemoryMB      int      `json:"memory_mb" msgpack:"m" validate:"min=0"`
-	Accelerators  int      `json:"accelerators" msgpack:"x" validate:"min=0"`
+	MilliCPU      int      `json:"milli_cpu" msgpack:"p" validate:"min=0,max=1073741824"`
+	MemoryMB      int      `json:"memory_mb" msgpack:"m" validate:"min=0,max=1099511627776"`
+	Accelerators  int      `json:"accelerators" msgpack:"x" validate:"min=0,max=1048576"`
 	// Generation orders the announcements under one name: a restarted minion
 	// announces a higher generation.
-	Generation uint64 `json:"generation" msgpack:"g"`
+	Generation uint64 `json:"generation" msgpack:"g" validate:"max=9223372036854775807"`
 }
 
 // Minion is the state of one announced backend server.
