pool: answers of a minion's earlier incarnation are ignored

A stop that the earlier incarnation confirmed was never repeated, and its run's lease went on being renewed.

TestLateOrderAnswersOfEarlierIncarnationAreIgnored and TestStopIsRepeatedAfterRestart failed before.

Change: starts and stops carry the incarnation that they were meant for, and their answers count for that one only; a restart forgets confirmed stops.

--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -158,6 +158,7 @@
 		if x.started {
 			x.started, x.restartSeenAt = false, now
 		}
+		x.stopSentAt, x.stopConfirmedAt = time.Time{}, time.Time{}
 	}
 	p.raiseToken(now, m)
 }
@@ -304,13 +305,13 @@
 	}
 	x.stopping = true
 	x.stopSentAt = now
-	p.ready.Stops = append(p.ready.Stops, Stop{Minion: m.ID, Address: m.Address, Task: x.task, Run: x.number, Token: m.token})
+	p.ready.Stops = append(p.ready.Stops, Stop{Minion: m.ID, Address: m.Address, Task: x.task, Run: x.number, Token: m.token, Incarnation: m.Incarnation})
 }
 
 // HandleStopAnswer handles the answer to a Stop.
 func (p *Pool) HandleStopAnswer(now time.Time, s Stop, a Answer) {
 	m := p.minions[s.Minion]
-	if m == nil {
+	if m == nil || s.Incarnation != m.Incarnation {
 		return
 	}
 	x := m.runs[s.Task]
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -145,7 +145,7 @@
 		slog.Int64("used_cpu", m.usedCPU), slog.Int64("cpu", m.CPU), slog.Int64("born", m.Incarnation), slog.Int64("record_born", m.recordIncarnation))
 	p.ready.Starts = append(p.ready.Starts, Start{
 		Minion: m.ID, Address: m.Address, Task: t.ref, Run: x.number, Payload: j.offer.Payload,
-		Token: m.token, LeaseEndMS: m.leaseEnd(now, p.cfg.Timing.Lease),
+		Token: m.token, LeaseEndMS: m.leaseEnd(now, p.cfg.Timing.Lease), Incarnation: m.Incarnation,
 	})
 }
 
@@ -153,8 +153,8 @@
 // clock in the answer, in milliseconds; 0: none.
 func (p *Pool) HandleStartAnswer(now time.Time, s Start, a Answer, clock int64) {
 	m := p.minions[s.Minion]
-	if m == nil {
-		return
+	if m == nil || s.Incarnation != m.Incarnation {
+		return // either incarnation may have answered; listings under the token since then show what runs
 	}
 	if clock > 0 {
 		m.observeClock(now, clock)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -496,3 +496,50 @@
 	must.Len(t, 1, s.out.Results)
 	must.Eq(t, peer.JobComplete, s.out.Results[0].Body.Outcome)
 }
+
+// Late answers of a minion's earlier incarnation say nothing about the present one.
+func TestLateOrderAnswersOfEarlierIncarnationAreIgnored(t *testing.T) {
+	record := peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1, Incarnation: 1}
+	s := newHarness(t)
+	s.p.UpdateMinion(s.now, record)
+	s.collect()
+	s.answerPoll("a", &Listing{Incarnation: 1})
+	s.offerJob("j", 2, 27_000, 1000)
+	early := s.out.Starts
+	must.Len(t, 2, early)
+	s.out.Starts = nil
+	record.Incarnation = 5
+	s.p.UpdateMinion(s.now, record)
+	s.collect()
+	s.p.HandlePollAnswer(s.now, "a", s.lastPoll("a").Serial, AnswerOK, &Listing{ClockMS: 10, Incarnation: 5, Running: []RunProgress{{Task: early[0].Task, Run: 1, Percent: 1}}})
+	s.collect()
+	must.Len(t, 1, s.out.Starts, must.Sprint("the second task again"))
+
+	s.p.HandleStartAnswer(s.now, early[1], AnswerOK, 90_000)
+	s.p.HandleStartAnswer(s.now, early[0], AnswerOtherProcess, 0)
+	must.MapContainsKey(t, s.p.minions["a"].runs, early[0].Task)
+	must.False(t, s.p.minions["a"].replaced)
+	must.Less(t, 1000, s.p.minions["a"].clockMS(s.now), must.Sprint("by the new incarnation's clock"))
+}
+
+// A stop that the earlier incarnation confirmed ends nothing in the present one.
+func TestStopIsRepeatedAfterRestart(t *testing.T) {
+	record := peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 1, Incarnation: 1}
+	s := newHarness(t)
+	s.p.UpdateMinion(s.now, record)
+	s.collect()
+	s.answerPoll("a", &Listing{Incarnation: 1})
+	o := s.offerJob("j", 1, 27_000, 1000)
+	run := RunProgress{Task: s.answerStarts(AnswerOK)[0].Task, Run: 1, Percent: 1}
+	s.p.Cancel(s.now, "entry", &peer.JobCancel{Job: o.Job, Offer: o.Offer})
+	s.collect()
+	s.p.HandleStopAnswer(s.now, s.out.Stops[0], AnswerOK)
+	record.Incarnation = 5
+	s.p.UpdateMinion(s.now, record)
+	s.collect()
+	s.p.HandleStopAnswer(s.now, s.out.Stops[0], AnswerOK) // late
+	s.out.Stops = nil
+	s.p.HandlePollAnswer(s.now, "a", s.lastPoll("a").Serial, AnswerOK, &Listing{ClockMS: 10, Incarnation: 5, Running: []RunProgress{run}})
+	s.advance(20 * ms)
+	must.Len(t, 1, s.out.Stops)
+}
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -24,16 +24,20 @@
 	Payload    string
 	Token      uint64
 	LeaseEndMS int64 // end of the lease, in milliseconds of the minion's clock
+	// Incarnation is the minion's newest known incarnation when the order was made. A
+	// later one may receive the order all the same.
+	Incarnation int64
 }
 
 // Stop orders a minion to end a run, and to refuse the run's start if that arrives
 // later.
 type Stop struct {
-	Minion  string
-	Address string
-	Task    TaskRef
-	Run     int
-	Token   uint64
+	Minion      string
+	Address     string
+	Task        TaskRef
+	Run         int
+	Token       uint64
+	Incarnation int64 // as in Start
 }
 
 // Poll asks a minion for a listing of its current and ended runs, and renews its
