pool: a lease granted by an overtaken owner is waited for

Tasks of a minion that then became unreachable could start elsewhere up to 0.2 s too early.

Change: the first listing under each token counts it.

--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -25,6 +25,10 @@
 	for i := range l.Ended {
 		p.handleEnded(now, m, &l.Ended[i])
 	}
+	if poll.token == m.token && m.listedToken < m.token {
+		// A lease granted to an earlier owner may last this long.
+		m.maxLeaseEnd = max(m.maxLeaseEnd, l.ClockMS+p.cfg.Timing.MaxLease.Milliseconds())
+	}
 	m.listedToken = max(m.listedToken, poll.token)
 	if poll.token == m.token && poll.sentAt.After(m.listedPollAt) {
 		m.listedPollAt = poll.sentAt
@@ -44,10 +48,8 @@
 		}
 	}
 	p.checkCapacity(m)
-	if poll.token == m.token && !m.listed {
+	if poll.token == m.token {
 		m.listed = true
-		// A lease granted to an earlier owner may last this long.
-		m.maxLeaseEnd = max(m.maxLeaseEnd, l.ClockMS+p.cfg.Timing.MaxLease.Milliseconds())
 	}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -543,3 +543,17 @@
 	s.advance(20 * ms)
 	must.Len(t, 1, s.out.Stops)
 }
+
+// Another owner may have renewed the lease before this owner's newer token overtook it.
+func TestLeaseOfOvertakenOwnerIsWaitedFor(t *testing.T) {
+	s := newHarness(t)
+	s.addMinion("a", 64_000)
+	s.advance(500 * ms)
+	s.offerJob("j1", 1, 27_000, 1000)
+	s.answerStarts(AnswerOK)
+	s.offerJob("j2", 1, 27_000, 1000)
+	s.out.Starts = nil // the answer is lost
+	s.advance(minOverdue + 5*ms)
+	s.answerPoll("a", &Listing{Running: []RunProgress{{Task: TaskRef{"j1", 0, 0}, Run: 1, Percent: 1}}})
+	must.GreaterEq(t, s.minionClock()+DefaultTiming().MaxLease.Milliseconds(), s.p.minions["a"].maxLeaseEnd)
+}
