--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -465,14 +465,17 @@
 	s.p.UpdateMinion(s.now, record(1, 64_000))
 	s.collect()
 	s.answerPoll("a", &Listing{Incarnation: 1})
+	s.offerJob("j", 2, 27_000, 1000)
+	must.Len(t, 2, s.answerStarts(AnswerOK))
 	s.advance(20 * ms)
 	s.answerPoll("a", &Listing{Incarnation: 2})
 	s.answerPoll("a", &Listing{Incarnation: 2})
-	s.offerJob("j", 2, 27_000, 1000)
+	s.advance(20 * ms)
+	must.MapEmpty(t, s.p.minions["a"].runs)
 	must.SliceEmpty(t, s.out.Starts)
 	s.p.UpdateMinion(s.now, record(2, 32_000))
 	s.p.UpdateMinion(s.now, record(1, 64_000)) // late
-	s.offerJob("k", 2, 27_000, 1000)
+	s.advance(20 * ms)
 	must.Len(t, 1, s.out.Starts)
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -126,6 +126,13 @@
 mutant 'leased: offers that were in flight too long are accepted' internal/fleet/offer_age.go 's/ \&\& flight <= maxOfferAge {/ {/' ./internal/fleet Stale
 mutant 'leased: offers that have ended are forgotten' internal/fleet/offers.go 's/if _, ended := c.endedOffers\[key\]; ended || /if /' ./internal/fleet Stale
 mutant 'leased: unwanted acknowledgements are left' internal/entry/entry.go 's/	if j == nil || j.prevOffer.host != from || j.prevOffer.number != a.Offer {/	if false {/' ./internal/entry Unwanted
+mutant 'leased: starts under a token without a listing' internal/pool/place.go 's/!m.runsKnown() || //' ./internal/pool NoStart
+mutant 'leased: capacity of an earlier incarnation counts' internal/pool/place.go 's/ || !m.capacityKnown() {/ {/' ./internal/pool NoStartByCapacity
+mutant 'leased: an old listing settles jobs of other owners' internal/pool/job.go 's/ || m.listedPollAt.Before(t)//' ./internal/pool OldListing
+mutant 'leased: answers of an earlier incarnation count' internal/pool/place.go 's/ || s.Incarnation != m.Incarnation//' ./internal/pool LateOrder
+mutant 'leased: stops of an earlier incarnation count' internal/pool/minion.go 's/^		x.stopSentAt, x.stopConfirmedAt = .*$//' ./internal/pool StopIsRepeated
+mutant 'leased: the lease of an overtaken owner is forgotten' internal/pool/listing.go 's/if poll.token == m.token \&\& m.listedToken < m.token {/if !m.listed {/' ./internal/pool OvertakenOwner
+mutant 'leased: invalid records of other hosts count' internal/fleet/subscribers.go 's/return err != nil$/return false/' ./internal/fleet InvalidRecord
 mutant 'leased: overdue starts are not asked about' internal/pool/overdue.go 's/if now.Sub(x.sentAt) > p.overdueAfter() {/if false {/' ./internal/pool Overdue
 mutant 'leased: silent connections are not reset' internal/link/link.go 's/^				resetOnClose(conn)$//' ./internal/link UnacknowledgedHeartbeat
 # Mutants that the simulation of whole failure domains must detect.
@@ -136,6 +143,7 @@
 mutant 'simulated: steps do not wait for each other' internal/pool/job.go 's/j.tasks\[i\].ref.Step == a \&\& j.tasks\[i\].state != taskDone/j.tasks[i].ref.Step == a-100/' $fleet
 mutant 'simulated: spread over minions is ignored' internal/pool/place.go 's/if t.step.MaxPerMinion > 0 \&\& /if false \&\& /' $fleet
 mutant 'simulated: labels are ignored' internal/pool/place.go 's/(s.Label == "" || slices.Contains(m.Labels, s.Label))/true/' $fleet
+mutant 'simulated: capacity of an earlier incarnation counts' internal/pool/place.go 's/ || !m.capacityKnown() {/ {/' $fleet
 mutant 'simulated: minions that drain get work' internal/pool/place.go 's/ || m.Draining || m.Left || m.replaced || m.clock == 0/ || m.clock == 0/' $fleet
 mutant 'simulated: a started job is refused as not run' internal/entry/entry.go 's/if o.Outcome == peer.JobRefused \&\& j.mayHaveStarted {/if false {/' $fleet
 mutant 'simulated: a suspended host goes on' internal/fleet/core.go 's/suspensionThreshold = 500 \* time.Millisecond/suspensionThreshold = time.Hour/' $fleet
