--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -205,6 +205,9 @@
 	if c := cmp.Or(cmp.Compare(rec.Incarnation, m.Incarnation), cmp.Compare(rec.Seq, m.Seq)); c <= 0 {
 		return false
 	}
+	if rec.Incarnation != 0 && rec.Incarnation == m.Incarnation && !sameIncarnation(m.MinionRecord, rec) {
+		return false // not from the minion: its service, place and capacity last as long as its process
+	}
 	same := m.MinionRecord
 	same.Seq = rec.Seq
 	if equalRecords(same, rec) {
@@ -216,6 +219,13 @@
 	return true
 }
 
+// sameIncarnation reports whether two records of one ID and incarnation differ only in
+// what a minion changes while it runs.
+func sameIncarnation(a, b peer.MinionRecord) bool {
+	a.Seq, a.Draining, a.Left = b.Seq, b.Draining, b.Left
+	return equalRecords(a, b)
+}
+
 func equalRecords(a, b peer.MinionRecord) bool {
 	if !slices.Equal(a.Labels, b.Labels) {
 		return false
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -91,6 +91,28 @@
 	must.False(t, r.ApplyAnnouncement(minionOf(9, true)), must.Sprint("of an earlier incarnation"))
 }
 
+// Another writer may use the ID of a minion.
+func TestRecordThatContradictsTheIncarnationIsIgnored(t *testing.T) {
+	r := New(record("control"))
+	r.ApplyAnnouncement(minionOf(1, false))
+	for _, change := range []func(*peer.MinionRecord){
+		func(m *peer.MinionRecord) { m.CPU = 1000 },
+		func(m *peer.MinionRecord) { m.MemoryMB = 1000 },
+		func(m *peer.MinionRecord) { m.Service = "other" },
+		func(m *peer.MinionRecord) { m.Address = "10.0.0.9:1" },
+		func(m *peer.MinionRecord) { m.FailureDomain = "b" },
+		func(m *peer.MinionRecord) { m.Labels = []string{"other"} },
+	} {
+		odd := minionOf(9, false)
+		change(&odd)
+		must.False(t, r.ApplyAnnouncement(odd))
+		must.SliceEmpty(t, r.Merge("other", &peer.RosterUpdate{LogIncarnation: "1", Minions: []peer.MinionRecord{odd}}))
+	}
+	must.True(t, r.ApplyAnnouncement(minionOf(2, true)), must.Sprint("the minion itself is heard"))
+	known, _ := r.Minion("m")
+	must.Eq(t, minionOf(2, true), known)
+}
+
 // A delta carries only the minions of the reader's failure domain.
 func TestDeltaIsLimitedToFailureDomain(t *testing.T) {
 	r := New(record("control"))
