pool: a copy of an offer whose result is pending is ignored

What callers saw: a job that was refused as not run, but whose tasks start (REFUSED). An offer counted as ended only when its result was sent, after the batch; so the copy was queued and started, and the refusal was sent first.

Ruled out: a refusal by the entry host (the dispatcher logs both, 60 us apart), a copy that came after the result (event 2105 at the same millisecond as 2101).

Change: Pool.Offer ignores an offer whose result Ready is going to return. TestCopyOfRefusedOfferIsNotStarted failed before.

--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -73,6 +74,22 @@
 	}
 }
 
+// inputBatches passes queued inputs to the core as the loop of a Host does: it carries
+// out the output after each batch.
+func (h *simHost) inputBatches(inputs []func(now time.Time)) {
+	incarnation := h.incarnation
+	for batch := range slices.Chunk(inputs, 1+maxInputBatch) {
+		for _, f := range batch {
+			h.core.detectSuspension(h.clock(), h.bootTime())
+			f(h.clock())
+		}
+		h.carryOut()
+		if h.incarnation != incarnation {
+			return
+		}
+	}
+}
+
 func (h *simHost) tick() {
 	h.core.detectSuspension(h.clock(), h.bootTime())
 	h.core.tick(h.clock())
@@ -149,9 +166,7 @@
 		if h.sim.chance(0.5) {
 			h.tick()
 		}
-		for _, f := range inputs {
-			h.input(f)
-		}
+		h.inputBatches(inputs)
 	})
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,8 +99,11 @@
 
 // Offer handles a job offer from the host named from: it adds the job to the queue or
 // refuses it. If the pool already has the job, the host is added to those that wait for
-// its result.
+// its result. A copy of an offer whose result is pending in Ready is ignored.
 func (p *Pool) Offer(now time.Time, from string, o *peer.JobOffer) {
+	if p.resultPending(from, o) {
+		return
+	}
 	ref := OfferRef{Host: from, Offer: o.Offer}
 	if j := p.jobs[o.Job]; j != nil {
 		if !slices.Contains(j.waiters, ref) {
@@ -124,6 +127,13 @@
 	p.dispatch(now)
 }
 
+// resultPending reports whether Ready is going to return the offer's result.
+func (p *Pool) resultPending(from string, o *peer.JobOffer) bool {
+	return slices.ContainsFunc(p.ready.Results, func(r Result) bool {
+		return r.To == from && r.Body.Job == o.Job && r.Body.Offer == o.Offer
+	})
+}
+
 // WaitingHosts returns the names of the hosts that wait for results, sorted.
 func (p *Pool) WaitingHosts() []string {
 	var out []string
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -560,3 +560,22 @@
 	s.answerPoll("a", &Listing{Running: []RunProgress{{Task: TaskRef{"j1", 0, 0}, Run: 1, Percent: 1}}})
 	must.GreaterEq(t, s.minionClock()+DefaultTiming().MaxLease.Milliseconds(), s.p.minions["a"].maxLeaseEnd)
 }
+
+// A host that gets no processor time may read an offer and its copy before it sends the
+// refusal.
+func TestCopyOfRefusedOfferIsNotStarted(t *testing.T) {
+	s := newHarness(t)
+	s.addMinion("a", 64_000)
+	s.p.UpdateMinion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 2, Draining: true})
+	o := &peer.JobOffer{
+		Job: "j", Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, RemainingMS: 5000,
+		Steps: []peer.TaskStep{{Count: 1, CPU: 27_000, MemoryMB: 1, EstimateMS: 100}},
+	}
+	s.p.Offer(s.now, "entry", o)
+	s.p.UpdateMinion(s.now, peer.MinionRecord{ID: "a", Service: "s", FailureDomain: "z", CPU: 64_000, MemoryMB: 1000, Seq: 3})
+	s.p.Offer(s.now, "entry", o)
+	s.collect()
+	must.Len(t, 1, s.out.Results)
+	must.Eq(t, peer.JobRefused, s.out.Results[0].Body.Outcome)
+	must.SliceEmpty(t, s.out.Starts)
+}
