--- a/internal/fleet/sim_run_test.go
+++ b/internal/fleet/sim_run_test.go
@@ -23,10 +23,19 @@
 // simSeeds is the number of seeds that TestRandomFaults runs.
 const simSeeds = 16
 
+// failedSeeds are seeds that have failed, which TestRandomFaults runs as well.
+var failedSeeds = []uint64{
+	1796441370643945388, // a copy of a refused offer was started: both were read before the refusal was sent
+}
+
 // Hosts, minions, links and callers fail in random combinations. The guarantees to
 // callers and minions must hold throughout (see simChecker).
 func TestRandomFaults(t *testing.T) {
+	seeds := failedSeeds
 	for seed := range uint64(simSeeds) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			_, violations := runSeed(defaultConfig, seed, false)
