fleet: a copy of an offer that was answered as moved is ignored

The logs: front-sul-a-1 loses its shard at 49.54 s, answers an offer made at 49.73 s with 'moved, not started', so that it is offered to another failure domain at 49.90 s, claims the shard again at 50.125 s and at 50.128 s queues and starts the copy of the offer that was sent at 49.90 s. Only results of the pool were remembered as ends of an offer.

Ruled out: a cut link that held the offer back (230 ms on its way), a dispatcher that counted as unavailable (no event 2113).

Change: 'not the shard's dispatcher' ends the offer like every other result; it is sent again until acknowledged, and copies are not accepted afterwards. TestCopyOfMovedOfferIsNotStarted failed before.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -147,6 +147,28 @@
 	must.Eq(t, 0, x.pool.JobCount())
 }
 
+// A host that is not the shard's dispatcher answers that the job has moved. It may claim
+// the shard before it reads a copy of the offer, which must then not be started: the
+// sender has offered the job elsewhere.
+func TestCopyOfMovedOfferIsNotStarted(t *testing.T) {
+	sim := newSimulation(simConfig{failureDomains: 1, entryHosts: 2, minions: 2, recoveryPeriod: time.Second}, 1)
+	h := sim.hostByName["e0-0"]
+	h.launch()
+	h.core.detectSuspension(simStart, time.Hour)
+	offer := &peer.JobOffer{Job: "j", Offer: 1, ShardCount: 1, Service: "s", StretchPct: 160, AddMS: 60, RemainingMS: 1000, ReceiverClock: h.core.heartbeatClock(),
+		Steps: []peer.TaskStep{{Count: 1, CPU: 1000, MemoryMB: 1, EstimateMS: 100}}}
+	h.core.receive(simStart, "far", "1", offer)
+	x := &shard{shardCount: 1, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: h.logEvent})}
+	x.pool.Claim(simStart, 1<<30)
+	x.pool.UpdateMinion(simStart, peer.MinionRecord{ID: "m", Service: "s", CPU: simLargeCPU, MemoryMB: 100, Seq: 1})
+	h.core.shards[0] = x
+	h.core.receive(simStart, "far", "1", offer)
+	must.Eq(t, 0, x.pool.JobCount())
+	h.core.receive(simStart, "far", "1", &peer.JobResultAck{Job: "j", Offer: 1})
+	h.core.receive(simStart, "far", "1", offer)
+	must.Eq(t, 0, x.pool.JobCount(), must.Sprint("after the acknowledgement"))
+}
+
 // A record that names no possible minion must not keep a host from the rest of another
 // host's log.
 func TestInvalidRecordOfAnotherHostIsSkipped(t *testing.T) {
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -40,8 +40,7 @@
 	}
 	x := c.shards[o.Shard]
 	if x == nil || x.shardCount != o.ShardCount || o.Cell != c.cell {
-		r := &pendingResult{sendsRemaining: 1, body: peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"}}
-		c.sendResult(now, key, r)
+		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"})
 		return
 	}
 	x.pool.Offer(now, from, o)
@@ -52,6 +51,17 @@
 	}
 }
 
+// endOffer sends the result of an offer, until it is acknowledged if another host made
+// the offer, and ignores further copies of the offer.
+func (c *core) endOffer(now time.Time, key offerKey, result peer.JobResult) {
+	r := &pendingResult{body: result, sendsRemaining: maxResultSends}
+	if key.sender != c.self.Name {
+		c.unackedResults[key] = r
+		c.endedOffers[key] = now
+	}
+	c.sendResult(now, key, r)
+}
+
 // sendResult sends a result, for the first time or again.
 func (c *core) sendResult(now time.Time, key offerKey, r *pendingResult) {
 	r.sentAt = now
@@ -94,13 +104,7 @@
 	}
 	for i := range r.Results {
 		out := &r.Results[i]
-		p := &pendingResult{body: out.Body, sendsRemaining: maxResultSends}
-		key := offerKey{out.To, out.Body.Job, out.Body.Offer}
-		if out.To != c.self.Name {
-			c.unackedResults[key] = p
-			c.endedOffers[key] = now
-		}
-		c.sendResult(now, key, p)
+		c.endOffer(now, offerKey{out.To, out.Body.Job, out.Body.Offer}, out.Body)
 	}
 	if r.TokenSuperseded && c.shards[x.number] == x {
 		c.releaseShard(now, x, "a minion obeys a newer token")
