fleet: an offer to an earlier claim is answered as moved

The logs: front-amman-b-2 loses its shard at 57.579 s and stalls; an offer is made to it at 57.977 s; its sender counts it as gone at 58.194 s and offers the job, as may have run, to front-amman-b-1, which starts it at 58.202 s. front-amman-b-2 claims the shard again at 58.232 s and at 58.235 s reads the first offer, as not run: it starts what its listings do not show yet.

Ruled out: an offer held back by a cut link (258 ms on its way, 1 s are accepted), a start under a token without a listing (listed_token is token).

Change: a dispatcher accepts an offer only if the sender had a heartbeat with the present claim; it answers others as moved, and the sender offers again. TestOfferToAnEarlierClaimIsNotStarted failed before. Open: a dispatcher that stalls while it keeps its claim, and then overtakes its successor's tokens, can still read such an offer.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -20,9 +20,10 @@
 // shard is one part of the cell's minions. This host has claimed it and dispatches
 // tasks to its minions.
 type shard struct {
-	number     int
-	shardCount int // number of shards in the layout that the shard belongs to
-	pool       *pool.Pool
+	number       int
+	shardCount   int   // number of shards in the layout that the shard belongs to
+	claimedClock int64 // heartbeatClock when this host claimed it
+	pool         *pool.Pool
 }
 
 // sortedShards returns the shards that this host has claimed, by number.
@@ -233,7 +234,7 @@
 	if c.shardLayoutVersion == 0 {
 		c.shardLayoutVersion = c.highestToken
 	}
-	x := &shard{number: number, shardCount: c.shardCount, pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent})}
+	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent})}
 	c.shards[number] = x
 	x.pool.Claim(now, c.highestToken)
 	n := 0
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -169,6 +169,31 @@
 	must.Eq(t, 0, x.pool.JobCount(), must.Sprint("after the acknowledgement"))
 }
 
+// A host may lose its claim and claim the shard again while an offer waits in it. The
+// sender may have offered the job to the dispatcher in between.
+func TestOfferToAnEarlierClaimIsNotStarted(t *testing.T) {
+	sim := newSimulation(simConfig{failureDomains: 1, entryHosts: 2, minions: 2, recoveryPeriod: time.Second}, 1)
+	h := sim.hostByName["e0-0"]
+	h.launch()
+	now, boot := simStart, time.Hour
+	h.core.detectSuspension(now, boot)
+	stale := h.core.heartbeatClock()
+	now, boot = now.Add(100*time.Millisecond), boot+100*time.Millisecond
+	h.core.detectSuspension(now, boot)
+	x := &shard{shardCount: 1, claimedClock: h.core.heartbeatClock(), pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: h.logEvent})}
+	x.pool.Claim(now, 1<<30)
+	x.pool.UpdateMinion(now, peer.MinionRecord{ID: "m", Service: "s", CPU: simLargeCPU, MemoryMB: 100, Seq: 1})
+	h.core.shards[0] = x
+	offer := func(job string, clock, age int64) {
+		h.core.receive(now, "far", "1", &peer.JobOffer{Job: job, Offer: 1, ShardCount: 1, Service: "s", StretchPct: 160, AddMS: 60, RemainingMS: 1000, ReceiverClock: clock, ReceiverClockAgeMS: age,
+			Steps: []peer.TaskStep{{Count: 1, CPU: 1000, MemoryMB: 1, EstimateMS: 100}}})
+	}
+	offer("to the earlier claim", stale, 100)
+	must.Eq(t, 0, x.pool.JobCount())
+	offer("to this claim", h.core.heartbeatClock(), 0)
+	must.Eq(t, 1, x.pool.JobCount())
+}
+
 // A record that names no possible minion must not keep a host from the rest of another
 // host's log.
 func TestInvalidRecordOfAnotherHostIsSkipped(t *testing.T) {
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -39,7 +39,7 @@
 		return
 	}
 	x := c.shards[o.Shard]
-	if x == nil || x.shardCount != o.ShardCount || o.Cell != c.cell {
+	if x == nil || x.shardCount != o.ShardCount || o.Cell != c.cell || !x.knownTo(from, c.self.Name, o) {
 		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"})
 		return
 	}
@@ -51,6 +51,13 @@
 	}
 }
 
+// knownTo reports whether the sender of an offer had received a heartbeat with the present
+// claim. An offer made to an earlier claim of this host may have been made to another
+// dispatcher of the shard since.
+func (x *shard) knownTo(sender, self string, o *peer.JobOffer) bool {
+	return sender == self || o.ReceiverClock >= x.claimedClock
+}
+
 // endOffer sends the result of an offer, until it is acknowledged if another host made
 // the offer, and ignores further copies of the offer.
 func (c *core) endOffer(now time.Time, key offerKey, result peer.JobResult) {
