--- a/internal/pool/doc.go
+++ b/internal/pool/doc.go
@@ -8,7 +8,8 @@
 // an unanswered start keeps its capacity reserved until a listing under a newer
 // token, or the end of the lease, proves that the capacity is free. A task is
 // started again only when its previous run has certainly ended or can no longer
-// begin.
+// begin. A listing proves something only under the minion's present token and for its
+// present incarnation: another owner or a restart may have come between.
 //
 // A Pool is a pure state machine: every method takes the current time; it does
 // no I/O, starts no goroutine, reads no clock, and isn't safe for concurrent
