entry: flow control and backoff of offers

Cause: an offer without an acknowledgement was repeated every 150 ms until its caller's deadline, and new jobs went to the same dispatcher.

Change: copies are sent after 150, 300 and then each 600 ms. A dispatcher with 32 unacknowledged offers, or one that is unacknowledged for 0.3 s, gets no further ones from this host; jobs that nobody takes wait while their answer is of use and are then refused as not run. The load of a dispatcher is updated between listings.

Ruled out: offering a job elsewhere when no acknowledgement comes; the first dispatcher may have started it.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -51,8 +51,10 @@
 // domains and shards when the load exceeds the capacity of one; a job moves as a
 // whole, so that all its tasks stay with one dispatcher. Among several dispatchers
 // without delay one is drawn at random, weighted by free CPU: if all hosts chose
-// the best one, they would overload it.
-func (t *Table) chooseDispatcher(j *openJob) *Dispatcher {
+// the best one, they would overload it. A dispatcher that does not acknowledge offers in
+// time gets no further ones (see flow.go).
+func (t *Table) chooseDispatcher(now time.Time, j *openJob) *Dispatcher {
+	unacked := t.unacked()
 	var best *Dispatcher
 	var bestDelay time.Duration
 	var totalFree float64
@@ -64,7 +66,11 @@
 		if j.boundToShard && !d.servesShardOf(j) {
 			continue
 		}
-		delay := t.estimateDelay(d, j)
+		flight := unacked[d.id()]
+		if !j.boundToShard && flight.isFull(now) {
+			continue
+		}
+		delay := t.estimateDelay(d, j) + flight.delay(now)
 		if d.FailureDomain != t.domain {
 			delay += crossDomainPenalty
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// resendInterval is the interval at which unacknowledged offers and
-	// cancellations are sent again.
+	// resendInterval is the time after which an unacknowledged offer or cancellation is
+	// sent again. It doubles with each copy of an offer.
 	resendInterval = 150 * time.Millisecond
 	// runEndTimeout bounds how long a job's runs go on after its dispatcher became
 	// unavailable. The dispatcher notices within 0.6 s that this host is
@@ -106,7 +106,9 @@
 	waiters        []uint64
 	dispatcher     dispatcherID // that the job is offered to; zero: none
 	domain         string       // failure domain of the dispatcher offered to last
-	sentAt         time.Time    // when the offer was last sent
+	offeredAt      time.Time    // when the offer was first sent
+	sentAt         time.Time    // when it was last sent
+	sends          int          // how many times it was sent
 	ackedAt        time.Time    // when the dispatcher acknowledged the offer; zero: not yet
 	refusedBy      []dispatcherID
 	retryMS        int64     // shortest retry time that these dispatchers named
@@ -139,9 +141,10 @@
 	logEvent         func(event.ID, ...slog.Attr)
 	jobs             map[string]*openJob // by job ID
 	dispatchers      []Dispatcher
-	lastDispatcherAt time.Time                  // when any dispatcher was last listed
-	handedOver       map[dispatcherID]bool      // handed a job over since the list was last replaced
-	sent             map[dispatcherID]*sentLoad // offered since the dispatcher's last load report
+	lastDispatcherAt time.Time                      // when any dispatcher was last listed
+	handedOver       map[dispatcherID]bool          // handed a job over since the list was last replaced
+	sent             map[dispatcherID]*sentLoad     // offered since the dispatcher's last load report
+	flight           map[dispatcherID]unackedOffers // result of unacked; nil: must be computed again
 	cancels          []*pendingCancel
 	lastOffer        uint64 // number of the newest offer
 	rng              *rand.Rand
@@ -205,6 +208,7 @@
 	}
 	t.cancel(now, j)
 	delete(t.jobs, id)
+	t.flight = nil
 }
 
 // cancel cancels the job at its dispatcher and at the unavailable one that had
@@ -245,6 +249,7 @@
 // answered as unknown instead of refused.
 func (t *Table) answer(now time.Time, j *openJob, o Outcome) {
 	delete(t.jobs, j.offer.Job)
+	t.flight = nil
 	if o.Outcome == peer.JobRefused && j.mayHaveStarted {
 		o.Outcome = peer.JobUnknown
 	}
@@ -266,7 +271,8 @@
 	j.offer.Offer = t.lastOffer
 	j.dispatcher, j.domain = d.id(), d.FailureDomain
 	j.offer.Shard, j.offer.ShardCount, j.offer.Cell = d.Shard, d.ShardCount, d.Cell
-	j.ackedAt = time.Time{}
+	j.ackedAt, j.offeredAt, j.sends = time.Time{}, now, 0
+	t.flight = nil
 	j.offer.MayHaveRun, j.offer.MinionsDigest = j.boundToShard, j.minionsDigest
 	j.minionsDigest = d.Load.MinionsDigest
 	t.recordSent(d, j)
@@ -279,6 +285,7 @@
 // sendOffer sends the current offer, or repeats it, with the times as of now.
 func (t *Table) sendOffer(now time.Time, j *openJob) {
 	j.sentAt = now
+	j.sends++
 	o := j.offer
 	o.AgeMS = now.Sub(j.arrived).Milliseconds()
 	o.RemainingMS = j.deadline.Sub(now).Milliseconds()
@@ -295,6 +302,7 @@
 	j := t.jobs[a.Job]
 	if j != nil && j.dispatcher.host == from && j.offer.Offer == a.Offer {
 		j.ackedAt, j.minionsDigest = now, a.Load.MinionsDigest
+		t.flight = nil
 		return
 	}
 	if j == nil || j.prevOffer.host != from || j.prevOffer.number != a.Offer {
@@ -313,6 +321,7 @@
 	}
 	switch r.Outcome {
 	case peer.JobRefused:
+		t.flight = nil
 		t.handleRefusal(now, j, r)
 	case peer.JobMoved:
 		j.offer.Done = r.Done
@@ -320,6 +329,7 @@
 		j.boundToShard = !r.NotStarted
 		j.mayHaveStarted = j.mayHaveStarted || j.boundToShard
 		j.dispatcher = dispatcherID{}
+		t.flight = nil
 		j.unassignedAt = now
 		t.handedOver[dispatcherID{from, j.offer.Shard}] = true
 		t.assign(now, j)
@@ -337,7 +347,7 @@
 	}
 	j.dispatcher = dispatcherID{}
 	if len(j.refusedBy) < maxOffers {
-		if d := t.chooseDispatcher(j); d != nil {
+		if d := t.chooseDispatcher(now, j); d != nil {
 			t.offer(now, j, d)
 			return
 		}
@@ -346,15 +356,15 @@
 }
 
 // assign offers a job to the best dispatcher. Without one the job waits; a job that
-// is not bound to a shard is answered with noDispatcherOutcome after takeoverTimeout
+// is not bound to a shard is answered with unassignedOutcome after takeoverTimeout
 // or its latest useful start, whichever is earlier.
 func (t *Table) assign(now time.Time, j *openJob) {
-	if d := t.chooseDispatcher(j); d != nil {
+	if d := t.chooseDispatcher(now, j); d != nil {
 		t.offer(now, j, d)
 		return
 	}
 	if !j.boundToShard && (now.Sub(t.waitingSince(j)) >= takeoverTimeout || now.After(j.latestStart())) {
-		t.answer(now, j, noDispatcherOutcome)
+		t.answer(now, j, t.unassignedOutcome())
 	}
 }
 
@@ -373,9 +383,15 @@
 	return since
 }
 
-// noDispatcherOutcome is the outcome of a job that is not bound to a shard and for
-// which there is no dispatcher.
-var noDispatcherOutcome = Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
+// unassignedOutcome is the outcome of a job that is not bound to a shard and that no
+// dispatcher can be offered.
+func (t *Table) unassignedOutcome() Outcome {
+	o := Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
+	if len(t.dispatchers) > 0 {
+		o.Reason = "no dispatcher takes further offers"
+	}
+	return o
+}
 
 // takeoverTimeout is how long a job waits for its next dispatcher. The other hosts
 // detect an unavailable one within 0.6 s; when all hosts restart, they claim the
@@ -425,6 +441,15 @@
 	}
 }
 
+// UpdateLoad updates the load of a dispatcher between two calls of SetDispatchers.
+func (t *Table) UpdateLoad(now time.Time, host string, shard int, l peer.PoolLoad) {
+	for i := range t.dispatchers {
+		if d := &t.dispatchers[i]; d.Host == host && d.Shard == shard {
+			d.Load, d.LoadAt = l, now
+		}
+	}
+}
+
 // reoffer unassigns a job from its unavailable dispatcher and offers it to the one
 // that took over the shard, if there is one.
 func (t *Table) reoffer(now time.Time, j *openJob, reason string) {
@@ -434,6 +459,7 @@
 	}
 	j.boundToShard, j.mayHaveStarted = true, true
 	j.prevOffer, j.dispatcher = offerRef{j.dispatcher, j.offer.Offer}, dispatcherID{}
+	t.flight = nil
 	j.unassignedAt = now
 	t.assign(now, j)
 }
@@ -491,7 +517,7 @@
 		t.assign(now, j)
 		return
 	}
-	if j.dispatcher.host != "" && j.ackedAt.IsZero() && now.Sub(j.sentAt) >= resendInterval {
+	if j.dispatcher.host != "" && j.ackedAt.IsZero() && now.Sub(j.sentAt) >= resendDelay(j.sends) {
 		t.sendOffer(now, j)
 	}
 }
@@ -499,7 +525,7 @@
 // expire answers a job whose caller's deadline is closer than answerMargin.
 func (t *Table) expire(now time.Time, j *openJob) {
 	if j.dispatcher.host == "" && !j.boundToShard {
-		t.answer(now, j, noDispatcherOutcome)
+		t.answer(now, j, t.unassignedOutcome())
 		return
 	}
 	t.cancel(now, j)
