--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -50,13 +50,31 @@
 const (
 	// minionsPerShard is how many minions one shard should have: their load of about
 	// 50 tasks at a time uses a tenth of an entry host's processor.
-	minionsPerShard = 24
-	maxShards       = 64
+	minionsPerShard    = 24
+	minMinionsPerShard = 6 // fewer have too little capacity for one job of many tasks
+	maxShards          = 64
+	// minionBytesPerSecond is what a dispatcher sends to one minion for starts and polls
+	// under the usual load, with the headers of HTTP.
+	minionBytesPerSecond = 10_000
+	// minionLinkShare is the share of a dispatcher's link that its minions may take up,
+	// in percent: callers, offers and bursts need the rest.
+	minionLinkShare = 40
 )
 
-// WantedShards returns the number of shards that suits the number of minions and hosts.
-func WantedShards(minions, hosts int) int {
-	n := (minions + minionsPerShard - 1) / minionsPerShard
+// MinionsPerShard returns how many minions one shard should have, given the rate of a
+// dispatcher's link in bytes per second; 0: not limited. The load that it answers is a
+// failure domain whose dispatcher has a full link while those of other hosts are idle.
+func MinionsPerShard(linkRate int64) int {
+	if linkRate <= 0 {
+		return minionsPerShard
+	}
+	return int(min(minionsPerShard, max(minMinionsPerShard, linkRate*minionLinkShare/100/minionBytesPerSecond)))
+}
+
+// WantedShards returns the number of shards of the given size that suits the number of
+// minions and hosts.
+func WantedShards(minions, hosts, perShard int) int {
+	n := (minions + perShard - 1) / perShard
 	return max(1, min(n, hosts, maxShards))
 }
 
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -56,11 +56,21 @@
 	must.Eq(t, []Decision{Keep, Take}, plan)
 }
 
+// A shard is smaller where links are slow, so that a dispatcher's link carries the load of
+// its minions.
+func TestMinionsPerShard(t *testing.T) {
+	must.Eq(t, minionsPerShard, MinionsPerShard(0), must.Sprint("no limit is set"))
+	must.Eq(t, minionsPerShard, MinionsPerShard(25e6/8))
+	must.Eq(t, 10, MinionsPerShard(2e6/8))
+	must.Eq(t, minMinionsPerShard, MinionsPerShard(1))
+}
+
 func TestWantedShards(t *testing.T) {
-	must.Eq(t, 1, WantedShards(0, 3))
-	must.Eq(t, 1, WantedShards(16, 3))
-	must.Eq(t, 5, WantedShards(117, 12))
-	must.Eq(t, 3, WantedShards(117, 3))
+	must.Eq(t, 1, WantedShards(0, 3, minionsPerShard))
+	must.Eq(t, 1, WantedShards(16, 3, minionsPerShard))
+	must.Eq(t, 5, WantedShards(117, 12, minionsPerShard))
+	must.Eq(t, 3, WantedShards(117, 3, minionsPerShard))
+	must.Eq(t, 3, WantedShards(23, 4, MinionsPerShard(250_000)))
 	must.True(t, NeedsRelayout(1, 5))
 	must.False(t, NeedsRelayout(4, 5))
 	must.True(t, NeedsRelayout(5, 2))
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -148,7 +148,7 @@
 	{AnnouncementInvalid, slog.LevelWarn, "announcement refused as invalid", "Check the sender."},
 	{MinionAnswerInvalid, slog.LevelWarn, "minion's answer invalid", "Check the minion's release."},
 	{CellLayoutChanged, slog.LevelInfo, "cell layout of the failure domain changed", "None."},
-	{OfferStale, slog.LevelInfo, "stale job offer ignored", "None; its sender repeats it."},
+	{OfferStale, slog.LevelInfo, "stale job offer not accepted", "None; its sender is told that it has not run, if its age is known. Many at a time: a link or a processor on its way is full."},
 	{PoolMinionOverloaded, slog.LevelError, "runs exceed the minion's capacity", "Report it with the logs; OPERATIONS.md describes what its attributes tell."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -36,11 +36,6 @@
 	return out
 }
 
-// inCell reports whether h is an entry host of this host's cell.
-func (c *core) inCell(h *roster.Host) bool {
-	return h.Entry && h.FailureDomain == c.self.FailureDomain && claim.CellOf(h.Name, c.cellLayout) == c.cell
-}
-
 // minionInCell reports whether a minion belongs to this host's cell.
 func (c *core) minionInCell(id string) bool { return claim.CellOf(id, c.cellLayout) == c.cell }
 
@@ -48,8 +43,8 @@
 // use the same cell layout.
 func (c *core) otherCandidates(now time.Time) []claim.Candidate {
 	var out []claim.Candidate
-	for _, h := range c.roster.Hosts() {
-		if c.inCell(h) && alive(now, h) && h.Heartbeat.CellLayout.Version == c.cellLayout.Version {
+	for _, h := range c.hosts().cell {
+		if alive(now, h) && h.Heartbeat.CellLayout.Version == c.cellLayout.Version {
 			out = append(out, claim.Candidate{Host: h.Name, ShuttingDown: h.Heartbeat.ShuttingDown, Claims: h.Heartbeat.Claims})
 		}
 	}
@@ -57,13 +52,20 @@
 }
 
 // alive reports whether a host is a claim candidate or, in another cell, a possible
-// dispatcher: its last heartbeat is at most claim.HeartbeatTimeout old, and its
-// connection, if closed since, was closed less than claim.ClosedConnTimeout ago.
-func alive(now time.Time, h *roster.Host) bool {
-	if h.Heartbeat == nil || now.Sub(h.HeartbeatAt) > claim.HeartbeatTimeout {
-		return false
+// dispatcher: its next heartbeat is late by less than two heartbeats, and its connection,
+// if closed since, was closed less than claim.ClosedConnTimeout ago.
+func alive(now time.Time, h *roster.Host) bool { return now.Before(aliveUntil(h)) }
+
+// aliveUntil returns until when a host is alive if nothing more arrives from it.
+func aliveUntil(h *roster.Host) time.Time {
+	if h.Heartbeat == nil {
+		return time.Time{}
+	}
+	until := h.HeartbeatAt.Add(claim.HeartbeatTimeout + nextHeartbeat(h.Heartbeat) - heartbeatInterval)
+	if closed := h.ClosedAt.Add(claim.ClosedConnTimeout); !h.ClosedAt.IsZero() && closed.Before(until) {
+		return closed
 	}
-	return h.ClosedAt.IsZero() || now.Sub(h.ClosedAt) < claim.ClosedConnTimeout
+	return until
 }
 
 // hasRecentContact reports whether any other host has sent a heartbeat recently. If
@@ -82,8 +84,28 @@
 	return own
 }
 
-// tickClaims adopts new layouts, then claims and releases shards as claim.Plan says.
+// claimsInterval is the longest time between two calls of planClaims.
+const claimsInterval = 100 * time.Millisecond
+
+// tickClaims plans the claims again when another host may have become unavailable, when
+// claims have changed, and every claimsInterval.
 func (c *core) tickClaims(now time.Time) {
+	if c.claimsChanged || !now.Before(c.nextClaims) {
+		c.planClaims(now)
+	}
+}
+
+// planClaims adopts new layouts, then claims and releases shards as claim.Plan says.
+func (c *core) planClaims(now time.Time) {
+	c.claimsChanged = false
+	c.nextClaims = now.Add(claimsInterval)
+	for _, hosts := range [][]*roster.Host{c.hosts().cell, c.hosts().outside} {
+		for _, h := range hosts {
+			if until := aliveUntil(h); until.After(now) && until.Before(c.nextClaims) {
+				c.nextClaims = until
+			}
+		}
+	}
 	c.updateCellLayout(now)
 	self, others := c.ownCandidate(), c.otherCandidates(now)
 	c.updateShardLayout(now, self, others)
@@ -152,15 +174,7 @@
 
 // countEntryHosts returns how many entry hosts the failure domain has, this host
 // included.
-func (c *core) countEntryHosts() int {
-	n := 1
-	for _, h := range c.roster.Hosts() {
-		if h.Entry && h.FailureDomain == c.self.FailureDomain {
-			n++
-		}
-	}
-	return n
-}
+func (c *core) countEntryHosts() int { return c.hosts().inDomain + 1 }
 
 // hasControlContact reports whether a control host has sent a heartbeat recently.
 // Without one, the roster lists only the hosts that send heartbeats to this one.
@@ -173,7 +187,7 @@
 // from the wanted one (claim.NeedsRelayout) during claim.RelayoutDelay, the holder of
 // the first shard makes a new layout.
 func (c *core) updateShardLayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
-	wanted := claim.WantedShards(c.countCellMinions(), len(others)+1)
+	wanted := claim.WantedShards(c.countCellMinions(), len(others)+1, c.minionsPerShard)
 	count, version := claim.NewestShardLayout(append([]claim.Candidate{self}, others...))
 	if version == 0 {
 		c.shardCount, c.shardLayoutVersion = wanted, 0
@@ -217,7 +231,7 @@
 	if age >= claim.StartupWait || age < claim.ShortStartupWait || !c.hasControlContact(now) {
 		return age >= claim.StartupWait
 	}
-	return !slices.ContainsFunc(c.roster.Hosts(), func(h *roster.Host) bool { return c.inCell(h) && h.HeartbeatAt.IsZero() })
+	return !slices.ContainsFunc(c.hosts().cell, func(h *roster.Host) bool { return h.HeartbeatAt.IsZero() })
 }
 
 // claimShard claims a shard that has no holder, or whose holder is shutting down. It
@@ -256,6 +270,7 @@
 	x.pool.Release(now)
 	c.carryOutPool(now, x)
 	delete(c.shards, x.number)
+	c.claimsChanged = true
 	c.updateDispatchers(now, c.otherCandidates(now))
 	c.heartbeatDue = true
 }
@@ -277,8 +292,8 @@
 		}
 		list = append(list, newDispatcher(holder.Host, c.self.FailureDomain, c.cell, held, loadAt))
 	}
-	for _, h := range c.roster.Hosts() {
-		if !h.Entry || c.inCell(h) || !alive(now, h) {
+	for _, h := range c.hosts().outside {
+		if !alive(now, h) || len(h.Heartbeat.Claims) == 0 {
 			continue
 		}
 		cell := claim.CellOf(h.Name, h.Heartbeat.CellLayout)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
@@ -18,6 +19,8 @@
 	// after which this host is no longer a claim candidate for other hosts: they may
 	// claim its shards.
 	suspensionThreshold = 500 * time.Millisecond
+	// rosterTickInterval is a small part of roster.UnreachableAfter.
+	rosterTickInterval = 200 * time.Millisecond
 	// resultResendInterval is the time between sends of an unacknowledged result.
 	resultResendInterval = 150 * time.Millisecond
 	// maxResultSends bounds how often a result is sent.
@@ -49,30 +52,37 @@
 	tokenID            uint64 // identifies this process in its fencing tokens (claim.Token)
 	shuttingDown       bool   // a shutdown has begun
 	roster             *roster.Roster
+	groups             hostGroups // result of hosts
 	jobTable           *entry.Table
 	shards             map[int]*shard                // claimed by this host, by number
 	cellLayout         peer.CellLayout               // layout of the failure domain that this host has adopted
 	cell               peer.Cell                     // cell of this host
 	shardCount         int                           // number of shards in the cell
+	minionsPerShard    int                           // wanted by this host
 	shardLayoutVersion uint64                        // version of the shard layout: a number from claim.Token; 0: no layout yet
 	highestToken       uint64                        // highest fencing token that this host has used or seen
 	waiters            map[uint64]chan entry.Outcome // callers that wait for an outcome, by number
 	lastWaiter         uint64                        // newest number in waiters
 	unackedResults     map[offerKey]*pendingResult
-	endedOffers        map[offerKey]time.Time  // by offer: when it ended or was cancelled; kept for endedOfferRetention
+	endedOffers        offerMemory             // offers that have ended or were cancelled
 	sentLogIndex       map[string]uint64       // by subscribed host: index up to which the roster log was sent
 	lastMessageAt      map[string]time.Time    // by host: when its newest message arrived
 	incarnations       map[string]incarnations // by host, as long as it is in lastMessageAt
 
 	startedAt          time.Time
+	claimsChanged      bool      // claims have changed since planClaims was last called
+	nextClaims         time.Time // when planClaims is due even if they have not
 	claimLostAt        time.Time // when a shard was lost to a newer token or to a suspension
 	shardMismatchSince time.Time // since when shardCount is far from the wanted number; zero: it is not
 	cellMismatchSince  time.Time // since when the number of cells differs from the wanted one; zero: it does not
 	countedLogIndex    uint64    // index of the roster log at which minionsInCell was counted
 	minionsInCell      int
+	rosterTickedAt     time.Time     // when the roster was last told the time
 	rosterPushedAt     time.Time     // when roster changes were last sent to subscribers
 	heartbeatAt        time.Time     // when heartbeats were last sent
 	controlHeartbeatAt time.Time     // when heartbeats were last sent to control hosts
+	cellHeartbeatAt    time.Time     // when heartbeats were last sent to all hosts of the cell
+	loadReportAt       time.Time     // when heartbeats were last sent to all hosts that this one reports its load to
 	lastBootTime       time.Duration // boot time (see bootTime) at the last input or tick
 	cellLayoutAt       time.Time     // when cellLayout was adopted
 	resumedAt          time.Time     // when a suspension was last detected
@@ -100,8 +110,8 @@
 	return &core{
 		environment: out, self: self, tokenID: tokenID,
 		roster: roster.New(self), jobTable: entry.New(now, self.Name, self.FailureDomain, lastOffer, out.logEvent),
-		shards: make(map[int]*shard), shardCount: 1, cellLayout: peer.CellLayout{Cells: 1},
-		waiters: make(map[uint64]chan entry.Outcome), unackedResults: make(map[offerKey]*pendingResult), endedOffers: make(map[offerKey]time.Time),
+		shards: make(map[int]*shard), shardCount: 1, minionsPerShard: claim.MinionsPerShard(0), cellLayout: peer.CellLayout{Cells: 1},
+		waiters: make(map[uint64]chan entry.Outcome), unackedResults: make(map[offerKey]*pendingResult),
 		sentLogIndex: make(map[string]uint64), lastMessageAt: make(map[string]time.Time), incarnations: make(map[string]incarnations), startedAt: now,
 	}
 }
@@ -119,12 +129,8 @@
 // tick handles everything that depends on the time alone: timeouts, claims, and
 // results and heartbeats that are due. It is called every tickInterval.
 func (c *core) tick(now time.Time) {
-	c.roster.Tick(now)
-	for name, at := range c.lastMessageAt {
-		if now.Sub(at) > roster.UnreachableAfter {
-			delete(c.lastMessageAt, name)
-			delete(c.incarnations, name)
-		}
+	if now.Sub(c.rosterTickedAt) >= rosterTickInterval {
+		c.tickRoster(now)
 	}
 	if c.self.Entry {
 		c.tickClaims(now)
@@ -134,11 +140,22 @@
 			x.pool.Tick(now)
 		}
 		c.resendResults(now)
-		c.forgetEndedOffers(now)
 	}
 	c.tickHeartbeats(now)
 }
 
+// tickRoster forgets the hosts from which nothing has arrived for long.
+func (c *core) tickRoster(now time.Time) {
+	c.rosterTickedAt = now
+	c.roster.Tick(now)
+	for name, at := range c.lastMessageAt {
+		if now.Sub(at) > roster.UnreachableAfter {
+			delete(c.lastMessageAt, name)
+			delete(c.incarnations, name)
+		}
+	}
+}
+
 // handleSuspension abandons this host's open jobs and releases its shards: other
 // hosts may have taken them over during the suspension.
 func (c *core) handleSuspension(now time.Time, gap time.Duration) {
@@ -167,12 +184,13 @@
 	case *peer.JobAck:
 		c.jobTable.HandleAck(now, from, m)
 		c.roster.UpdateLoad(now, from, m.Shard, m.Load)
+		c.jobTable.UpdateLoad(now, from, m.Shard, m.Load)
 	case *peer.JobResult:
 		c.jobTable.HandleResult(now, from, m)
 	case *peer.JobResultAck:
 		delete(c.unackedResults, offerKey{from, m.Job, m.Offer})
 	case *peer.JobCancel:
-		c.endedOffers[offerKey{from, m.Job, m.Offer}] = now
+		c.endedOffers.add(now, offerKey{from, m.Job, m.Offer})
 		if x := c.shards[m.Shard]; x != nil {
 			x.pool.Cancel(now, from, m)
 		}
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -157,6 +157,48 @@
 	must.Eq(t, 0, x.pool.JobCount())
 }
 
+// The sender of an offer that was in flight for too long is told that it has not run, so
+// that its caller need not wait. Neither the offer nor a later copy of it is started. An
+// offer of which an earlier copy was accepted is not answered so.
+func TestLateOfferIsAnsweredAsNotRun(t *testing.T) {
+	sim := newSimulation(simConfig{failureDomains: 1, entryHosts: 2, minions: 2, recoveryPeriod: time.Second}, 1)
+	h := sim.hostByName["e0-0"]
+	h.launch()
+	now, boot := simStart, time.Hour
+	h.core.detectSuspension(now, boot)
+	clock := h.core.heartbeatClock()
+	x := h.holdShard(now)
+	outcome := func(job string) (o peer.JobOutcome) {
+		if r := h.core.unackedResults[offerKey{"far", job, 1}]; r != nil {
+			o = r.body.Outcome
+		}
+		return o
+	}
+	h.core.receive(now, "far", "1", smallOffer("accepted", clock, 0))
+	must.Eq(t, 1, x.pool.JobCount())
+	pass := func(d time.Duration) {
+		for ; d > 0; d -= 50 * time.Millisecond {
+			now, boot = now.Add(50*time.Millisecond), boot+50*time.Millisecond
+			h.core.detectSuspension(now, boot)
+		}
+	}
+	pass(maxOfferAge + 50*time.Millisecond)
+	h.core.receive(now, "far", "1", smallOffer("late", clock, 0))
+	bound := smallOffer("bound", clock, 0)
+	bound.MayHaveRun = true
+	h.core.receive(now, "far", "1", bound)
+	h.core.receive(now, "far", "1", smallOffer("accepted", clock, 0))
+	must.Eq(t, peer.JobRefused, outcome("late"))
+	must.Eq(t, peer.JobMoved, outcome("bound"), must.Sprint("it may run under an earlier dispatcher"))
+	must.Eq(t, 0, outcome("accepted"))
+	h.core.receive(now, "far", "1", &peer.JobResultAck{Job: "late", Offer: 1})
+	for range 3 {
+		pass(offerMemoryPeriod / 4)
+		h.core.receive(now, "far", "1", smallOffer("late", h.core.heartbeatClock(), 0))
+		must.Eq(t, 1, x.pool.JobCount(), must.Sprint("a copy that was sent before the answer arrived"))
+	}
+}
+
 // A host that is not the shard's dispatcher answers that the job has moved. It may claim
 // the shard before it reads a copy of the offer, which must then not be started: the
 // sender has offered the job elsewhere.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
@@ -69,6 +70,19 @@
 	relaysPerDomain = 2 // hosts of each other failure domain that a newly chosen document is pushed to; they relay it within their domain
 )
 
+// isBulk reports whether messages of a kind yield to others on a link: those that may be
+// large and that nobody waits for.
+func isBulk(k peer.Kind) bool { return k == peer.KindRosterUpdate || k == peer.KindControlChosen }
+
+// messageLifetime returns how long messages of a kind may wait for a slow link; 0: without
+// limit. The receiver ignores older offers, and older heartbeats say too little.
+func messageLifetime(k peer.Kind) time.Duration {
+	if k == peer.KindJobOffer || k == peer.KindFleetHeartbeat {
+		return maxOfferAge
+	}
+	return 0
+}
+
 // Host is one running entry host, control host, or both.
 type Host struct {
 	settings settings.Fleet
@@ -89,6 +103,9 @@
 	shuttingDown      atomic.Bool
 	shutdownDeadline  atomic.Pointer[time.Time]      // nil: no shutdown has begun
 	unstartedJobs     atomic.Pointer[map[string]int] // by queue: jobs dispatched by this host without a started task
+	gaugesAt          time.Time                      // when the gauges were last updated; of runCore
+	bootTimeReadAt    time.Time                      // when bootTime was last read; of runCore
+	wallOffset        time.Duration                  // at that time; of runCore
 	done              chan struct{}
 	wg                sync.WaitGroup
 }
@@ -114,6 +131,7 @@
 	h.mesh = link.NewDynamic(l, hello, link.DynamicOptions{
 		Port: s.PeerPort, OnClosed: h.connectionClosed,
 		DialTimeout: connectTimeout, AckTimeout: linkAckTimeout, IdleTimeout: linkIdleTimeout, RedialDelay: redialDelay,
+		Bulk: isBulk, Lifetime: messageLifetime,
 	}, h.receive, h.peerRejected)
 	if err := h.openControl(); err != nil {
 		l.Close()
@@ -126,6 +144,7 @@
 	// Offer numbers begin at a random value, so that messages about offers of an
 	// earlier process on this host match none of this one's.
 	h.core = newCore(time.Now(), h.self, h.tokenID(), rand.Uint64()>>8, h)
+	h.core.minionsPerShard = claim.MinionsPerShard(s.LinkBytesPerSecond())
 	return h, nil
 }
 
@@ -269,5 +288,5 @@
 }
 
 func (h *Host) connectionClosed(from string, inc membership.Incarnation) {
-	h.enqueue(func(now time.Time) { h.core.roster.ConnectionClosed(now, from, inc) })
+	h.enqueue(func(now time.Time) { h.core.connectionClosed(now, from, inc) })
 }
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -14,8 +14,18 @@
 const (
 	heartbeatInterval        = 200 * time.Millisecond // to entry hosts
 	controlHeartbeatInterval = 500 * time.Millisecond // to control hosts
+	idleHeartbeatInterval    = 400 * time.Millisecond // of an entry host without claims to the hosts of its cell
+	loadReportInterval       = 500 * time.Millisecond // to entry hosts outside the cell that have no job here
 )
 
+// nextHeartbeat returns the longest time until its sender sends the next heartbeat.
+func nextHeartbeat(h *peer.FleetHeartbeat) time.Duration {
+	if h.NextMS <= 0 {
+		return heartbeatInterval
+	}
+	return min(time.Duration(h.NextMS)*time.Millisecond, loadReportInterval)
+}
+
 func (c *core) tickHeartbeats(now time.Time) {
 	if now.Sub(c.heartbeatAt) >= heartbeatInterval {
 		c.sendHeartbeats(now)
@@ -23,58 +33,117 @@
 }
 
 func (c *core) sendHeartbeats(now time.Time) {
-	c.heartbeatDue = false
-	c.heartbeatAt = now
 	controlDue := now.Sub(c.controlHeartbeatAt) >= controlHeartbeatInterval
 	if controlDue {
 		c.controlHeartbeatAt = now
 	}
+	reportDue := c.heartbeatDue || now.Sub(c.loadReportAt) >= loadReportInterval
+	if reportDue {
+		c.loadReportAt = now
+	}
+	cellDue := c.heartbeatDue || now.Sub(c.cellHeartbeatAt) >= idleHeartbeatInterval
+	if cellDue {
+		c.cellHeartbeatAt = now
+	}
+	c.heartbeatDue = false
+	c.heartbeatAt = now
 	self := c.ownCandidate()
-	for _, to := range c.heartbeatTargets(controlDue) {
-		c.sendTo(to, c.newHeartbeat(&self, to))
+	targets := c.heartbeatTargets(controlDue, cellDue, reportDue)
+	shared := make(map[time.Duration]peer.Body) // by interval
+	for _, to := range slices.Sorted(maps.Keys(targets)) {
+		if h := c.roster.Host(to); h == nil || h.Control {
+			c.sendTo(to, c.newHeartbeat(&self, to))
+			continue
+		}
+		interval := targets[to]
+		if shared[interval] == nil {
+			heartbeat := c.newHeartbeat(&self, "")
+			heartbeat.NextMS = interval.Milliseconds()
+			shared[interval] = encodeOnce(heartbeat)
+		}
+		c.sendTo(to, shared[interval])
+	}
+}
+
+// sameClaims reports whether two heartbeats of a host differ in the load of its shards at
+// most, as far as claims are concerned.
+func sameClaims(a, b *peer.FleetHeartbeat) bool {
+	return a.From.Incarnation == b.From.Incarnation && a.ShuttingDown == b.ShuttingDown && a.CellLayout == b.CellLayout &&
+		slices.EqualFunc(a.Claims, b.Claims, func(x, y peer.Claim) bool {
+			x.Load, y.Load = peer.PoolLoad{}, peer.PoolLoad{}
+			return x == y
+		})
+}
+
+// encodeOnce returns b in encoded form if it can be encoded, and else b.
+func encodeOnce(b peer.Body) peer.Body {
+	if e, err := peer.EncodeOnce(b); err == nil {
+		return e
 	}
+	return b
 }
 
 // newHeartbeat returns the heartbeat for one host. self is this host's ownCandidate,
-// shared by all heartbeats that are sent at the same time.
+// shared by all heartbeats that are sent at the same time. Only control hosts need the
+// read position: those of all other hosts are equal.
 func (c *core) newHeartbeat(self *claim.Candidate, to string) *peer.FleetHeartbeat {
 	heartbeat := &peer.FleetHeartbeat{From: c.self, ConfigVersion: c.version(), ShuttingDown: self.ShuttingDown, Claims: self.Claims, CellLayout: c.cellLayout, Clock: c.heartbeatClock()}
 	heartbeat.ReadIncarnation, heartbeat.ReadIndex = c.roster.ReadPosition(to)
 	return heartbeat
 }
 
-// heartbeatTargets returns the hosts that get a heartbeat now: the entry hosts of the
-// cell, the other entry hosts that this host reports its load to (claim.ReportsLoadTo),
-// the dispatchers of this host's open jobs and, if controlDue, control hosts.
-func (c *core) heartbeatTargets(controlDue bool) []string {
-	out := make(map[string]bool)
-	outside := 0
-	for _, h := range c.roster.Hosts() {
-		if h.Entry && !c.inCell(h) {
-			outside++
+// heartbeatTargets returns the hosts that get a heartbeat now and the interval at which
+// each gets them: the dispatchers of this host's open jobs, the hosts with open jobs here,
+// the entry hosts of the cell (if this host has no claims: only if cellDue), control hosts
+// if controlDue and, if reportDue, the other entry hosts that this host reports its load
+// to (claim.ReportsLoadTo).
+func (c *core) heartbeatTargets(controlDue, cellDue, reportDue bool) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	if c.self.Entry && len(c.shards) > 0 && reportDue {
+		outside := c.hosts().outside
+		for _, h := range outside {
+			if claim.ReportsLoadTo(c.self.Name, h.Name, len(outside)) {
+				out[h.Name] = loadReportInterval
+			}
 		}
 	}
-	for _, h := range c.roster.Hosts() {
-		if h.Entry && c.self.Entry && (c.inCell(h) || len(c.shards) > 0 && claim.ReportsLoadTo(c.self.Name, h.Name, outside)) {
-			out[h.Name] = true
+	if c.self.Entry {
+		interval := heartbeatInterval
+		if len(c.shards) == 0 {
+			interval = idleHeartbeatInterval
+		}
+		if len(c.shards) > 0 || cellDue {
+			for _, h := range c.hosts().cell {
+				out[h.Name] = interval
+			}
 		}
 	}
 	if controlDue {
 		c.addControlTargets(out)
 	}
 	for _, name := range c.jobTable.DispatcherHosts() {
-		out[name] = true
+		out[name] = heartbeatInterval
+	}
+	for _, x := range c.shards {
+		for _, name := range x.pool.WaitingHosts() {
+			out[name] = heartbeatInterval
+		}
 	}
 	delete(out, c.self.Name)
-	return slices.Sorted(maps.Keys(out))
+	return out
 }
 
 // handleHeartbeat records a heartbeat of another host. A control host replies with
 // the roster changes that the sender has not read, and to an entry host with a
 // heartbeat, too.
 func (c *core) handleHeartbeat(now time.Time, heartbeat *peer.FleetHeartbeat) {
-	known := c.roster.Host(heartbeat.From.Name) != nil
+	h := c.roster.Host(heartbeat.From.Name)
+	known := h != nil
+	c.claimsChanged = c.claimsChanged || heartbeat.From.Entry && (!known || !alive(now, h) || !sameClaims(h.Heartbeat, heartbeat))
 	c.roster.RecordHeartbeat(now, heartbeat)
+	for i := range heartbeat.Claims {
+		c.jobTable.UpdateLoad(now, heartbeat.From.Name, heartbeat.Claims[i].Shard, heartbeat.Claims[i].Load)
+	}
 	if !known {
 		c.logEvent(event.PeerUp, slog.String("host", heartbeat.From.Name), slog.String("failure_domain", heartbeat.From.FailureDomain))
 		c.hostsChanged()
--- a/internal/fleet/inputs.go
+++ b/internal/fleet/inputs.go
@@ -8,6 +8,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
@@ -39,6 +40,12 @@
 	c.jobTable.RemoveWaiter(now, job, waiter)
 }
 
+// connectionClosed records that the connection of another host was closed.
+func (c *core) connectionClosed(now time.Time, from string, inc membership.Incarnation) {
+	c.roster.ConnectionClosed(now, from, inc)
+	c.claimsChanged = true
+}
+
 // minionAnnounced records a minion's announcement if it is newer than the known one. A
 // changed record is passed on to the pool of the minion's shard.
 func (c *core) minionAnnounced(now time.Time, m peer.MinionRecord) {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -14,6 +14,10 @@
 // out its output.
 const maxInputBatch = 64
 
+// gaugeInterval is the time between updates of the gauges. Callers may be told a number
+// of waiting jobs that is 2 s old.
+const gaugeInterval = 200 * time.Millisecond
+
 // runCore feeds ticks and inputs to the core until ctx ends. It is the only goroutine
 // that uses the core.
 func (h *Host) runCore(ctx context.Context) {
@@ -25,9 +29,12 @@
 			return
 		case <-ticker.C:
 			now := time.Now()
-			h.core.detectSuspension(now, bootTime())
+			h.detectSuspension(now)
 			h.core.tick(now)
-			h.publishGauges()
+			if now.Sub(h.gaugesAt) >= gaugeInterval {
+				h.gaugesAt = now
+				h.publishGauges()
+			}
 		case f := <-h.inputs.C():
 			h.handleInput(f)
 			h.handleBatch()
@@ -51,10 +58,32 @@
 // handleInput passes one input to the core.
 func (h *Host) handleInput(f func(now time.Time)) {
 	now := time.Now()
-	h.core.detectSuspension(now, bootTime())
+	if now.Sub(h.bootTimeReadAt) > maxBootTimeAge || wallOffset(now) != h.wallOffset {
+		h.detectSuspension(now)
+	}
 	f(now)
 }
 
+// maxBootTimeAge is the longest time since bootTime was last read after which an input is
+// handled without reading it again.
+const maxBootTimeAge = suspensionThreshold / 5
+
+// detectSuspension tells the core for how long the host may have been suspended.
+func (h *Host) detectSuspension(now time.Time) {
+	h.bootTimeReadAt, h.wallOffset = now, wallOffset(now)
+	h.core.detectSuspension(now, bootTime())
+}
+
+// wallOffset returns the difference between the wall clock and the monotonic clock, in
+// steps of a quarter of suspensionThreshold. A suspension changes it, as does a step of the
+// wall clock; it costs less to read than bootTime, which needs a system call.
+func wallOffset(now time.Time) time.Duration {
+	offset := time.Duration(now.UnixNano()) - now.Sub(processStart)
+	return offset.Round(suspensionThreshold / 4)
+}
+
+var processStart = time.Now()
+
 // bootTime returns the time since the machine was booted, including the time that it
 // was suspended; 0 if the clock can't be read.
 func bootTime() time.Duration {
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -130,6 +130,7 @@
 	v.Set("hosts_listed", &m.listedHosts)
 	v.Set("document_version", expvar.Func(func() any { return h.control.View().Version }))
 	v.Set("document_age_ms", expvar.Func(func() any { return time.Since(h.control.View().LearnedAt).Milliseconds() }))
+	v.Set("link_traffic_by_kind", expvar.Func(func() any { return h.mesh.Traffic() }))
 	v.Set("inputs_waiting", expvar.Func(func() any { return h.inputs.Len() }))
 	v.Set("inputs_refused", expvar.Func(func() any { return h.inputs.Refused() }))
 	expvar.Publish("laburnum", v)
--- a/internal/fleet/offer_age.go
+++ b/internal/fleet/offer_age.go
@@ -16,10 +16,9 @@
 	// receiver acknowledges an offer that the sender no longer wants, the sender
 	// cancels it.
 	maxOfferAge = time.Second
-	// endedOfferRetention is how long this host remembers offers that have ended, to
-	// ignore further copies of them. A copy that arrives after the offer has ended may
-	// have been in flight for maxOfferAge.
-	endedOfferRetention = 2 * maxOfferAge
+	// maxKnownOfferAge is the longest age that is computed from clock readings. A larger
+	// one is taken for a reading of another process.
+	maxKnownOfferAge = time.Minute
 )
 
 // heartbeatClock returns the clock reading that heartbeats carry, in milliseconds:
@@ -35,25 +34,29 @@
 	}
 }
 
-// isFresh reports whether an offer was in flight for maxOfferAge at most. An offer of
-// unknown age is not fresh.
-func (c *core) isFresh(from string, o *peer.JobOffer) bool {
+// offerAge says how long an offer was in flight.
+type offerAge uint8
+
+const (
+	offerFresh      offerAge = iota // at most maxOfferAge
+	offerLate                       // longer
+	offerAgeUnknown                 // the offer has no clock reading of this process
+)
+
+// ageOf returns how long an offer was in flight, and logs an offer that is not fresh.
+func (c *core) ageOf(from string, o *peer.JobOffer) offerAge {
 	if from == c.self.Name {
-		return true
+		return offerFresh
 	}
 	flight := time.Duration(c.heartbeatClock()-o.ReceiverClock-o.ReceiverClockAgeMS) * time.Millisecond
-	if o.ReceiverClock != 0 && flight > -maxOfferAge && flight <= maxOfferAge {
-		return true
+	age := offerAgeUnknown
+	switch {
+	case o.ReceiverClock == 0 || flight <= -maxOfferAge || flight > maxKnownOfferAge:
+	case flight > maxOfferAge:
+		age = offerLate
+	default:
+		return offerFresh
 	}
 	c.logEvent(event.OfferStale, slog.String("job", o.Job), slog.String("from", from), slog.Int64("flight_ms", flight.Milliseconds()))
-	return false
-}
-
-// forgetEndedOffers drops offers that ended more than endedOfferRetention ago.
-func (c *core) forgetEndedOffers(now time.Time) {
-	for key, at := range c.endedOffers {
-		if now.Sub(at) > endedOfferRetention {
-			delete(c.endedOffers, key)
-		}
-	}
+	return age
 }
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -28,17 +28,24 @@
 
 // handleOffer accepts a job for dispatch, or answers that it belongs to another
 // dispatcher. A repeated offer whose result is not acknowledged gets the result again.
-// Other offers that have ended, and stale ones, are ignored.
+// Other offers that have ended, and those of unknown age, are ignored.
 func (c *core) handleOffer(now time.Time, from string, o *peer.JobOffer) {
 	key := offerKey{from, o.Job, o.Offer}
 	if r := c.unackedResults[key]; r != nil {
 		c.sendResult(now, key, r) // it has ended, but its result was not acknowledged
 		return
 	}
-	if _, ended := c.endedOffers[key]; ended || !c.isFresh(from, o) {
+	if c.endedOffers.contains(key) {
 		return
 	}
 	x := c.shards[o.Shard]
+	switch c.ageOf(from, o) {
+	case offerAgeUnknown:
+		return // an earlier process of this host may have accepted a copy of it
+	case offerLate:
+		c.handleLateOffer(now, key, x, o)
+		return
+	}
 	if x == nil || x.shardCount != o.ShardCount || o.Cell != c.cell || !x.knownTo(from, c.self.Name, o) {
 		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"})
 		return
@@ -47,7 +54,23 @@
 	if from != c.self.Name {
 		c.sendTo(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
 	} else {
-		c.jobTable.HandleAck(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Load: peer.PoolLoad{MinionsDigest: x.pool.MinionDigest()}})
+		load := x.pool.Load()
+		c.jobTable.HandleAck(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Load: load})
+		c.jobTable.UpdateLoad(now, from, o.Shard, load)
+	}
+}
+
+// handleLateOffer answers an offer that was in flight for too long. Unless a copy of it was
+// accepted before, it has not run and will not, and the sender is told so: the caller
+// need not wait until its deadline.
+func (c *core) handleLateOffer(now time.Time, key offerKey, x *shard, o *peer.JobOffer) {
+	switch {
+	case x != nil && x.pool.HasOffer(key.sender, o):
+		c.sendTo(key.sender, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
+	case o.MayHaveRun:
+		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, MinionsDigest: o.MinionsDigest, Reason: "the offer was late"})
+	default:
+		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobRefused, RetryMS: busyRetryAfter.Milliseconds(), Reason: "the offer was late"})
 	}
 }
 
@@ -64,7 +87,7 @@
 	r := &pendingResult{body: result, sendsRemaining: maxResultSends}
 	if key.sender != c.self.Name {
 		c.unackedResults[key] = r
-		c.endedOffers[key] = now
+		c.endedOffers.add(now, key)
 	}
 	c.sendResult(now, key, r)
 }
--- a/internal/fleet/relays.go
+++ b/internal/fleet/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 )
@@ -17,7 +18,7 @@
 // entry host sends them to the relay hosts of its failure domain. A control host
 // sends them to its neighbours and to the relay hosts of all failure domains; if it
 // is a relay host itself, to all control hosts.
-func (c *core) addControlTargets(out map[string]bool) {
+func (c *core) addControlTargets(out map[string]time.Duration) {
 	control := c.otherControlHosts()
 	domains := make(map[string]bool)
 	inContact := 0
@@ -46,7 +47,7 @@
 		to = append(to, c.seedHosts()...)
 	}
 	for _, name := range to {
-		out[name] = true
+		out[name] = controlHeartbeatInterval
 	}
 }
 
--- a/internal/fleet/sim_caller_test.go
+++ b/internal/fleet/sim_caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
@@ -48,6 +49,9 @@
 	}
 	// A job has 2.5 tasks of 0.25 s on average.
 	rate := sim.config.load * float64(tasksAtOnce) / (2.5 * 0.25)
+	if sim.now >= sim.config.burstAt && sim.now < sim.config.burstAt+sim.config.burstPeriod {
+		rate *= sim.config.burst
+	}
 	sim.after(time.Duration(sim.rng.ExpFloat64()/rate*float64(time.Second)), sim.nextCaller)
 	sim.newCaller().try()
 }
@@ -56,7 +60,7 @@
 	sim.lastJobID++
 	c := &simCaller{sim: sim, began: sim.now, domain: fmt.Sprintf("z%d", sim.rng.IntN(sim.config.failureDomains))}
 	c.offer = peer.JobOffer{
-		Job: fmt.Sprintf("%08x", sim.lastJobID), Queue: fmt.Sprintf("q%d", sim.rng.IntN(3)), Service: "s", Payload: fmt.Sprintf("p%d", sim.lastJobID),
+		Job: fmt.Sprintf("%08x", sim.lastJobID), Queue: fmt.Sprintf("q%d", sim.rng.IntN(3)), Service: "s", Payload: fmt.Sprintf("p%d", sim.lastJobID) + strings.Repeat("x", sim.config.payloadBytes),
 		Attempts: 1 + sim.rng.IntN(3), StretchPct: 160, AddMS: 60,
 	}
 	work := sim.durationBetween(60*time.Millisecond, 440*time.Millisecond)
@@ -97,6 +101,7 @@
 		c.deadline = sim.now + simLongJobTimeout
 	}
 	c.hostIncarnation, c.submitted = c.host.incarnation, false
+	c.host.callers = append(c.host.callers, c)
 	c.out = make(chan entry.Outcome, 1)
 	h, incarnation, out := c.host, c.hostIncarnation, c.out
 	if !h.up {
@@ -104,7 +109,8 @@
 		return
 	}
 	duration := c.deadline - sim.now
-	sim.after(time.Millisecond, func() {
+	passedAt, _ := h.in.pass(sim.now, simHTTPBytes+len(c.offer.Payload), h.linkRate)
+	sim.after(max(0, passedAt-sim.now)+time.Millisecond, func() {
 		if h.incarnation != incarnation {
 			c.retryLater(out)
 			return
@@ -212,14 +218,11 @@
 	}
 }
 
-// collectAnswers passes a host's answers to their callers. It drops callers that
-// finished more than 20 s ago.
+// collectAnswers passes a host's answers to their callers.
 func (sim *simulation) collectAnswers(h *simHost) {
-	sim.callers = slices.DeleteFunc(sim.callers, func(c *simCaller) bool {
-		return c.finished && sim.now-c.finishedAt > 20*time.Second && sim.checker.closeJob(c)
-	})
-	for _, c := range sim.callers {
-		if c.finished || c.host != h || c.out == nil || !c.submitted {
+	h.callers = slices.DeleteFunc(h.callers, func(c *simCaller) bool { return c.finished || c.host != h })
+	for _, c := range slices.Clone(h.callers) {
+		if c.out == nil || !c.submitted || c.finished || c.host != h {
 			continue
 		}
 		select {
@@ -230,6 +233,17 @@
 	}
 }
 
+// forgetCallers drops, once a second, the callers that finished more than 20 s ago.
+func (sim *simulation) forgetCallers() {
+	if sim.keepCallers {
+		return
+	}
+	sim.callers = slices.DeleteFunc(sim.callers, func(c *simCaller) bool {
+		return c.finished && sim.now-c.finishedAt > 20*time.Second && sim.checker.closeJob(c)
+	})
+	sim.after(time.Second, sim.forgetCallers)
+}
+
 func (c *simCaller) answered(o entry.Outcome) {
 	sim := c.sim
 	sim.trace("caller of %s gets outcome %d, %s", c.offer.Job, o.Outcome, o.Reason)
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
@@ -26,11 +27,14 @@
 	suspendedFor  time.Duration         // total; clock doesn't count it, bootTime does
 	ready         bool
 	shuttingDown  bool
-	sent          int // number of messages to other hosts
+	sent          map[peer.Kind]simTraffic // to other hosts
+	linkRate      int                      // bytes per second, each way; 0: not limited
+	in, out       simQueue
+	callers       []*simCaller // of the current try; maybe some that have finished or left
 }
 
 func (sim *simulation) addHost(rec peer.HostRecord) {
-	h := &simHost{sim: sim, rec: rec}
+	h := &simHost{sim: sim, rec: rec, linkRate: sim.config.linkRate, sent: make(map[peer.Kind]simTraffic)}
 	sim.hosts = append(sim.hosts, h)
 	sim.hostByName[rec.Name] = h
 }
@@ -47,6 +51,7 @@
 	h.rec.Incarnation = membership.Incarnation(fmt.Sprintf("%s/%d", h.rec.Name, h.incarnation))
 	tokenID := xxhash.Sum64String(string(h.rec.Incarnation))
 	h.core = newCore(h.clock(), h.rec, tokenID, h.sim.rng.Uint64()>>8, h)
+	h.core.minionsPerShard = claim.MinionsPerShard(int64(h.sim.config.linkRate))
 	incarnation := h.incarnation
 	var tickLoop func()
 	tickLoop = func() {
@@ -121,7 +126,7 @@
 			continue
 		}
 		h.sim.deliver(h.rec.Name, other.rec.Name, func() {
-			other.input(func(now time.Time) { other.core.roster.ConnectionClosed(now, h.rec.Name, inc) })
+			other.input(func(now time.Time) { other.core.connectionClosed(now, h.rec.Name, inc) })
 		})
 	}
 	h.sim.breakCallerConnections(h)
--- a/internal/fleet/sim_minion_test.go
+++ b/internal/fleet/sim_minion_test.go
@@ -64,7 +64,7 @@
 }
 
 func (sim *simulation) addMinion(id, domain string) *simMinion {
-	m := &simMinion{sim: sim, id: id, address: fmt.Sprintf("10.9.0.%d:80", len(sim.minions)+1), domain: domain}
+	m := &simMinion{sim: sim, id: id, address: fmt.Sprintf("10.9.%d.%d:80", len(sim.minions)/250, len(sim.minions)%250+1), domain: domain}
 	sim.minions = append(sim.minions, m)
 	sim.minionByID[id] = m
 	return m
--- a/internal/fleet/sim_order_test.go
+++ b/internal/fleet/sim_order_test.go
@@ -14,6 +14,8 @@
 	answered(now time.Time, a pool.Answer, clock int64, l *pool.Listing)
 	// timeout is how long the host waits for the answer.
 	timeout() time.Duration
+	// bytes is the size of the order's HTTP request.
+	bytes() int
 }
 
 type startOrder struct {
@@ -30,6 +32,7 @@
 }
 
 func (o startOrder) timeout() time.Duration { return simOrderTimeout }
+func (o startOrder) bytes() int             { return simHTTPBytes + 120 + len(o.start.Payload) }
 
 type stopOrder struct {
 	pool *pool.Pool
@@ -45,6 +48,7 @@
 }
 
 func (o stopOrder) timeout() time.Duration { return simOrderTimeout }
+func (o stopOrder) bytes() int             { return simHTTPBytes + 60 }
 
 type pollOrder struct {
 	pool *pool.Pool
@@ -60,6 +64,7 @@
 }
 
 func (o pollOrder) timeout() time.Duration { return o.poll.Wait + simPollTimeout }
+func (o pollOrder) bytes() int             { return simHTTPBytes + 80 }
 
 // order sends an order from a host to a minion. Orders of one host may overtake each
 // other, because they use different connections.
@@ -105,7 +110,11 @@
 	}
 	sim.after(o.timeout(), timedOut)
 	incarnation := m.incarnation
-	delay := sim.durationBetween(simDelayLow, simDelayHigh)
+	passedAt, lost := h.out.pass(sim.now, o.bytes(), h.linkRate)
+	if lost {
+		return
+	}
+	delay := passedAt - sim.now + sim.durationBetween(simDelayLow, simDelayHigh)
 	late := sim.chance(m.lateRate)
 	if late {
 		delay = sim.durationBetween(2*time.Second, 12*time.Second)
@@ -119,7 +128,14 @@
 			if late || back.cuts > 0 || sim.now < m.answersLostUntil && sim.chance(0.5) {
 				return
 			}
-			sim.after(sim.durationBetween(simDelayLow, simDelayHigh), func() { respond(a, clock, l) })
+			size := simHTTPBytes
+			if l != nil {
+				size += 60 * (len(l.Running) + len(l.Ended))
+			}
+			passedAt, lost := h.in.pass(sim.now, size, h.linkRate)
+			if !lost {
+				sim.after(passedAt-sim.now+sim.durationBetween(simDelayLow, simDelayHigh), func() { respond(a, clock, l) })
+			}
 		})
 	})
 }
--- a/internal/fleet/sim_run_test.go
+++ b/internal/fleet/sim_run_test.go
@@ -89,7 +89,9 @@
 	n := 0
 	for _, h := range sim.hosts {
 		if h.rec.Entry {
-			n += h.sent
+			for _, t := range h.sent {
+				n += t.messages
+			}
 		}
 	}
 	return n
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -41,6 +41,10 @@
 	failureDomains, entryHosts, minions int // entryHosts and minions are those of each failure domain
 	controlHosts                        int // of each failure domain; 0: one
 	load                                float64
+	linkRate                            int     // of an entry host, in bytes per second; 0: not limited
+	payloadBytes                        int     // of each job, at least
+	burst                               float64 // factor on the load from burstAt for burstPeriod
+	burstAt, burstPeriod                time.Duration
 	faultPeriod                         time.Duration // faults begin during this time
 	recoveryPeriod                      time.Duration // time after faultPeriod in which callers still submit jobs
 }
@@ -49,21 +53,23 @@
 
 // simulation is the state of one simulation run.
 type simulation struct {
-	config     simConfig
-	rng        *rand.Rand
-	now        time.Duration
-	events     simEvents
-	seq        int
-	hosts      []*simHost
-	hostByName map[string]*simHost
-	minions    []*simMinion
-	minionByID map[string]*simMinion
-	links      map[[2]string]*simLink
-	checker    simChecker
-	callers    []*simCaller
-	trace      func(format string, args ...any)
-	faultUntil time.Duration // time until which the host and link faults so far last
-	lastJobID  int
+	config      simConfig
+	rng         *rand.Rand
+	now         time.Duration
+	events      simEvents
+	seq         int
+	hosts       []*simHost
+	hostByName  map[string]*simHost
+	minions     []*simMinion
+	minionByID  map[string]*simMinion
+	links       map[[2]string]*simLink
+	checker     simChecker
+	callers     []*simCaller
+	trace       func(format string, args ...any)
+	faultUntil  time.Duration // time until which the host and link faults so far last
+	lastJobID   int
+	keepCallers bool          // after they have finished
+	stopAt      time.Duration // when run ends; 0: when no more jobs are open
 }
 
 func newSimulation(cfg simConfig, seed uint64) *simulation {
@@ -79,6 +85,7 @@
 		domain := fmt.Sprintf("z%d", d)
 		for i := range max(1, cfg.controlHosts) {
 			sim.addHost(peer.HostRecord{Name: fmt.Sprintf("c%d-%d", d, i), FailureDomain: domain, Control: true})
+			sim.hosts[len(sim.hosts)-1].linkRate = 0
 		}
 		for i := range cfg.entryHosts {
 			sim.addHost(peer.HostRecord{Name: fmt.Sprintf("e%d-%d", d, i), FailureDomain: domain, Entry: true})
@@ -100,11 +107,16 @@
 	}
 	const startupTime = 4 * time.Second
 	sim.after(startupTime, sim.nextCaller)
+	sim.after(startupTime, sim.forgetCallers)
 	sim.after(startupTime, sim.nextFault)
 	// A planned drain after all faults must not disturb callers.
 	sim.after(startupTime+sim.config.faultPeriod+sim.config.recoveryPeriod/2, func() { sim.drainMinion(time.Second) })
 	end := startupTime + sim.config.faultPeriod + sim.config.recoveryPeriod
-	for len(sim.events) > 0 && sim.events[0].at <= end+10*time.Second {
+	end += 10 * time.Second
+	if sim.stopAt > 0 {
+		end = sim.stopAt
+	}
+	for len(sim.events) > 0 && sim.events[0].at <= end {
 		e := heap.Pop(&sim.events).(simEvent)
 		sim.now = e.at
 		e.f()
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -93,7 +93,8 @@
 	ReadIndex       uint64                 `msgpack:"g"` // index up to which the sender has read the receiver's roster log
 	ReadIncarnation membership.Incarnation `msgpack:"o"` // incarnation of the receiver that kept that log
 
-	CellLayout CellLayout `msgpack:"v"` // cell layout that the sender applies to its failure domain
+	CellLayout CellLayout `msgpack:"v"`           // cell layout that the sender applies to its failure domain
+	NextMS     int64      `msgpack:"n,omitempty"` // longest time until the sender's next heartbeat to this receiver; 0: 200 ms
 
 	// Clock is the sender's clock in milliseconds. It advances while the sender's
 	// machine is suspended. It includes an offset that differs for each process, so
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -127,6 +127,13 @@
 	p.dispatch(now)
 }
 
+// HasOffer reports whether the pool has the job of an offer, with that offer among those
+// that wait for its result, or is about to return the offer's result.
+func (p *Pool) HasOffer(from string, o *peer.JobOffer) bool {
+	j := p.jobs[o.Job]
+	return j != nil && slices.Contains(j.waiters, OfferRef{Host: from, Offer: o.Offer}) || p.resultPending(from, o)
+}
+
 // resultPending reports whether Ready is going to return the offer's result.
 func (p *Pool) resultPending(from string, o *peer.JobOffer) bool {
 	return slices.ContainsFunc(p.ready.Results, func(r Result) bool {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -408,7 +408,7 @@
 		s.p.pollLostAt = s.now.Add(-lostBefore)
 		s.answerPoll("a", &Listing{Running: running})
 		s.out.Polls = nil
-		for range 4 {
+		for passed := time.Duration(0); passed < DefaultTiming().BusyPollWait*3/4; passed += 20 * ms {
 			s.advance(20 * ms)
 		}
 		return len(s.out.Polls)
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -157,7 +157,7 @@
 	return Timing{
 		Lease:         800 * time.Millisecond,
 		MaxLease:      time.Second,
-		BusyPollWait:  100 * time.Millisecond,
+		BusyPollWait:  160 * time.Millisecond,
 		IdlePollWait:  250 * time.Millisecond,
 		AdoptionGrace: 400 * time.Millisecond,
 		Stop:          50 * time.Millisecond,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -58,6 +58,7 @@
 	minions       map[string]*minionEntry     // by ID
 	cellLayouts   map[string]*cellLayoutEntry // by failure domain
 	listedHosts   []*Host                     // result of Hosts, by name; nil: must be computed again
+	hostsVersion  uint64                      // incremented with each change of the result of Hosts
 	lastIndex     uint64                      // of the log
 	readPositions map[string]readPosition     // in other hosts' logs, by host name
 }
@@ -103,7 +104,7 @@
 	if h.HostRecord != b.From || h.HeartbeatAt.IsZero() || h.unreachable {
 		h.HostRecord = b.From
 		h.logIndex = r.nextIndex()
-		r.listedHosts = nil
+		r.hostsChanged()
 	}
 	h.Heartbeat, h.HeartbeatAt, h.LoadAt, h.ClosedAt, h.unreachable = b, now, now, time.Time{}, false
 }
@@ -139,7 +140,7 @@
 		for _, h := range r.hosts {
 			delete(h.reporters, from) // a restarted host reports its list from the start
 		}
-		r.listedHosts = nil
+		r.hostsChanged()
 	}
 	if p.incarnation != m.LogIncarnation {
 		p = readPosition{incarnation: m.LogIncarnation}
@@ -171,7 +172,7 @@
 	if rec.Name == r.self.Name {
 		return
 	}
-	r.listedHosts = nil
+	r.hostsChanged()
 	h := r.hosts[rec.Name]
 	if rec.Tombstone {
 		if h != nil {
@@ -295,10 +296,20 @@
 	return r.listedHosts
 }
 
+// HostsVersion returns a number that changes whenever the result of Hosts may change.
+func (r *Roster) HostsVersion() uint64 { return r.hostsVersion }
+
+func (r *Roster) hostsChanged() {
+	r.listedHosts = nil
+	r.hostsVersion++
+}
+
 func (r *Roster) sortedHosts() []*Host {
-	return slices.SortedFunc(maps.Values(r.hosts), func(a, b *Host) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.SortedFunc(maps.Values(r.hosts), compareHosts)
 }
 
+func compareHosts(a, b *Host) int { return cmp.Compare(a.Name, b.Name) }
+
 // Host returns the host with that name, or nil.
 func (r *Roster) Host(name string) *Host { return r.hosts[name] }
 
@@ -339,27 +350,31 @@
 // reporters that are unreachable themselves, and deletes hosts that nobody reports
 // any more.
 func (r *Roster) Tick(now time.Time) {
-	for _, h := range r.sortedHosts() {
+	var silent []*Host
+	for _, h := range r.hosts {
+		if now.Sub(h.HeartbeatAt) > UnreachableAfter {
+			silent = append(silent, h)
+		}
+	}
+	slices.SortFunc(silent, compareHosts)
+	for _, h := range silent {
 		name := h.Name
 		sinceHeartbeat := now.Sub(h.HeartbeatAt)
-		if sinceHeartbeat <= UnreachableAfter {
-			continue
-		}
 		if !h.HeartbeatAt.IsZero() && !h.unreachable {
 			h.unreachable = true
 			h.logIndex = r.nextIndex()
-			r.listedHosts = nil
+			r.hostsChanged()
 		}
 		for reporterName := range h.reporters {
 			if reporter := r.hosts[reporterName]; reporter == nil || now.Sub(reporter.HeartbeatAt) > UnreachableAfter {
 				delete(h.reporters, reporterName)
-				r.listedHosts = nil
+				r.hostsChanged()
 			}
 		}
 		if len(h.reporters) == 0 && (h.HeartbeatAt.IsZero() || sinceHeartbeat > tombstoneTTL) {
 			delete(r.hosts, name)
 			delete(r.readPositions, name)
-			r.listedHosts = nil
+			r.hostsChanged()
 		}
 	}
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -28,9 +28,13 @@
 	DataFolder      string   `json:"data_folder"`                             // empty: no data on disk
 	StopGraceS      float64  `json:"stop_grace_s" validate:"min=1,max=60"`    // seconds from the stop signal until the process is killed
 	ToleratedLosses int      `json:"tolerated_losses" validate:"min=0,max=3"` // control hosts that may fail at the same time
+	LinkMbps        float64  `json:"link_mbps" validate:"min=0,max=1000000"`  // rate of the host's network link in megabits per second; 0: not limited
 	Log             FleetLog `json:"log"`
 }
 
+// LinkBytesPerSecond returns the rate of the host's network link; 0: not limited.
+func (s *Fleet) LinkBytesPerSecond() int64 { return int64(s.LinkMbps * 1e6 / 8) }
+
 // FleetLog configures the structured log on standard output.
 type FleetLog struct {
 	Level string `json:"level" validate:"oneof=debug info warn error"`
