fleet: minions known at once after a restart of all control hosts

The first shard layouts were too small and were replaced at 53.1 s, which moved their jobs. Two hosts that found a control host only at 50.3 s claimed shards that others held, because they counted their startup wait from the start of the process; both lost their claims for a second.

Ruled out: the documents, which the control hosts read from their disks at 49.4 s.

The wanted number of shards counts hosts that are listed, not those that answered within 0.6 s.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -85,6 +85,10 @@
 	DocumentRefused  ID = 5009
 	NoMajority       ID = 5010
 
+	MinionsRestored   ID = 5011
+	MinionsUnreadable ID = 5012
+	MinionsNotSaved   ID = 5013
+
 	RequestPanicked   ID = 6001
 	ServerFailed      ID = 6002
 	ConnectionRefused ID = 6003
@@ -165,6 +169,9 @@
 	{ConfigUnreadable, slog.LevelError, "configuration version unreadable", "Install the release that the other hosts run; the previous version remains applied."},
 	{DocumentRefused, slog.LevelInfo, "operator's document refused", "Fix what the error names and send it again."},
 	{NoMajority, slog.LevelWarn, "no majority of the control hosts answered in time", "Check the control hosts and the network between them."},
+	{MinionsRestored, slog.LevelInfo, "known minions read from the disk", "None."},
+	{MinionsUnreadable, slog.LevelWarn, "known minions on the disk can't be read", "None; minions are learned as they announce themselves. Check the disk."},
+	{MinionsNotSaved, slog.LevelWarn, "known minions not saved, and no longer saved by this process", "Check the disk and its free space; after a restart of all control hosts, minions are learned as they announce themselves."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
 	{ConnectionRefused, slog.LevelWarn, "connection refused, max_connections reached", "Find the clients with many connections, or raise max_connections."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -187,7 +187,9 @@
 // from the wanted one (claim.NeedsRelayout) during claim.RelayoutDelay, the holder of
 // the first shard makes a new layout.
 func (c *core) updateShardLayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
-	wanted := claim.WantedShards(c.countCellMinions(), len(others)+1, c.minionsPerShard)
+	// Hosts that are unavailable for a short time count, too: a new layout interrupts the
+	// service of its cell.
+	wanted := claim.WantedShards(c.countCellMinions(), len(c.hosts().cell)+1, c.minionsPerShard)
 	count, version := claim.NewestShardLayout(append([]claim.Candidate{self}, others...))
 	if version == 0 {
 		c.shardCount, c.shardLayoutVersion = wanted, 0
@@ -227,7 +229,11 @@
 // startupWaitOver reports whether this process has run long enough to know the
 // claims of the other hosts in its cell, so that it doesn't claim their shards.
 func (c *core) startupWaitOver(now time.Time) bool {
-	age := now.Sub(c.startedAt)
+	since := c.startedAt
+	if c.contactAt.After(since) {
+		since = c.contactAt // only since then does this host learn of the others
+	}
+	age := now.Sub(since)
 	if age >= claim.StartupWait || age < claim.ShortStartupWait || !c.hasControlContact(now) {
 		return age >= claim.StartupWait
 	}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -70,6 +70,7 @@
 	incarnations       map[string]incarnations // by host, as long as it is in lastMessageAt
 
 	startedAt          time.Time
+	contactAt          time.Time // when the first heartbeat of a control host arrived
 	claimsChanged      bool      // claims have changed since planClaims was last called
 	nextClaims         time.Time // when planClaims is due even if they have not
 	claimLostAt        time.Time // when a shard was lost to a newer token or to a suspension
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -72,6 +72,37 @@
 	must.SliceEmpty(t, sim.checker.finish())
 }
 
+// After a loss of power of all machines, the hosts know their minions from the control
+// hosts' disks, and the first shard layout is one that lasts.
+func TestServiceAfterPowerLossOfAllHosts(t *testing.T) {
+	cfg := simConfig{failureDomains: 3, entryHosts: 4, minions: 23, controlHosts: 1, load: 0.4, linkRate: 250_000, recoveryPeriod: 18 * time.Second}
+	const off, on, bound = 10 * time.Second, 11300 * time.Millisecond, 1200 * time.Millisecond
+	for seed := range uint64(4) {
+		sim := newSimulation(cfg, seed)
+		sim.keepCallers = true
+		for _, h := range sim.hosts {
+			sim.after(off, func() { h.endProcess(true) })
+			sim.after(on+sim.durationBetween(0, 450*time.Millisecond), h.powerOn)
+		}
+		layouts := make(map[string]uint64)
+		sim.after(on+bound, func() {
+			for _, h := range sim.hosts {
+				layouts[h.rec.Name] = h.core.shardLayoutVersion
+			}
+		})
+		sim.after(on+6*time.Second, func() {
+			for _, h := range sim.hosts {
+				must.Eq(t, layouts[h.rec.Name], h.core.shardLayoutVersion, must.Sprint(seed, h.rec.Name))
+			}
+		})
+		sim.run()
+		_, shares := completedShares(sim)
+		t.Logf("seed %d: %.2f %.2f %.2f %.2f", seed, shares[11*time.Second], shares[12*time.Second], shares[13*time.Second], shares[14*time.Second])
+		must.Greater(t, 0.85, shares[13*time.Second], must.Sprint(seed))
+		must.SliceEmpty(t, sim.checker.finish())
+	}
+}
+
 // When all hosts of a failure domain are shut down one after the other, the last one
 // dispatches until its process ends.
 func TestOverlappingShutdownsKeepServing(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,11 +62,11 @@
 
 const (
 	tickInterval    = 20 * time.Millisecond
-	inputRingSize   = 8192 // inputs waiting for the core; when it is full, jobs are refused and messages dropped
-	connectTimeout  = 400 * time.Millisecond
-	linkAckTimeout  = time.Second      // a connection on which a heartbeat stays unacknowledged for longer is replaced
-	linkIdleTimeout = 10 * time.Second // a connection without messages for longer is closed
-	redialDelay     = 200 * time.Millisecond
+	inputRingSize   = 8192                   // inputs waiting for the core; when it is full, jobs are refused and messages dropped
+	connectTimeout  = 200 * time.Millisecond // a machine without power does not answer at all
+	linkAckTimeout  = time.Second            // a connection on which a heartbeat stays unacknowledged for longer is replaced
+	linkIdleTimeout = 10 * time.Second       // a connection without messages for longer is closed
+	redialDelay     = 100 * time.Millisecond
 	relaysPerDomain = 2 // hosts of each other failure domain that a newly chosen document is pushed to; they relay it within their domain
 )
 
@@ -94,6 +94,7 @@
 	mesh              *link.Mesh
 	control           *register.Controller
 	core              *core
+	minionStore       *store.Store // for the snapshot of the minions; nil: no disk
 	orders            *orders
 	document          atomic.Pointer[queue.Document]
 	documentKnown     chan struct{} // closed when the first document is applied
@@ -145,6 +146,9 @@
 	// earlier process on this host match none of this one's.
 	h.core = newCore(time.Now(), h.self, h.tokenID(), rand.Uint64()>>8, h)
 	h.core.minionsPerShard = claim.MinionsPerShard(s.LinkBytesPerSecond())
+	if h.minionStore != nil {
+		h.restoreMinions(h.minionStore)
+	}
 	return h, nil
 }
 
@@ -181,6 +185,7 @@
 		Store: s, Messenger: h.mesh, Apply: h.apply, OnSaved: h.metrics.stateSaved, Log: h.log,
 	})
 	if s != nil {
+		h.minionStore = s.Independent()
 		h.logEvent(event.DiskOpened, slog.String("disk", state.Disk), slog.Uint64("version", state.Version()), slog.Bool("voting", h.control.View().Voting))
 	}
 	if state.Chosen != nil {
@@ -226,6 +231,9 @@
 func (h *Host) Run(ctx context.Context) {
 	h.wg.Go(func() { h.mesh.Run(ctx) })
 	h.wg.Go(func() { h.control.Run(ctx) })
+	if h.minionStore != nil && h.self.Control {
+		h.wg.Go(func() { h.saveMinions(ctx, h.minionStore) })
+	}
 	h.logEvent(event.Started, slog.String("host", h.self.Name), slog.String("failure_domain", h.self.FailureDomain),
 		slog.Bool("entry", h.self.Entry), slog.Bool("control", h.self.Control), slog.String("incarnation", string(h.self.Incarnation)))
 	h.runCore(ctx)
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -15,6 +15,8 @@
 	heartbeatInterval        = 200 * time.Millisecond // to entry hosts
 	controlHeartbeatInterval = 500 * time.Millisecond // to control hosts
 	idleHeartbeatInterval    = 400 * time.Millisecond // of an entry host without claims to the hosts of its cell
+	searchInterval           = 100 * time.Millisecond // to control hosts, until one has answered
+	searchPeriod             = 5 * time.Second        // since the start of the process, in which searchInterval applies
 	loadReportInterval       = 500 * time.Millisecond // to entry hosts outside the cell that have no job here
 )
 
@@ -27,13 +29,23 @@
 }
 
 func (c *core) tickHeartbeats(now time.Time) {
-	if now.Sub(c.heartbeatAt) >= heartbeatInterval {
+	if now.Sub(c.heartbeatAt) >= min(heartbeatInterval, c.controlInterval(now)) {
 		c.sendHeartbeats(now)
 	}
 }
 
+// controlInterval returns the interval of heartbeats to control hosts. It is shorter while
+// none has answered: when all machines start at the same time, the first heartbeats find
+// control hosts that are not up yet.
+func (c *core) controlInterval(now time.Time) time.Duration {
+	if c.contactAt.IsZero() && now.Sub(c.startedAt) < searchPeriod {
+		return searchInterval
+	}
+	return controlHeartbeatInterval
+}
+
 func (c *core) sendHeartbeats(now time.Time) {
-	controlDue := now.Sub(c.controlHeartbeatAt) >= controlHeartbeatInterval
+	controlDue := now.Sub(c.controlHeartbeatAt) >= c.controlInterval(now)
 	if controlDue {
 		c.controlHeartbeatAt = now
 	}
@@ -141,12 +153,15 @@
 	known := h != nil
 	c.claimsChanged = c.claimsChanged || heartbeat.From.Entry && (!known || !alive(now, h) || !sameClaims(h.Heartbeat, heartbeat))
 	c.roster.RecordHeartbeat(now, heartbeat)
+	if c.contactAt.IsZero() && heartbeat.From.Control {
+		c.contactAt = now
+	}
 	for i := range heartbeat.Claims {
 		c.jobTable.UpdateLoad(now, heartbeat.From.Name, heartbeat.Claims[i].Shard, heartbeat.Claims[i].Load)
 	}
 	if !known {
 		c.logEvent(event.PeerUp, slog.String("host", heartbeat.From.Name), slog.String("failure_domain", heartbeat.From.FailureDomain))
-		c.hostsChanged()
+		c.hostsChanged(now)
 	}
 	if !c.self.Control {
 		return
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -28,6 +28,7 @@
 	ready         bool
 	shuttingDown  bool
 	sent          map[peer.Kind]simTraffic // to other hosts
+	disk          []peer.MinionRecord      // snapshot of the minions of a control host
 	linkRate      int                      // bytes per second, each way; 0: not limited
 	in, out       simQueue
 	callers       []*simCaller // of the current try; maybe some that have finished or left
@@ -52,6 +53,9 @@
 	tokenID := xxhash.Sum64String(string(h.rec.Incarnation))
 	h.core = newCore(h.clock(), h.rec, tokenID, h.sim.rng.Uint64()>>8, h)
 	h.core.minionsPerShard = claim.MinionsPerShard(int64(h.sim.config.linkRate))
+	if h.rec.Control {
+		h.core.roster.Restore(h.disk)
+	}
 	incarnation := h.incarnation
 	var tickLoop func()
 	tickLoop = func() {
@@ -60,6 +64,9 @@
 		}
 		if !h.suspended {
 			h.tick()
+			if h.rec.Control && h.sim.now%snapshotInterval < tickInterval {
+				h.disk = h.core.roster.Snapshot()
+			}
 		}
 		h.sim.after(tickInterval, tickLoop)
 	}
--- a/internal/fleet/subscribers.go
+++ b/internal/fleet/subscribers.go
@@ -79,12 +79,17 @@
 		c.minionChanged(now, m)
 	}
 	if len(c.roster.Hosts()) != before {
-		c.hostsChanged()
+		c.hostsChanged(now)
 	}
 }
 
-// hostsChanged updates the list of hosts that documents are pushed to.
-func (c *core) hostsChanged() {
+// hostsChanged updates the list of hosts that documents are pushed to. While this process
+// looks for the others, it sends them a heartbeat at once: they wait for one before they
+// claim minions.
+func (c *core) hostsChanged(now time.Time) {
+	if now.Sub(c.startedAt) < searchPeriod {
+		c.heartbeatDue = true
+	}
 	var peers []membership.Host
 	for _, h := range c.roster.Hosts() {
 		peers = append(peers, membership.Host{Name: h.Name, FailureDomain: h.FailureDomain, Region: h.Region})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -61,6 +61,8 @@
 	hostsVersion  uint64                      // incremented with each change of the result of Hosts
 	lastIndex     uint64                      // of the log
 	readPositions map[string]readPosition     // in other hosts' logs, by host name
+
+	minionsVersion uint64 // see MinionsVersion
 }
 
 // readPosition is how far another host's log was read.
@@ -200,6 +202,7 @@
 func (r *Roster) updateMinion(rec peer.MinionRecord, direct bool) bool {
 	m := r.minions[rec.ID]
 	if m == nil {
+		r.minionsVersion++
 		r.minions[rec.ID] = &minionEntry{MinionRecord: rec, direct: direct, logIndex: r.nextIndex()}
 		return true
 	}
@@ -215,6 +218,7 @@
 		m.Seq = rec.Seq
 		return false
 	}
+	r.minionsVersion++
 	m.MinionRecord, m.direct = rec, direct
 	m.logIndex = r.nextIndex()
 	return true
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -152,3 +152,38 @@
 	second.ApplyAnnouncement(minionOf(2, true))
 	must.Len(t, 1, second.Delta(0, MinionFilter{DirectOnly: true}).Minions)
 }
+
+// A snapshot lists the minions of a later process until they announce themselves again. It
+// does not bring back one that has left, and does not replace newer records.
+func TestRestoredSnapshot(t *testing.T) {
+	earlier := New(peer.HostRecord{Name: "c"})
+	stays, left := minionRecord("stays", 3), minionRecord("left", 3)
+	must.True(t, earlier.ApplyAnnouncement(stays))
+	must.True(t, earlier.ApplyAnnouncement(left))
+	before := earlier.MinionsVersion()
+	left.Seq, left.Left = 4, true
+	must.True(t, earlier.ApplyAnnouncement(left))
+	must.NotEq(t, before, earlier.MinionsVersion())
+	snapshot := earlier.Snapshot()
+
+	r := New(peer.HostRecord{Name: "c"})
+	newer := stays
+	newer.Seq, newer.Draining = 9, true
+	must.True(t, r.ApplyAnnouncement(newer))
+	must.Eq(t, 1, r.Restore(snapshot))
+	must.Eq(t, []peer.MinionRecord{newer}, r.Minions(stays.FailureDomain))
+	left.Seq, left.Left = 3, false
+	must.False(t, r.ApplyAnnouncement(left), must.Sprint("a late announcement from before it left"))
+}
+
+// Records of a damaged or foreign file are skipped.
+func TestInvalidRecordsAreNotRestored(t *testing.T) {
+	odd := minionRecord("odd", 1)
+	odd.CPU = -1
+	r := New(peer.HostRecord{Name: "c"})
+	must.Eq(t, 1, r.Restore([]peer.MinionRecord{odd, minionRecord("m", 1)}))
+}
+
+func minionRecord(id string, seq uint64) peer.MinionRecord {
+	return peer.MinionRecord{ID: id, Incarnation: 1, Seq: seq, Service: "s", Address: "10.0.0.9:80", FailureDomain: "d", CPU: 1, MemoryMB: 1}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -56,6 +56,17 @@
 	return &Store{fs: fs, folder: folder, lock: lock}, nil
 }
 
+// Independent returns a store for other files of the same folder. A failed write of one
+// of the two does not make the other refuse writes. The folder stays locked until s is
+// closed.
+func (s *Store) Independent() *Store { return &Store{fs: s.fs, folder: s.folder, lock: noLock{}} }
+
+// noLock is the lock of a store whose folder another store has locked.
+type noLock struct{}
+
+// Close implements io.Closer.
+func (noLock) Close() error { return nil }
+
 // Close releases the lock on the folder.
 func (s *Store) Close() error { return errors.WithStack(s.lock.Close()) }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -196,3 +196,14 @@
 	must.ErrorIs(t, err, os.ErrNotExist)
 	must.NoError(t, s.Close())
 }
+
+// A write that fails in one of two independent stores of a folder does not stop the other.
+func TestIndependentStoreFailsAlone(t *testing.T) {
+	d := newMemoryFS()
+	s := mustOpen(t, d)
+	other := s.Independent()
+	d.failAt, d.failure = d.ops+1, errDiskFull
+	must.ErrorIs(t, other.Save("hint", []byte("x")), errDiskFull)
+	must.ErrorIs(t, other.Save("hint", []byte("x")), ErrWriteFailed)
+	must.NoError(t, s.Save("state", []byte("y")))
+}
