fleet: requests of a new process wait for its first document

Ruled out: faster documents; the control hosts start 0.4 s after the entry hosts.

Change: a request waits for the first document until 1.2 s after the start of the process, where it waited 0.3 s at any time; later it is refused at once, so that a host without contact to control hosts keeps nobody waiting.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,10 +85,11 @@
 
 // Host is one running entry host, control host, or both.
 type Host struct {
-	settings settings.Fleet
-	self     peer.HostRecord
-	log      *slog.Logger
-	metrics  *metrics
+	settings  settings.Fleet
+	self      peer.HostRecord
+	startedAt time.Time
+	log       *slog.Logger
+	metrics   *metrics
 
 	inputs            *ring.Ring[func(now time.Time)]
 	mesh              *link.Mesh
@@ -119,7 +120,7 @@
 		return nil, errors.Wrap(err, "listen for other hosts")
 	}
 	h := &Host{
-		settings: s, log: log, metrics: newMetrics(), done: make(chan struct{}), documentKnown: make(chan struct{}),
+		settings: s, startedAt: time.Now(), log: log, metrics: newMetrics(), done: make(chan struct{}), documentKnown: make(chan struct{}),
 		inputs: ring.New[func(time.Time)](inputRingSize),
 		self: peer.HostRecord{
 			Name: s.IP, FailureDomain: s.FailureDomain, Region: s.Region, Incarnation: membership.Incarnation(uuid.NewString()),
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -26,20 +26,24 @@
 // ShuttingDown reports whether a shutdown has begun.
 func (h *Host) ShuttingDown() bool { return h.shuttingDown.Load() }
 
-// firstDocumentTimeout bounds how long a request waits for the first document after
-// a process has started. A control host sends it within a few heartbeats.
-const firstDocumentTimeout = 300 * time.Millisecond
-
-// AwaitDocument returns the applied document. If there is none yet, it waits up to
-// firstDocumentTimeout and then returns nil.
+// firstDocumentPeriod is the time since the start of a process within which a control host
+// sends it the first document, also when all machines start at the same time. Until then
+// requests wait for it: most can still be served in time.
+const firstDocumentPeriod = 1200 * time.Millisecond
+
+// AwaitDocument returns the applied document. If there is none yet, it waits until
+// firstDocumentPeriod since the start of the process and then returns nil; later it
+// returns nil at once.
 func (h *Host) AwaitDocument(ctx context.Context) *queue.Document {
 	if d := h.document.Load(); d != nil {
 		return d
 	}
+	wait := time.NewTimer(firstDocumentPeriod - time.Since(h.startedAt))
+	defer wait.Stop()
 	select {
 	case <-h.documentKnown:
 	case <-ctx.Done():
-	case <-time.After(firstDocumentTimeout):
+	case <-wait.C:
 	}
 	return h.document.Load()
 }
