peer: messages with impossible numbers are refused

Cause: hosts divide by the number of shards of a heartbeat, allocate by the number of tasks of an offer and use the numbers of its steps as indexes. A heartbeat with no shards and a high layout version, or an offer whose step names one that does not exist, ended the process that read it with a panic (the new test without the check).

Ruled out: recovering in the core's goroutine, whose state may be half changed.

Change: Decode checks the numbers of the messages between discovering hosts; the connection of a refused one is closed, as for other invalid messages.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -270,6 +270,54 @@
 	must.Eq(t, 1, x.pool.JobCount())
 }
 
+// A message with impossible numbers must not end the process that reads it.
+func TestMalformedMessagesAreRefused(t *testing.T) {
+	from := peer.HostRecord{Name: "e0-1", FailureDomain: "z0", Entry: true, Incarnation: "1"}
+	claims := func(c peer.Claim) *peer.FleetHeartbeat {
+		return &peer.FleetHeartbeat{From: from, Claims: []peer.Claim{c}}
+	}
+	step := peer.TaskStep{Count: 1, CPU: 1000, MemoryMB: 1, EstimateMS: 100}
+	offer := func(change func(o *peer.JobOffer)) *peer.JobOffer {
+		o := smallOffer("j", 0, 0)
+		o.Steps = []peer.TaskStep{step, step}
+		change(o)
+		return o
+	}
+	for name, b := range map[string]peer.Body{
+		"no shards":                claims(peer.Claim{LayoutVersion: 1 << 50, Token: 1 << 50}),
+		"too many shards":          claims(peer.Claim{ShardCount: 1 << 40, LayoutVersion: 1 << 50, Token: 1 << 50}),
+		"no such shard":            claims(peer.Claim{Shard: 2, ShardCount: 2, LayoutVersion: 1 << 50, Token: 1 << 50}),
+		"huge load":                claims(peer.Claim{ShardCount: 1, Token: 1, Load: peer.PoolLoad{Capacity: math.MaxInt64, Free: math.MaxInt64}}),
+		"negative cells":           &peer.FleetHeartbeat{From: from, CellLayout: peer.CellLayout{Cells: -1, Version: 1 << 50}},
+		"negative cells in a log":  &peer.RosterUpdate{LogIncarnation: "1", LogIndex: 1, CellLayouts: []peer.DomainCellLayout{{FailureDomain: "z0", CellLayout: peer.CellLayout{Cells: -3, Version: 1 << 50}}}},
+		"step that does not exist": offer(func(o *peer.JobOffer) { o.Steps[1].After = []int{7} }),
+		"step after itself":        offer(func(o *peer.JobOffer) { o.Steps[1].After = []int{1} }),
+		"negative step":            offer(func(o *peer.JobOffer) { o.Steps[1].After = []int{-1} }),
+		"too many tasks":           offer(func(o *peer.JobOffer) { o.Steps[0].Count = 1 << 40 }),
+		"huge task":                offer(func(o *peer.JobOffer) { o.Steps[0].CPU = math.MaxInt64 }),
+		"huge estimate":            offer(func(o *peer.JobOffer) { o.Steps[0].EstimateMS = math.MaxInt64 }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			encoded, err := peer.Encode(b)
+			must.NoError(t, err)
+			body, err := peer.Decode(encoded)
+			if err != nil {
+				return
+			}
+			t.Errorf("accepted")
+			sim := newSimulation(simConfig{failureDomains: 1, entryHosts: 2, minions: 2}, 1)
+			h := sim.hostByName["e0-0"]
+			h.launch()
+			h.holdShard(simStart)
+			if o, ok := body.(*peer.JobOffer); ok {
+				o.ReceiverClock = h.core.heartbeatClock()
+			}
+			h.core.receive(simStart, from.Name, "1", body)
+			h.core.tick(simStart.Add(tickInterval))
+		})
+	}
+}
+
 // A record that names no possible minion must not keep a host from the rest of another
 // host's log.
 func TestInvalidRecordOfAnotherHostIsSkipped(t *testing.T) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -187,7 +187,8 @@
 }
 
 // Decode decodes a frame payload that Encode returned. It returns an error if the
-// payload is empty, its kind is unknown or its msgpack encoding is invalid.
+// payload is empty, its kind is unknown, its msgpack encoding is invalid or a number in it
+// is beyond its bounds.
 func Decode(payload []byte) (Body, error) {
 	if len(payload) == 0 {
 		return nil, errors.New("peer: empty frame")
@@ -199,5 +200,10 @@
 	if err := msgpack.Unmarshal(payload[1:], b); err != nil {
 		return nil, errors.Wrapf(err, "peer: decode kind %d", payload[0])
 	}
+	if c, ok := b.(checkedBody); ok {
+		if err := c.check(); err != nil {
+			return nil, errors.WithMessagef(err, "peer: message of type %v", b.Kind())
+		}
+	}
 	return b, nil
 }
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -29,7 +29,10 @@
 // FuzzDecode decodes arbitrary payloads: Decode must not panic, and every message
 // that it returns must be encodable.
 func FuzzDecode(f *testing.F) {
-	for _, b := range []Body{&Hello{Host: "a"}, &Heartbeat{}, &MinionUpdate{}, &MinionLeave{Name: "m"}, &MinionQuery{Names: []string{"m"}}} {
+	for _, b := range []Body{
+		&Hello{Host: "a"}, &Heartbeat{}, &MinionUpdate{}, &MinionLeave{Name: "m"}, &MinionQuery{Names: []string{"m"}},
+		&FleetHeartbeat{Claims: []Claim{{ShardCount: 1}}}, &JobOffer{ShardCount: 1, Steps: []TaskStep{{Count: 1}}}, &RosterUpdate{},
+	} {
 		payload, err := Encode(b)
 		must.NoError(f, err)
 		f.Add(payload)
