register: hosts that only learn versions tick ten times a second

Cause: each process had two tickers of 20 ms, the core's and the controller's. On an entry host the controller only repeats a fetch of a version after 250 ms.

Ruled out: a slower tick on control hosts; their votes and leases of disks follow it.

Change: a controller without a disk ticks every 100 ms: 40 wakeups a second and host less, of about 400 (counted from the profile's timers and messages, not measured).

--- a/internal/register/controller.go
+++ b/internal/register/controller.go
@@ -24,8 +24,9 @@
 
 const (
 	// stateFile is the name of the file that holds the host's control.State.
-	stateFile    = "control"
-	tickInterval = 20 * time.Millisecond
+	stateFile           = "control"
+	tickInterval        = 20 * time.Millisecond
+	learnerTickInterval = 100 * time.Millisecond // of a host without a disk, which only repeats its requests for versions
 	// inputRingSize is the maximum number of queued inputs. When the ring is
 	// full, a message is dropped (its sender repeats it) and a proposal is
 	// refused as busy.
@@ -174,7 +175,11 @@
 // Run handles inputs until ctx is done, then closes the store.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
-	ticker := time.NewTicker(tickInterval)
+	interval := tickInterval
+	if c.store == nil {
+		interval = learnerTickInterval
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	if c.store != nil {
 		defer c.store.Close()
