--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,7 +95,7 @@
 	mesh              *link.Mesh
 	control           *register.Controller
 	core              *core
-	minionStore       *store.Store // for the snapshot of the minions; nil: no disk
+	rosterStore       *store.Store // for the snapshot of the roster; nil: no disk
 	orders            *orders
 	document          atomic.Pointer[queue.Document]
 	documentKnown     chan struct{} // closed when the first document is applied
@@ -147,8 +147,8 @@
 	// earlier process on this host match none of this one's.
 	h.core = newCore(time.Now(), h.self, h.tokenID(), rand.Uint64()>>8, h)
 	h.core.minionsPerShard = claim.MinionsPerShard(s.LinkBytesPerSecond())
-	if h.minionStore != nil {
-		h.restoreMinions(h.minionStore)
+	if h.rosterStore != nil {
+		h.restoreRoster(h.rosterStore)
 	}
 	return h, nil
 }
@@ -186,7 +186,7 @@
 		Store: s, Messenger: h.mesh, Apply: h.apply, OnSaved: h.metrics.stateSaved, Log: h.log,
 	})
 	if s != nil {
-		h.minionStore = s.Independent()
+		h.rosterStore = s.Independent()
 		h.logEvent(event.DiskOpened, slog.String("disk", state.Disk), slog.Uint64("version", state.Version()), slog.Bool("voting", h.control.View().Voting))
 	}
 	if state.Chosen != nil {
@@ -232,8 +232,8 @@
 func (h *Host) Run(ctx context.Context) {
 	h.wg.Go(func() { h.mesh.Run(ctx) })
 	h.wg.Go(func() { h.control.Run(ctx) })
-	if h.minionStore != nil && h.self.Control {
-		h.wg.Go(func() { h.saveMinions(ctx, h.minionStore) })
+	if h.rosterStore != nil && h.self.Control {
+		h.wg.Go(func() { h.saveRoster(ctx, h.rosterStore) })
 	}
 	h.logEvent(event.Started, slog.String("host", h.self.Name), slog.String("failure_domain", h.self.FailureDomain),
 		slog.Bool("entry", h.self.Entry), slog.Bool("control", h.self.Control), slog.String("incarnation", string(h.self.Incarnation)))
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/pool"
+	"github.com/laburnumwalk/laburnumwalk/internal/roster"
 )
 
 // simHost is a machine with at most one process of this program.
@@ -28,7 +29,7 @@
 	ready         bool
 	shuttingDown  bool
 	sent          map[peer.Kind]simTraffic // to other hosts
-	disk          []peer.MinionRecord      // snapshot of the minions of a control host
+	disk          *roster.Snapshot         // of a control host
 	linkRate      int                      // bytes per second, each way; 0: not limited
 	in, out       simQueue
 	callers       []*simCaller // of the current try; maybe some that have finished or left
@@ -53,7 +54,7 @@
 	tokenID := xxhash.Sum64String(string(h.rec.Incarnation))
 	h.core = newCore(h.clock(), h.rec, tokenID, h.sim.rng.Uint64()>>8, h)
 	h.core.minionsPerShard = claim.MinionsPerShard(int64(h.sim.config.linkRate))
-	if h.rec.Control {
+	if h.disk != nil {
 		h.core.roster.Restore(h.disk)
 	}
 	incarnation := h.incarnation
--- a/internal/fleet/snapshots.go
+++ b/internal/fleet/snapshots.go
@@ -7,40 +7,40 @@
 	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
-	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/laburnumwalk/laburnumwalk/internal/roster"
 	"github.com/laburnumwalk/laburnumwalk/internal/store"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// A control host keeps the minions that it knows on its disk. After a restart of all
-// control hosts, entry hosts then know their minions at once, instead of when each has
-// announced itself again. The file is a hint: it may be old or missing.
+// A control host keeps the minions and cell layouts that it knows on its disk. After a
+// restart of all control hosts, entry hosts then know them at once, instead of when each
+// minion has announced itself again. The file is a hint: it may be old or missing.
 const (
-	minionsFile      = "minions" // []peer.MinionRecord in msgpack
+	snapshotFile     = "roster" // a roster.Snapshot in msgpack
 	snapshotInterval = time.Second
 )
 
-// restoreMinions adds the minions of the snapshot to the roster.
-func (h *Host) restoreMinions(s *store.Store) {
-	payload, err := s.Load(minionsFile)
+// restoreRoster adds the content of the saved snapshot to the roster.
+func (h *Host) restoreRoster(s *store.Store) {
+	payload, err := s.Load(snapshotFile)
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
-	var records []peer.MinionRecord
+	var saved roster.Snapshot
 	if err == nil {
-		err = msgpack.Unmarshal(payload, &records)
+		err = msgpack.Unmarshal(payload, &saved)
 	}
 	if err != nil {
 		h.logEvent(event.MinionsUnreadable, slog.String("error", err.Error()))
 		return
 	}
-	n := h.core.roster.Restore(records)
+	n := h.core.roster.Restore(&saved)
 	h.logEvent(event.MinionsRestored, slog.Int("minions", n))
 }
 
-// saveMinions saves the minions when they have changed, until ctx ends or a write fails.
-func (h *Host) saveMinions(ctx context.Context, s *store.Store) {
+// saveRoster saves a snapshot when the roster has changed, until ctx ends or a write fails.
+func (h *Host) saveRoster(ctx context.Context, s *store.Store) {
 	ticker := time.NewTicker(snapshotInterval)
 	defer ticker.Stop()
 	saved := uint64(0)
@@ -50,14 +50,14 @@
 			return
 		case <-ticker.C:
 		}
-		records := make(chan []peer.MinionRecord, 1)
+		snapshot := make(chan *roster.Snapshot, 1)
 		version := saved
 		ok := h.enqueue(func(time.Time) {
-			if v := h.core.roster.MinionsVersion(); v != saved {
+			if v := h.core.roster.SnapshotVersion(); v != saved {
 				version = v
-				records <- h.core.roster.Snapshot()
+				snapshot <- h.core.roster.Snapshot()
 			}
-			close(records)
+			close(snapshot)
 		})
 		if !ok {
 			continue
@@ -65,11 +65,11 @@
 		select {
 		case <-h.done:
 			return
-		case r := <-records:
+		case r := <-snapshot:
 			if r == nil {
 				continue
 			}
-			if err := saveRecords(s, r); err != nil {
+			if err := writeSnapshot(s, r); err != nil {
 				h.logEvent(event.MinionsNotSaved, slog.String("error", err.Error()))
 				return
 			}
@@ -78,10 +78,10 @@
 	}
 }
 
-func saveRecords(s *store.Store, records []peer.MinionRecord) error {
-	payload, err := msgpack.Marshal(records)
+func writeSnapshot(s *store.Store, r *roster.Snapshot) error {
+	payload, err := msgpack.Marshal(r)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return s.Save(minionsFile, payload)
+	return s.Save(snapshotFile, payload)
 }
--- a/internal/link/dynamic.go
+++ b/internal/link/dynamic.go
@@ -45,7 +45,7 @@
 
 // acksPerTimeout is how many heartbeats a receiver acknowledges within AckTimeout, at
 // most. An acknowledgement covers all earlier heartbeats of the connection.
-const acksPerTimeout = 3
+const acksPerTimeout = 2
 
 // expectsAck reports whether the receiver acknowledges the message. In a dynamic mesh it
 // acknowledges heartbeats, and nothing else.
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -59,6 +59,9 @@
 	return nil
 }
 
+// Check reports why no failure domain can have this cell layout, or nil.
+func (l CellLayout) Check() error { return l.check(1) }
+
 func (l CellLayout) check(least int64) error {
 	return firstInvalid(numberCheck{"number of cells", int64(l.Cells), least, maxCells})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -62,7 +62,7 @@
 	lastIndex     uint64                      // of the log
 	readPositions map[string]readPosition     // in other hosts' logs, by host name
 
-	minionsVersion uint64 // see MinionsVersion
+	snapshotVersion uint64 // see SnapshotVersion
 }
 
 // readPosition is how far another host's log was read.
@@ -202,7 +202,7 @@
 func (r *Roster) updateMinion(rec peer.MinionRecord, direct bool) bool {
 	m := r.minions[rec.ID]
 	if m == nil {
-		r.minionsVersion++
+		r.snapshotVersion++
 		r.minions[rec.ID] = &minionEntry{MinionRecord: rec, direct: direct, logIndex: r.nextIndex()}
 		return true
 	}
@@ -218,7 +218,7 @@
 		m.Seq = rec.Seq
 		return false
 	}
-	r.minionsVersion++
+	r.snapshotVersion++
 	m.MinionRecord, m.direct = rec, direct
 	m.logIndex = r.nextIndex()
 	return true
@@ -287,6 +287,7 @@
 // SetCellLayout stores a failure domain's cell layout if it is newer than the known one.
 func (r *Roster) SetCellLayout(domain string, c peer.CellLayout) {
 	if c.Cells > 0 && c.Version > r.CellLayout(domain).Version {
+		r.snapshotVersion++
 		r.cellLayouts[domain] = &cellLayoutEntry{CellLayout: c, logIndex: r.nextIndex()}
 	}
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -160,10 +160,12 @@
 	stays, left := minionRecord("stays", 3), minionRecord("left", 3)
 	must.True(t, earlier.ApplyAnnouncement(stays))
 	must.True(t, earlier.ApplyAnnouncement(left))
-	before := earlier.MinionsVersion()
+	before := earlier.SnapshotVersion()
 	left.Seq, left.Left = 4, true
 	must.True(t, earlier.ApplyAnnouncement(left))
-	must.NotEq(t, before, earlier.MinionsVersion())
+	must.NotEq(t, before, earlier.SnapshotVersion())
+	layout := peer.CellLayout{Cells: 2, Version: 9}
+	earlier.SetCellLayout("d", layout)
 	snapshot := earlier.Snapshot()
 
 	r := New(peer.HostRecord{Name: "c"})
@@ -172,6 +174,7 @@
 	must.True(t, r.ApplyAnnouncement(newer))
 	must.Eq(t, 1, r.Restore(snapshot))
 	must.Eq(t, []peer.MinionRecord{newer}, r.Minions(stays.FailureDomain))
+	must.Eq(t, layout, r.CellLayout("d"))
 	left.Seq, left.Left = 3, false
 	must.False(t, r.ApplyAnnouncement(left), must.Sprint("a late announcement from before it left"))
 }
@@ -181,7 +184,7 @@
 	odd := minionRecord("odd", 1)
 	odd.CPU = -1
 	r := New(peer.HostRecord{Name: "c"})
-	must.Eq(t, 1, r.Restore([]peer.MinionRecord{odd, minionRecord("m", 1)}))
+	must.Eq(t, 1, r.Restore(&Snapshot{Minions: []peer.MinionRecord{odd, minionRecord("m", 1)}}))
 }
 
 func minionRecord(id string, seq uint64) peer.MinionRecord {
