fewer polls of idle minions, load reports and heartbeats to control hosts

Change: a minion without runs is polled for 0.5 s at a time; one that becomes unreachable is known after up to 0.6 s instead of 0.35 s, or 0.13 s after the first start sent to it. Load reports go outside each 0.75 s, heartbeats of entry hosts to control hosts each second; changes are pushed as before.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -179,7 +179,7 @@
 // hasControlContact reports whether a control host has sent a heartbeat recently.
 // Without one, the roster lists only the hosts that send heartbeats to this one.
 func (c *core) hasControlContact(now time.Time) bool {
-	return slices.ContainsFunc(c.roster.Hosts(), func(h *roster.Host) bool { return h.Control && now.Sub(h.HeartbeatAt) < 2*controlHeartbeatInterval })
+	return slices.ContainsFunc(c.roster.Hosts(), func(h *roster.Host) bool { return h.Control && now.Sub(h.HeartbeatAt) < 2*c.controlInterval(now) })
 }
 
 // updateShardLayout adopts the newest shard layout of the cell; while no host claims a
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -13,11 +13,12 @@
 
 const (
 	heartbeatInterval        = 200 * time.Millisecond // to entry hosts
-	controlHeartbeatInterval = 500 * time.Millisecond // to control hosts
+	controlHeartbeatInterval = 500 * time.Millisecond // of a control host to control hosts
+	entryControlInterval     = time.Second            // of an entry host to control hosts; roster changes are pushed meanwhile
 	idleHeartbeatInterval    = 400 * time.Millisecond // of an entry host without claims to the hosts of its cell
 	searchInterval           = 100 * time.Millisecond // to control hosts, until one has answered
 	searchPeriod             = 5 * time.Second        // since the start of the process, in which searchInterval applies
-	loadReportInterval       = 500 * time.Millisecond // to entry hosts outside the cell that have no job here
+	loadReportInterval       = 750 * time.Millisecond // to entry hosts outside the cell that have no job here
 )
 
 // nextHeartbeat returns the longest time until its sender sends the next heartbeat.
@@ -41,7 +42,10 @@
 	if c.contactAt.IsZero() && now.Sub(c.startedAt) < searchPeriod {
 		return searchInterval
 	}
-	return controlHeartbeatInterval
+	if c.self.Control {
+		return controlHeartbeatInterval
+	}
+	return entryControlInterval
 }
 
 func (c *core) sendHeartbeats(now time.Time) {
--- a/internal/fleet/relays.go
+++ b/internal/fleet/relays.go
@@ -23,7 +23,7 @@
 	domains := make(map[string]bool)
 	inContact := 0
 	for _, h := range c.roster.Hosts() {
-		if h.Control && c.heartbeatAt.Sub(h.HeartbeatAt) < 2*controlHeartbeatInterval {
+		if h.Control && c.heartbeatAt.Sub(h.HeartbeatAt) < 2*c.controlInterval(c.heartbeatAt) {
 			inContact++
 		}
 		domains[h.FailureDomain] = true
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -158,7 +158,7 @@
 		Lease:         800 * time.Millisecond,
 		MaxLease:      time.Second,
 		BusyPollWait:  160 * time.Millisecond,
-		IdlePollWait:  250 * time.Millisecond,
+		IdlePollWait:  500 * time.Millisecond,
 		AdoptionGrace: 400 * time.Millisecond,
 		Stop:          50 * time.Millisecond,
 	}
