pool: minions that are about to answer count as capacity

The jobs that had waited arrive before the minions' first listings, and the first of 22 minions to answer counted as the whole capacity. The load reports of new dispatchers said no capacity, so all hosts of a cell offered their waiting jobs to the same one.

Ruled out: a real backlog; the minions were idle.

Change: until each minion has had the time to answer, those that have not failed to count in queue delays and load reports. Test: TestMinionsThatAreAboutToAnswerCount.

--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -66,12 +66,26 @@
 	return ""
 }
 
+// countsAsCapacity reports whether queue delays and load reports count on the minion: it
+// accepts work or, just after a claim, it has not had the time to answer. The load that
+// the second part answers is that of a takeover: the jobs that waited for it arrive before
+// the first listings, and would be refused or sent elsewhere for the lack of minions that
+// are about to answer.
+func (p *Pool) countsAsCapacity(m *minion) bool {
+	return m.acceptsWork() || p.takingOver && m.awaited()
+}
+
+// awaited reports whether the minion can be expected to answer its first poll.
+func (m *minion) awaited() bool {
+	return !m.listed && m.failedPolls == 0 && !m.Draining && !m.Left && !m.replaced && !m.health.ejected && m.capacityKnown()
+}
+
 // serviceCapacity returns the processors, in thousandths, of the service's minions
-// that accept work.
+// that count as capacity.
 func (p *Pool) serviceCapacity(service string) int64 {
 	var sum int64
 	for _, m := range p.ordered {
-		if m.Service == service && m.acceptsWork() {
+		if m.Service == service && p.countsAsCapacity(m) {
 			sum += m.CPU
 		}
 	}
@@ -160,7 +174,7 @@
 func (p *Pool) Load() peer.PoolLoad {
 	l := peer.PoolLoad{MinionsDigest: p.minionDigest}
 	for _, m := range p.ordered {
-		if m.acceptsWork() {
+		if p.countsAsCapacity(m) {
 			l.Capacity += m.CPU
 			l.Free += p.usableCPU(m)
 		}
@@ -183,11 +197,11 @@
 }
 
 // freeCPU returns the usable processors, in thousandths, of the service's minions
-// that accept work.
+// that count as capacity.
 func (p *Pool) freeCPU(service string) int64 {
 	var sum int64
 	for _, m := range p.ordered {
-		if m.Service == service && m.acceptsWork() {
+		if m.Service == service && p.countsAsCapacity(m) {
 			sum += p.usableCPU(m)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,6 +28,7 @@
 	pollSerial       uint64               // serial number of the newest poll
 	uncertainOfferAt time.Time            // when the newest job with uncertain tasks was offered, at the last tick
 	claimedAt        time.Time            // when the pool last claimed its minions
+	takingOver       bool                 // not every minion has had the time to answer since then (takeoverComplete), at the last tick
 	earlyEnds        map[TaskRef]earlyEnd // kept for earlyEndTTL
 	ready            Ready
 }
@@ -60,6 +61,7 @@
 func (p *Pool) Claim(now time.Time, token uint64) {
 	p.tokens.raise(token)
 	p.claimedAt = now
+	p.takingOver = true
 	p.noStartsUntil = time.Time{}
 	for _, m := range p.ordered {
 		p.raiseToken(now, m)
@@ -218,6 +220,7 @@
 // it at a fixed interval.
 func (p *Pool) Tick(now time.Time) {
 	p.uncertainOfferAt = p.newestUncertainOffer()
+	p.takingOver = p.takingOver && !p.takeoverComplete(now)
 	for _, m := range slices.Clone(p.ordered) { // tickMinion removes minions that have left from p.ordered
 		p.tickMinion(now, m)
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -574,3 +574,34 @@
 	must.Eq(t, peer.JobRefused, s.out.Results[0].Body.Outcome)
 	must.SliceEmpty(t, s.out.Starts)
 }
+
+// The jobs that have waited for a takeover arrive before the minions have answered their
+// first polls, and the minions answer one after the other. Jobs for which all of them
+// suffice are not refused, and the load report counts on them. A minion that does not answer
+// counts no longer once the takeover is over.
+func TestMinionsThatAreAboutToAnswerCount(t *testing.T) {
+	const minions, cpu = 10, 64_000
+	s := newHarness(t)
+	id := func(i int) string { return string(rune('a' + i)) }
+	for i := range minions {
+		s.p.UpdateMinion(s.now, peer.MinionRecord{ID: id(i), Service: "s", FailureDomain: "z", CPU: cpu, MemoryMB: 1000, Seq: 1})
+	}
+	s.collect()
+	must.Eq(t, minions*cpu, s.p.Load().Capacity)
+	must.Eq(t, minions*cpu, s.p.Load().Free)
+	for i := range minions {
+		s.offerJob("j"+id(i), 2, 32_000, 500)
+	}
+	s.answerPoll(id(0), &Listing{})
+	s.advance(20 * ms)
+	s.offerJob("after the first listing", 1, 32_000, 500)
+	must.SliceEmpty(t, s.out.Results)
+	for i := range minions - 1 {
+		if i > 0 {
+			s.answerPoll(id(i), &Listing{})
+		}
+	}
+	must.Len(t, 2*(minions-1), s.out.Starts)
+	s.advance(DefaultTiming().MaxLease + ms)
+	must.LessEq(t, (minions-1)*cpu, s.p.Load().Capacity, must.Sprint("one has not answered"))
+}
