--- a/internal/entry/flow_test.go
+++ b/internal/entry/flow_test.go
@@ -49,6 +49,7 @@
 	must.Eq(t, map[string]int{"near": 1}, countOffers(x.Ready()))
 
 	x = newTable()
+	near.Load.Free, far.Load.Free = 1<<40, 1<<40
 	x.SetDispatchers(begin, []Dispatcher{near, far})
 	for i := range 2 * maxUnackedOffers {
 		submit(x, fmt.Sprint(i))
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
@@ -72,6 +73,25 @@
 	must.SliceEmpty(t, sim.checker.finish())
 }
 
+// A process that finds a control host late learns only then of the hosts that dispatch
+// already. It must hear from them before it claims their minions.
+func TestLateContactDelaysClaims(t *testing.T) {
+	sim := newSimulation(simConfig{failureDomains: 1, entryHosts: 2, minions: 2}, 1)
+	h := sim.hostByName["e0-0"]
+	h.launch()
+	contact := simStart.Add(2 * claim.StartupWait)
+	control := peer.HostRecord{Name: "c0-0", FailureDomain: "z0", Control: true, Incarnation: "1"}
+	other := peer.HostRecord{Name: "e0-1", FailureDomain: "z0", Entry: true, Incarnation: "1"}
+	h.core.receive(contact, control.Name, "1", &peer.FleetHeartbeat{From: control})
+	h.core.receive(contact, control.Name, "1", &peer.RosterUpdate{LogIncarnation: "1", LogIndex: 1, Hosts: []peer.HostRecord{other}})
+	must.False(t, h.core.startupWaitOver(contact))
+	now := contact.Add(claim.ShortStartupWait)
+	must.False(t, h.core.startupWaitOver(now), must.Sprint("the other host has not been heard"))
+	h.core.receive(now, other.Name, "1", &peer.FleetHeartbeat{From: other})
+	must.True(t, h.core.startupWaitOver(now))
+	must.True(t, h.core.startupWaitOver(contact.Add(claim.StartupWait)))
+}
+
 // After a loss of power of all machines, the hosts know their minions from the control
 // hosts' disks, and the first shard layout is one that lasts.
 func TestServiceAfterPowerLossOfAllHosts(t *testing.T) {
@@ -224,8 +244,9 @@
 	must.Eq(t, 0, outcome("accepted"))
 	h.core.receive(now, "far", "1", &peer.JobResultAck{Job: "late", Offer: 1})
 	for range 3 {
-		pass(offerMemoryPeriod / 4)
+		pass(4 * time.Second) // few callers wait for longer than 12 s
 		h.core.receive(now, "far", "1", smallOffer("late", h.core.heartbeatClock(), 0))
+		h.core.receive(now, "far", "1", smallOffer(now.String(), h.core.heartbeatClock()-2*maxOfferAge.Milliseconds(), 0)) // another late one
 		must.Eq(t, 1, x.pool.JobCount(), must.Sprint("a copy that was sent before the answer arrived"))
 	}
 }
--- a/internal/link/dynamic_test.go
+++ b/internal/link/dynamic_test.go
@@ -81,6 +81,13 @@
 // Bulk messages yield to all others that wait for the same connection, and messages that
 // wait at the same time are sent in one write.
 func TestBulkMessagesYield(t *testing.T) {
+	for range 16 { // the order in which goroutines see the messages is random
+		checkBulkMessagesYield(t)
+	}
+}
+
+func checkBulkMessagesYield(t *testing.T) {
+	t.Helper()
 	m, o := newTestMesh(t, DynamicOptions{AckTimeout: time.Minute})
 	must.True(t, o.bulk.TryPush(queuedMessage{&peer.RosterUpdate{LogIndex: 7}, time.Now()}))
 	for range 3 {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -604,4 +604,8 @@
 	must.Len(t, 2*(minions-1), s.out.Starts)
 	s.advance(DefaultTiming().MaxLease + ms)
 	must.LessEq(t, (minions-1)*cpu, s.p.Load().Capacity, must.Sprint("one has not answered"))
+	s.answerPoll(id(0), &Listing{})
+	before := s.p.Load().Capacity
+	s.p.UpdateMinion(s.now, peer.MinionRecord{ID: id(0), Service: "s", FailureDomain: "z", CPU: cpu, MemoryMB: 1000, Seq: 1, Incarnation: 5})
+	must.Eq(t, before-cpu, s.p.Load().Capacity, must.Sprint("it restarted after the takeover"))
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,8 +123,8 @@
 mutant 'leased: confirmed runs end when their minion starts anew' internal/pool/minion.go 's/			x.started, x.restartSeenAt = false, now/			p.endRun(now, m, x, EndExpired)/' ./internal/pool NewIncarnation
 mutant 'leased: an unavailable dispatcher is not cancelled after a takeover' internal/entry/entry.go 's/	if j.prevOffer.host != "" \&\& now/	if j.dispatcher.host == "" \&\& j.prevOffer.host != "" \&\& now/' ./internal/entry CancelledAfter
 mutant 'leased: every log repeats what others reported' internal/roster/roster.go 's/ \&\& (m.direct || !filter.DirectOnly)//' ./internal/roster DirectRecords
-mutant 'leased: offers that were in flight too long are accepted' internal/fleet/offer_age.go 's/ \&\& flight <= maxOfferAge {/ {/' ./internal/fleet Stale
-mutant 'leased: offers that have ended are forgotten' internal/fleet/offers.go 's/if _, ended := c.endedOffers\[key\]; ended || /if /' ./internal/fleet Stale
+mutant 'leased: offers that were in flight too long are accepted' internal/fleet/offer_age.go 's/case flight > maxOfferAge:/case flight > 100*maxOfferAge:/' ./internal/fleet LateOffer
+mutant 'leased: offers that have ended are forgotten' internal/fleet/offers.go 's/if c.endedOffers.contains(key) {/if false {/' ./internal/fleet 'Stale|LateOffer'
 mutant 'leased: unwanted acknowledgements are left' internal/entry/entry.go 's/	if j == nil || j.prevOffer.host != from || j.prevOffer.number != a.Offer {/	if false {/' ./internal/entry Unwanted
 mutant 'leased: starts under a token without a listing' internal/pool/place.go 's/!m.runsKnown() || //' ./internal/pool NoStart
 mutant 'leased: capacity of an earlier incarnation counts' internal/pool/place.go 's/ || !m.capacityKnown() {/ {/' ./internal/pool NoStartByCapacity
@@ -134,7 +134,25 @@
 mutant 'leased: the lease of an overtaken owner is forgotten' internal/pool/listing.go 's/if poll.token == m.token \&\& m.listedToken < m.token {/if !m.listed {/' ./internal/pool OvertakenOwner
 mutant 'leased: invalid records of other hosts count' internal/fleet/subscribers.go 's/return err != nil$/return false/' ./internal/fleet InvalidRecord
 mutant 'leased: overdue starts are not asked about' internal/pool/overdue.go 's/if now.Sub(x.sentAt) > p.overdueAfter() {/if false {/' ./internal/pool Overdue
-mutant 'leased: silent connections are not reset' internal/link/link.go 's/^				resetOnClose(conn)$//' ./internal/link UnacknowledgedHeartbeat
+mutant 'leased: silent connections are not reset' internal/link/link.go 's/^			resetOnClose(conn)$//' ./internal/link UnacknowledgedHeartbeat
+mutant 'leased: offers of unknown age are answered as not run' internal/fleet/offers.go 's/	case offerAgeUnknown:/	case 99:/' ./internal/fleet Stale
+mutant 'leased: late offers are not answered' internal/fleet/offers.go 's/^		c.handleLateOffer(now, key, x, o)$/		_ = x/' ./internal/fleet LateOffer
+mutant 'leased: late copies of accepted offers are refused' internal/fleet/offers.go 's/	case x != nil \&\& x.pool.HasOffer(key.sender, o):/	case false:/' ./internal/fleet LateOffer
+mutant 'leased: ended offers are forgotten early' internal/fleet/offer_memory.go 's/offerMemoryPeriod = 15 \* time.Second/offerMemoryPeriod = time.Second/; s/return recent || earlier/return recent || earlier \&\& false/' ./internal/fleet LateOffer
+mutant 'leased: copies of offers do not back off' internal/entry/flow.go 's/resendInterval << min(max(0, n-1), maxResendDoublings)/resendInterval/' ./internal/entry BackOff
+mutant 'leased: slow dispatchers get further offers' internal/entry/flow.go 's/return u.count >= maxUnackedOffers || .*/return u.count >= maxUnackedOffers/' ./internal/entry NobodyTakes
+mutant 'leased: offers in flight are not counted' internal/entry/flow.go 's/return u.count >= maxUnackedOffers || /return /' ./internal/entry SlowDispatcher
+mutant 'leased: minions about to answer do not count' internal/pool/admit.go 's/ || p.takingOver \&\& m.awaited()//' ./internal/pool AboutToAnswer
+mutant 'leased: a claim counts on silent minions for good' internal/pool/pool.go 's/p.takingOver = p.takingOver \&\& !p.takeoverComplete(now)/_ = now/' ./internal/pool AboutToAnswer
+mutant 'leased: the startup wait ignores the first contact' internal/fleet/claims.go 's/if c.contactAt.After(since) {/if false {/' ./internal/fleet LateContact
+mutant 'leased: snapshots replace newer records' internal/roster/roster.go 's/cmp.Compare(rec.Seq, m.Seq)); c <= 0 {/cmp.Compare(rec.Seq, m.Seq)); c == 0 {/' ./internal/roster RestoredSnapshot
+mutant 'leased: numbers of messages are not checked' internal/peer/message.go 's/if c, ok := b.(checkedBody); ok {/if c, ok := b.(checkedBody); ok \&\& false {/' ./internal/fleet Malformed
+mutant 'leased: panics end the process' platform/servers.go 's/^	s.Use(answerPanics(log))$/	_ = answerPanics/' ./platform Panicking
+mutant 'leased: messages do not expire' internal/link/link.go 's/time.Since(q.at) > lifetime/false/' ./internal/link Expired
+mutant 'leased: bulk is sent first' internal/link/link.go 's/case first = <-o.bulkC():/case first = <-o.bulkC():/; s/^		case last = <-o.bulkC():/		case first = <-o.bulkC():/' ./internal/link BulkMessages
+mutant 'leased: shards ignore the link' internal/claim/claim.go 's/return int(min(minionsPerShard, max(/return int(max(minionsPerShard, min(/' ./internal/claim MinionsPerShard
+mutant 'simulated: shards ignore the link' internal/claim/claim.go 's/return int(min(minionsPerShard, max(/return int(max(minionsPerShard, min(/' ./internal/fleet FullLinks
+mutant 'simulated: heartbeats outside go at the full rate' internal/fleet/heartbeats.go 's/loadReportInterval       = 750/loadReportInterval       = 100/; s/reportDue := c.heartbeatDue || /reportDue := true || c.heartbeatDue || /' ./internal/fleet Budget
 # Mutants that the simulation of whole failure domains must detect.
 readonly fleet='./internal/fleet RandomFaults$'
 mutant 'simulated: capacity is not counted' internal/pool/place.go 's/return m.usedCPU+s.CPU <= m.CPU \&\& /return /' $fleet
