fleet: a dispatcher's next heartbeat comes when it was promised

Cause: a host with an open job at a dispatcher of another cell gets its heartbeats each 0.2 s; when the job has ended, the next one was the load report, up to 0.75 s later.

Ruled out: a longer timeout for all hosts outside the cell; a dispatcher with open jobs must be missed as soon as before.

Change: the host gets one more heartbeat that says that the next one comes later; load reports go out each 0.8 s, a multiple of the heartbeat interval as the other intervals. Test: TestHeartbeatsComeWithinThePromisedTime.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -78,17 +78,18 @@
 	cellMismatchSince  time.Time // since when the number of cells differs from the wanted one; zero: it does not
 	countedLogIndex    uint64    // index of the roster log at which minionsInCell was counted
 	minionsInCell      int
-	rosterTickedAt     time.Time     // when the roster was last told the time
-	rosterPushedAt     time.Time     // when roster changes were last sent to subscribers
-	heartbeatAt        time.Time     // when heartbeats were last sent
-	controlHeartbeatAt time.Time     // when heartbeats were last sent to control hosts
-	cellHeartbeatAt    time.Time     // when heartbeats were last sent to all hosts of the cell
-	loadReportAt       time.Time     // when heartbeats were last sent to all hosts that this one reports its load to
-	lastBootTime       time.Duration // boot time (see bootTime) at the last input or tick
-	cellLayoutAt       time.Time     // when cellLayout was adopted
-	resumedAt          time.Time     // when a suspension was last detected
-	heartbeatDue       bool          // send heartbeats with the next output, without waiting for the interval
-	loopback           []peer.Body   // messages from this host to itself
+	rosterTickedAt     time.Time       // when the roster was last told the time
+	rosterPushedAt     time.Time       // when roster changes were last sent to subscribers
+	heartbeatAt        time.Time       // when heartbeats were last sent
+	controlHeartbeatAt time.Time       // when heartbeats were last sent to control hosts
+	cellHeartbeatAt    time.Time       // when heartbeats were last sent to all hosts of the cell
+	promised           map[string]bool // hosts outside the cell that expect the next heartbeat after heartbeatInterval
+	loadReportAt       time.Time       // when heartbeats were last sent to all hosts that this one reports its load to
+	lastBootTime       time.Duration   // boot time (see bootTime) at the last input or tick
+	cellLayoutAt       time.Time       // when cellLayout was adopted
+	resumedAt          time.Time       // when a suspension was last detected
+	heartbeatDue       bool            // send heartbeats with the next output, without waiting for the interval
+	loopback           []peer.Body     // messages from this host to itself
 }
 
 // offerKey identifies a job offer by its sending entry host, job and number.
@@ -113,7 +114,7 @@
 		roster: roster.New(self), jobTable: entry.New(now, self.Name, self.FailureDomain, lastOffer, out.logEvent),
 		shards: make(map[int]*shard), shardCount: 1, minionsPerShard: claim.MinionsPerShard(0), cellLayout: peer.CellLayout{Cells: 1},
 		waiters: make(map[uint64]chan entry.Outcome), unackedResults: make(map[offerKey]*pendingResult),
-		sentLogIndex: make(map[string]uint64), lastMessageAt: make(map[string]time.Time), incarnations: make(map[string]incarnations), startedAt: now,
+		sentLogIndex: make(map[string]uint64), promised: make(map[string]bool), lastMessageAt: make(map[string]time.Time), incarnations: make(map[string]incarnations), startedAt: now,
 	}
 }
 
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -18,15 +18,18 @@
 	idleHeartbeatInterval    = 400 * time.Millisecond // of an entry host without claims to the hosts of its cell
 	searchInterval           = 100 * time.Millisecond // to control hosts, until one has answered
 	searchPeriod             = 5 * time.Second        // since the start of the process, in which searchInterval applies
-	loadReportInterval       = 750 * time.Millisecond // to entry hosts outside the cell that have no job here
+	loadReportInterval       = 800 * time.Millisecond // to entry hosts outside the cell that have no job here
 )
 
+// Heartbeats are sent at multiples of heartbeatInterval. The others of these intervals that
+// receivers rely on, idleHeartbeatInterval and loadReportInterval, are such multiples.
+
 // nextHeartbeat returns the longest time until its sender sends the next heartbeat.
 func nextHeartbeat(h *peer.FleetHeartbeat) time.Duration {
 	if h.NextMS <= 0 {
 		return heartbeatInterval
 	}
-	return min(time.Duration(h.NextMS)*time.Millisecond, loadReportInterval)
+	return min(time.Duration(h.NextMS)*time.Millisecond, entryControlInterval)
 }
 
 func (c *core) tickHeartbeats(now time.Time) {
@@ -65,22 +68,44 @@
 	c.heartbeatAt = now
 	self := c.ownCandidate()
 	targets := c.heartbeatTargets(controlDue, cellDue, reportDue)
+	c.keepPromises(targets)
 	shared := make(map[time.Duration]peer.Body) // by interval
 	for _, to := range slices.Sorted(maps.Keys(targets)) {
+		interval := targets[to]
 		if h := c.roster.Host(to); h == nil || h.Control {
-			c.sendTo(to, c.newHeartbeat(&self, to))
+			c.sendTo(to, c.newHeartbeat(&self, to, interval))
 			continue
 		}
-		interval := targets[to]
 		if shared[interval] == nil {
-			heartbeat := c.newHeartbeat(&self, "")
-			heartbeat.NextMS = interval.Milliseconds()
-			shared[interval] = encodeOnce(heartbeat)
+			shared[interval] = encodeOnce(c.newHeartbeat(&self, "", interval))
 		}
 		c.sendTo(to, shared[interval])
 	}
 }
 
+// keepPromises adds the hosts outside the cell that were promised a heartbeat now, because
+// they had a job here, and would get none: they learn that the next one comes later.
+func (c *core) keepPromises(targets map[string]time.Duration) {
+	outside := c.hosts().outside
+	for _, h := range outside {
+		interval, due := targets[h.Name]
+		if c.promised[h.Name] && !due && c.reportsLoadTo(h.Name) {
+			targets[h.Name] = loadReportInterval
+		}
+		if due && interval == heartbeatInterval {
+			c.promised[h.Name] = true
+		} else {
+			delete(c.promised, h.Name)
+		}
+	}
+}
+
+// reportsLoadTo reports whether this host reports the load of its shards to an entry host
+// outside its cell.
+func (c *core) reportsLoadTo(name string) bool {
+	return len(c.shards) > 0 && claim.ReportsLoadTo(c.self.Name, name, len(c.hosts().outside))
+}
+
 // sameClaims reports whether two heartbeats of a host differ in the load of its shards at
 // most, as far as claims are concerned.
 func sameClaims(a, b *peer.FleetHeartbeat) bool {
@@ -99,11 +124,14 @@
 	return b
 }
 
-// newHeartbeat returns the heartbeat for one host. self is this host's ownCandidate,
-// shared by all heartbeats that are sent at the same time. Only control hosts need the
-// read position: those of all other hosts are equal.
-func (c *core) newHeartbeat(self *claim.Candidate, to string) *peer.FleetHeartbeat {
-	heartbeat := &peer.FleetHeartbeat{From: c.self, ConfigVersion: c.version(), ShuttingDown: self.ShuttingDown, Claims: self.Claims, CellLayout: c.cellLayout, Clock: c.heartbeatClock()}
+// newHeartbeat returns the heartbeat for a host that gets the next one after an interval.
+// self is this host's ownCandidate, shared by all heartbeats that are sent at the same
+// time. Only control hosts need the read position: those of all other hosts are equal.
+func (c *core) newHeartbeat(self *claim.Candidate, to string, interval time.Duration) *peer.FleetHeartbeat {
+	heartbeat := &peer.FleetHeartbeat{
+		From: c.self, ConfigVersion: c.version(), ShuttingDown: self.ShuttingDown, Claims: self.Claims, CellLayout: c.cellLayout,
+		NextMS: interval.Milliseconds(), Clock: c.heartbeatClock(),
+	}
 	heartbeat.ReadIncarnation, heartbeat.ReadIndex = c.roster.ReadPosition(to)
 	return heartbeat
 }
@@ -115,10 +143,9 @@
 // to (claim.ReportsLoadTo).
 func (c *core) heartbeatTargets(controlDue, cellDue, reportDue bool) map[string]time.Duration {
 	out := make(map[string]time.Duration)
-	if c.self.Entry && len(c.shards) > 0 && reportDue {
-		outside := c.hosts().outside
-		for _, h := range outside {
-			if claim.ReportsLoadTo(c.self.Name, h.Name, len(outside)) {
+	if reportDue {
+		for _, h := range c.hosts().outside {
+			if c.reportsLoadTo(h.Name) {
 				out[h.Name] = loadReportInterval
 			}
 		}
@@ -180,6 +207,6 @@
 	c.sentLogIndex[heartbeat.From.Name] = c.roster.LogIndex()
 	if heartbeat.From.Entry {
 		self := c.ownCandidate()
-		c.sendTo(heartbeat.From.Name, c.newHeartbeat(&self, heartbeat.From.Name))
+		c.sendTo(heartbeat.From.Name, c.newHeartbeat(&self, heartbeat.From.Name, entryControlInterval))
 	}
 }
--- a/internal/fleet/relays.go
+++ b/internal/fleet/relays.go
@@ -47,7 +47,7 @@
 		to = append(to, c.seedHosts()...)
 	}
 	for _, name := range to {
-		out[name] = controlHeartbeatInterval
+		out[name] = c.controlInterval(c.heartbeatAt)
 	}
 }
 
--- a/internal/fleet/sim_budget_test.go
+++ b/internal/fleet/sim_budget_test.go
@@ -60,3 +60,29 @@
 	must.LessEq(t, maxControlMessages, all)
 	must.SliceEmpty(t, sim.checker.violations)
 }
+
+// A dispatcher sends its next heartbeat within the time that it has promised, also to hosts
+// whose last job there has just ended. Otherwise they would take it for unavailable.
+func TestHeartbeatsComeWithinThePromisedTime(t *testing.T) {
+	const settled, until, tolerance = 7 * time.Second, 12 * time.Second, 2 * tickInterval
+	sim := newSimulation(simConfig{failureDomains: 3, entryHosts: 14, minions: 40, load: 0.1}, 1)
+	sim.config.recoveryPeriod = until
+	sim.stopAt = until
+	type sent struct {
+		at, next time.Duration
+		claims   int
+	}
+	last := make(map[[2]string]sent)
+	broken := 0
+	sim.onHeartbeat = func(from, to string, h *peer.FleetHeartbeat) {
+		key := [2]string{from, to}
+		before, known := last[key]
+		if known && before.at > settled && before.claims > 0 && len(h.Claims) > 0 && sim.now-before.at > before.next+tolerance {
+			broken++
+			t.Logf("%s to %s: after %v, promised %v", from, to, sim.now-before.at, before.next)
+		}
+		last[key] = sent{sim.now, nextHeartbeat(h), len(h.Claims)}
+	}
+	sim.run()
+	must.Eq(t, 0, broken)
+}
--- a/internal/fleet/sim_link_test.go
+++ b/internal/fleet/sim_link_test.go
@@ -133,6 +133,13 @@
 	if err != nil {
 		panic(err)
 	}
+	if b.Kind() == peer.KindFleetHeartbeat && sim.onHeartbeat != nil {
+		body, err := peer.Decode(encoded)
+		if err != nil {
+			panic(err)
+		}
+		sim.onHeartbeat(h.rec.Name, to, body.(*peer.FleetHeartbeat))
+	}
 	h.sent[b.Kind()] = h.sent[b.Kind()].plus(simTraffic{1, len(encoded)})
 	incarnation, otherIncarnation, inc := h.incarnation, other.incarnation, h.rec.Incarnation
 	sim.deliverBytes(h.rec.Name, to, simFrameBytes+len(encoded), func() {
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -68,8 +68,9 @@
 	trace       func(format string, args ...any)
 	faultUntil  time.Duration // time until which the host and link faults so far last
 	lastJobID   int
-	keepCallers bool          // after they have finished
-	stopAt      time.Duration // when run ends; 0: when no more jobs are open
+	onHeartbeat func(from, to string, h *peer.FleetHeartbeat) // called with each heartbeat that is sent; may be nil
+	keepCallers bool                                          // after they have finished
+	stopAt      time.Duration                                 // when run ends; 0: when no more jobs are open
 }
 
 func newSimulation(cfg simConfig, seed uint64) *simulation {
