claim: a busy cell keeps its shard layout

Cells of 4 and 5 shards were laid out anew as 7 and 8 between 28.5 and 29.8 s, and the jobs in progress moved to layouts that no longer existed: 101 of 102 answers without success from 26 to 32 s are jobs that waited 1.7 s for their runs to end and were then too late, answered as possibly run.

Ruled out: drained minions; the 75 of them left after 29.9 s. Fewer counted minions; those that crashed stay listed, which raises the wanted number, but 1.5 times the minions would do the same.

Change: while the first dispatcher of a cell has jobs and its link does not limit it, a layout is replaced only for more than twice or at most a quarter of the shards. NeedsRelayout's existing assertions are as before for cells without jobs. Tests: TestAddedMinionsDoNotInterruptJobs (six shards for three without the rule, by the mutant), TestBusyShardsKeepTheirLayout.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -80,8 +80,13 @@
 
 // NeedsRelayout reports whether a layout of shardCount shards should be replaced by one
 // of wanted shards. Small differences are accepted, because moving minions to another
-// shard takes time.
-func NeedsRelayout(shardCount, wanted int) bool {
+// shard takes time. If keepJobs is set, so are larger ones: the jobs in progress would lose
+// their runs, and a dispatcher carries twice the minions for which layouts are made, unless
+// its link limits them.
+func NeedsRelayout(shardCount, wanted int, keepJobs bool) bool {
+	if keepJobs {
+		return wanted > 2*shardCount || 4*wanted <= shardCount
+	}
 	return 2*wanted >= 3*shardCount+1 || 2*wanted <= shardCount
 }
 
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -71,11 +71,11 @@
 	must.Eq(t, 5, WantedShards(117, 12, minionsPerShard))
 	must.Eq(t, 3, WantedShards(117, 3, minionsPerShard))
 	must.Eq(t, 3, WantedShards(23, 4, MinionsPerShard(250_000)))
-	must.True(t, NeedsRelayout(1, 5))
-	must.False(t, NeedsRelayout(4, 5))
-	must.True(t, NeedsRelayout(5, 2))
-	must.False(t, NeedsRelayout(1, 1))
-	must.True(t, NeedsRelayout(1, 2))
+	must.True(t, NeedsRelayout(1, 5, false))
+	must.False(t, NeedsRelayout(4, 5, false))
+	must.True(t, NeedsRelayout(5, 2, false))
+	must.False(t, NeedsRelayout(1, 1, false))
+	must.True(t, NeedsRelayout(1, 2, false))
 }
 
 // Exactly one of the live hosts claims a shard without a holder.
@@ -126,3 +126,16 @@
 	must.NotEq(t, Token(now, 0, 1), Token(now, 0, 2))
 	must.Eq(t, 1, NextToken(NextToken(a))&(1<<tokenProcessBits-1))
 }
+
+// Minions that come and go in numbers, as when empty ones are added, do not interrupt the
+// jobs in progress with a new layout. A layout from before most minions were known is
+// replaced.
+func TestBusyShardsKeepTheirLayout(t *testing.T) {
+	must.True(t, NeedsRelayout(4, 8, false))
+	must.False(t, NeedsRelayout(4, 8, true))
+	must.False(t, NeedsRelayout(5, 8, true))
+	must.False(t, NeedsRelayout(5, 2, true))
+	must.True(t, NeedsRelayout(1, 3, true))
+	must.True(t, NeedsRelayout(8, 2, true))
+	must.False(t, NeedsRelayout(3, 4, false))
+}
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -199,7 +199,9 @@
 		c.shardLayoutVersion = version
 		c.setShardCount(now, count, "another host laid them out")
 	}
-	if c.shards[0] == nil || !claim.NeedsRelayout(c.shardCount, wanted) {
+	first := c.shards[0]
+	keepJobs := first != nil && first.pool.JobCount() > 0 && c.minionsPerShard == claim.MinionsPerShard(0)
+	if first == nil || !claim.NeedsRelayout(c.shardCount, wanted, keepJobs) {
 		c.shardMismatchSince = time.Time{}
 		return
 	}
--- a/internal/fleet/sim_run_test.go
+++ b/internal/fleet/sim_run_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/shoenig/test/must"
 )
 
@@ -123,3 +124,47 @@
 	}
 	t.Logf("%d seeds", seedsRun)
 }
+
+// Empty minions that are added under load, half as many again, are used within a second,
+// and no job in progress is lost to a new shard layout.
+func TestAddedMinionsDoNotInterruptJobs(t *testing.T) {
+	const added, settled = 10 * time.Second, 5 * time.Second
+	cfg := simConfig{failureDomains: 1, entryHosts: 8, minions: 72, load: 0.7, recoveryPeriod: 14 * time.Second}
+	sim := newSimulation(cfg, 3)
+	sim.keepCallers = true
+	existing := len(sim.minions)
+	sim.after(added, func() {
+		for i := range existing * 7 / 10 {
+			sim.addMinion(fmt.Sprintf("new-%d", i), "z0").launch()
+		}
+	})
+	layouts := func() map[int]bool {
+		counts := make(map[int]bool)
+		for _, h := range sim.hosts {
+			for _, x := range h.core.shards {
+				counts[x.shardCount] = true
+			}
+		}
+		return counts
+	}
+	var before, after map[int]bool
+	sim.after(added, func() { before = layouts() })
+	sim.after(added+settled, func() { after = layouts() })
+	used := 0
+	sim.after(added+time.Second, func() {
+		for _, m := range sim.minions[existing:] {
+			used += len(m.running)
+		}
+	})
+	sim.run()
+	must.Eq(t, before, after)
+	must.Positive(t, used)
+	for _, c := range sim.callers {
+		must.NotEq(t, peer.JobUnknown, c.outcome)
+	}
+	_, shares := completedShares(sim)
+	for at := added; at < added+settled; at += time.Second {
+		must.Greater(t, 0.85, shares[at], must.Sprint(at))
+	}
+	must.SliceEmpty(t, sim.checker.finish())
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -153,6 +153,7 @@
 mutant 'leased: shards ignore the link' internal/claim/claim.go 's/return int(min(minionsPerShard, max(/return int(max(minionsPerShard, min(/' ./internal/claim MinionsPerShard
 mutant 'simulated: shards ignore the link' internal/claim/claim.go 's/return int(min(minionsPerShard, max(/return int(max(minionsPerShard, min(/' ./internal/fleet FullLinks
 mutant 'simulated: heartbeats outside go at the full rate' internal/fleet/heartbeats.go 's/loadReportInterval       = 750/loadReportInterval       = 100/; s/reportDue := c.heartbeatDue || /reportDue := true || c.heartbeatDue || /' ./internal/fleet Budget
+mutant 'simulated: layouts change under load' internal/claim/claim.go 's/	if keepJobs {/	if false {/' ./internal/fleet AddedMinions
 # Mutants that the simulation of whole failure domains must detect.
 readonly fleet='./internal/fleet RandomFaults$'
 mutant 'simulated: capacity is not counted' internal/pool/place.go 's/return m.usedCPU+s.CPU <= m.CPU \&\& /return /' $fleet
