--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,13 +9,15 @@
 //	core.go                     state, ticks, received messages, pending output
 //	inputs.go                   requests from callers and minions
 //	claims.go                   which shards this host dispatches on
-//	offers.go, offer_age.go     job offers and results between hosts
-//	heartbeats.go, relays.go    which hosts get heartbeats
+//	offers.go, offer_age.go,
+//	offer_memory.go             job offers and results between hosts
+//	heartbeats.go, relays.go,
+//	hostgroups.go               which hosts get heartbeats
 //	subscribers.go              which hosts get roster changes
 //	incarnations.go             messages of restarted hosts
 //
-// Host (fleet.go, serve.go) is the API; loop.go runs its core, and orders.go sends
-// orders to minions. The files sim_*_test.go simulate whole failure domains in
+// Host (fleet.go, serve.go) is the API; loop.go runs its core, orders.go sends
+// orders to minions, and snapshots.go keeps a control host's roster on its disk. The files sim_*_test.go simulate whole failure domains in
 // virtual time.
 package fleet
 
