--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -53,8 +53,8 @@
 	minionsPerShard    = 24
 	minMinionsPerShard = 6 // fewer have too little capacity for one job of many tasks
 	maxShards          = 64
-	// minionBytesPerSecond is what a dispatcher sends to one minion for starts and polls
-	// under the usual load, with the headers of HTTP.
+	// minionBytesPerSecond is an estimate of what a dispatcher sends to one minion for starts
+	// and polls under the usual load, with the headers of HTTP.
 	minionBytesPerSecond = 10_000
 	// minionLinkShare is the share of a dispatcher's link that its minions may take up,
 	// in percent: callers, offers and bursts need the rest.
