--- a/review/casekit/fleet.go
+++ b/review/casekit/fleet.go
@@ -63,6 +63,7 @@
 	cancel   context.CancelFunc
 	watchers sync.WaitGroup
 	seeds    []string
+	starting sync.Mutex // held while a process is started and while the fleet is closed
 }
 
 // newFleet chooses addresses and a temporary folder. It starts nothing.
@@ -185,6 +186,11 @@
 }
 
 func (f *fleet) startHost(h *host) error {
+	f.starting.Lock()
+	defer f.starting.Unlock()
+	if err := f.ctx.Err(); err != nil {
+		return err
+	}
 	if err := f.writeSettings(h); err != nil {
 		return err
 	}
@@ -254,7 +260,9 @@
 
 // close ends all processes and removes the temporary folder.
 func (f *fleet) close() {
+	f.starting.Lock()
 	f.cancel()
+	f.starting.Unlock()
 	for _, h := range f.hosts {
 		h.mu.Lock()
 		if h.cmd != nil {
