--- a/review/casekit/clients.go
+++ b/review/casekit/clients.go
@@ -23,7 +23,12 @@
 
 // call sends a request and returns the status and the body of the answer; status 0: none.
 func call(method, url, hostHeader string, wait time.Duration, body []byte) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	return callUntil(context.Background(), method, url, hostHeader, wait, body)
+}
+
+// callUntil is call that breaks the connection when ctx ends.
+func callUntil(ctx context.Context, method, url, hostHeader string, wait time.Duration, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -137,8 +142,13 @@
 
 // submit sends a job to an entry host and waits for the answer.
 func (f *fleet) submit(h *host, id string, wait time.Duration, body []byte) (int, string) {
+	return f.submitUntil(context.Background(), h, id, wait, body)
+}
+
+// submitUntil is submit that breaks the connection when ctx ends.
+func (f *fleet) submitUntil(ctx context.Context, h *host, id string, wait time.Duration, body []byte) (int, string) {
 	f.log.printf("client: POST %s to %s", id, h.name)
-	code, text := call("POST", f.jobURL(h, id), routeHost, wait, body)
+	code, text := callUntil(ctx, "POST", f.jobURL(h, id), routeHost, wait, body)
 	f.log.printf("client: POST %s to %s answered: %d %.80s", id, h.name, code, text)
 	return code, text
 }
--- a/review/casekit/fleet.go
+++ b/review/casekit/fleet.go
@@ -24,6 +24,8 @@
 	controlPort  = 8166
 	readyPort    = 8167
 	peerPort     = 7720
+
+	peerListenPort = 7721 // of a host behind a proxy
 )
 
 // shape says how large a fleet is.
@@ -40,6 +42,7 @@
 	entry, control bool
 	settings       string
 	data           string
+	linked         bool // other hosts connect to it through fleet.links
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -63,6 +66,7 @@
 	cancel   context.CancelFunc
 	watchers sync.WaitGroup
 	seeds    []string
+	links    *network   // nil: hosts connect to each other directly
 	starting sync.Mutex // held while a process is started and while the fleet is closed
 }
 
@@ -167,6 +171,16 @@
 	if h.control {
 		s["control"], s["control_address"], s["data_folder"] = true, fmt.Sprintf("%s:%d", h.ip, controlPort), h.data
 	}
+	if f.links != nil {
+		listen := fmt.Sprintf("%s:%d", h.ip, peerListenPort)
+		s["peer_listen"] = listen
+		if !h.linked {
+			if err := f.links.connect(h, fmt.Sprintf("%s:%d", h.ip, peerPort), listen); err != nil {
+				return err
+			}
+			h.linked = true
+		}
+	}
 	b, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return err
--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -19,6 +19,7 @@
 	"zero-cpu":    zeroCPU,
 	"cancel":      cancelled,
 	"first-start": firstStart,
+	"lost-cancel": lostCancel,
 }
 
 func main() {
