--- a/review/casekit/case_lostcancel.go
+++ b/review/casekit/case_lostcancel.go
@@ -37,11 +37,12 @@
 	// One long job uses the minions of zone sul-a, so that its machines hand their clients'
 	// jobs to the other zones.
 	clients.Go(func() {
-		f.submit(f.entries("sul-a")[0], newJobID(), 90*time.Second, jobBody(70_000, []step{{Count: 4, CPU: 64_000, MemMB: 64, EstimateMS: 70_000}}))
+		f.submit(f.entries("sul-a")[0], newJobID(), 100*time.Second, jobBody(80_000, []step{{Count: 4, CPU: 64_000, MemMB: 64, EstimateMS: 80_000}}))
 	})
 	time.Sleep(2 * time.Second)
-	const cut, pause = 400 * time.Millisecond, 600 * time.Millisecond
-	end := time.Now().Add(45 * time.Second)
+	// After a cut the zone counts as lost for catch_up_s, 4 s, more.
+	const cut, pause = 400 * time.Millisecond, 4300 * time.Millisecond
+	end := time.Now().Add(60 * time.Second)
 	if trouble {
 		clients.Go(func() {
 			for time.Now().Before(end) {
@@ -55,7 +56,7 @@
 		})
 	}
 	const workMS = 3600
-	body := jobBody(workMS, []step{{Count: 2, CPU: 2000, MemMB: 64, EstimateMS: workMS}})
+	body := jobBody(workMS, []step{{Count: 2, CPU: 1000, MemMB: 64, EstimateMS: workMS}})
 	for i := 0; time.Now().Before(end); i++ {
 		id, wait := newJobID(), 8*time.Second
 		clients.Go(func() {
@@ -70,7 +71,7 @@
 				f.submit(f.entries([]string{"sul-b", "sul-c"}[rand.IntN(2)])[rand.IntN(2)], id, wait, body)
 			}
 		})
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 	clients.Wait()
 	return f.overlaps() > 0, nil
