store, control: a host votes again once its disk takes writes

Cause: after one failed write store.Store refused every later one and control.Machine kept the host out of the agreement until its process was restarted.

Ruled out: the network (all connections stay up in the process test).

Change: the state is written again every 250 ms and the host votes once a write succeeds. Safe, because a save replaces and syncs the whole file and the messages of a failed save are dropped (docs/design/control.md). Events 5014 and 5015 and the metric row state_failed tell what happens; only the first failure of a row is logged.

--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -13,7 +13,8 @@
 //  1. passes in one input (Propose, Read, Receive, ObserveVersion or Tick),
 //  2. calls Ready,
 //  3. saves Ready.Save durably if it is set; if the write fails, drops the
-//     messages of this Ready, keeps the rest, and calls StoreFailed,
+//     messages of this Ready, keeps the rest, and calls StoreFailed; if one
+//     succeeds after a failed one, calls StoreRecovered,
 //  4. sends Ready.Messages; messages to its own host are passed to Receive,
 //  5. applies Ready.Chosen and delivers Ready.Decisions and Ready.Reads.
 //
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -32,6 +32,7 @@
 	GroupChangeTimeout time.Duration // time limit for reports and promises from the hosts that a group change needs
 	ReadTimeout        time.Duration // time limit for a read
 	MemberTimeout      time.Duration // time without a report after which a member may be replaced
+	SaveRetryInterval  time.Duration // delay after a failed write of the state until it is written again
 }
 
 // DefaultTiming returns values for links with a one-way latency of up to 100 ms.
@@ -45,6 +46,7 @@
 		GroupChangeTimeout: time.Second,
 		ReadTimeout:        800 * time.Millisecond,
 		MemberTimeout:      1500 * time.Millisecond,
+		SaveRetryInterval:  250 * time.Millisecond,
 	}
 }
 
@@ -55,6 +57,7 @@
 	Peers           []membership.Host      // hosts that chosen versions are pushed to
 	Bootstrap       []string               // control hosts that choose version 1
 	State           State                  // loaded from disk; an empty Disk means that the host has no disk
+	Unsaved         bool                   // State could not be written to the disk yet
 	RelaysPerDomain int                    // hosts of each other failure domain that a chosen version is pushed to
 	Seed            uint64                 // seeds the random delays and the choice of relays
 	Timing          Timing
@@ -91,7 +94,9 @@
 	cfg          Config
 	state        State
 	stateChanged bool // since the previous Ready
-	storeFailed  bool // the host doesn't vote until it is restarted
+	storeFailed  bool // the latest write of the state failed; the host doesn't vote until one succeeds
+	saveRetryAt  time.Time
+	saveDue      bool // the state is to be written again after a failed write
 	rng          *rand.Rand
 
 	pending        []*pendingProposal
@@ -118,11 +123,12 @@
 // New returns a Machine that continues from cfg.State.
 func New(cfg Config) *Machine {
 	return &Machine{
-		cfg:      cfg,
-		state:    cfg.State,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
-		refusals: make(map[string]refusal),
-		synced:   make(map[string]bool),
+		cfg:         cfg,
+		state:       cfg.State,
+		storeFailed: cfg.Unsaved,
+		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		refusals:    make(map[string]refusal),
+		synced:      make(map[string]bool),
 	}
 }
 
@@ -163,18 +169,29 @@
 // package comment gives the order in which the caller must carry it out.
 func (m *Machine) Ready() Ready {
 	r := m.ready
-	if m.stateChanged && m.state.Disk != "" && !m.storeFailed {
+	if m.state.Disk != "" && (m.saveDue || m.stateChanged && !m.storeFailed) {
 		s := m.state
 		r.Save = &s
 	}
-	m.stateChanged = false
+	m.stateChanged, m.saveDue = false, false
 	m.ready = Ready{}
 	return r
 }
 
 // StoreFailed records that a write of the state failed. The host does not vote
-// until it is restarted, because the content of its disk is unknown.
-func (m *Machine) StoreFailed() { m.storeFailed = true }
+// until a later write succeeds, because the content of its disk is unknown. Ready
+// returns the state again every Timing.SaveRetryInterval.
+func (m *Machine) StoreFailed(now time.Time) {
+	m.storeFailed = true
+	m.saveRetryAt = now.Add(m.cfg.Timing.SaveRetryInterval)
+}
+
+// StoreRecovered records that a write of the state succeeded after a failed one.
+// The disk then holds the whole state again, including votes that were not sent.
+func (m *Machine) StoreRecovered() { m.storeFailed = false }
+
+// HasStoreFailed reports whether the latest write of the state failed.
+func (m *Machine) HasStoreFailed() bool { return m.storeFailed }
 
 // Receive handles a message from a peer or from this host itself.
 func (m *Machine) Receive(now time.Time, from string, b peer.Body) {
@@ -204,6 +221,7 @@
 
 // Tick handles expired timers. The caller calls it periodically.
 func (m *Machine) Tick(now time.Time) {
+	m.saveDue = m.saveDue || m.storeFailed && !now.Before(m.saveRetryAt)
 	m.tickRecovery(now)
 	m.tickAttempt(now)
 	m.tickReads(now)
--- a/internal/daemon/setup.go
+++ b/internal/daemon/setup.go
@@ -73,7 +73,7 @@
 // setupControl opens the data folder, creates the controller and applies the
 // configuration version that is stored in the data folder.
 func (d *Daemon) setupControl(cfg engine.Config) error {
-	s, state, err := register.OpenStore(store.OS{}, d.settings.DataFolder, d.log)
+	disk, err := register.OpenDisk(store.OS{}, d.settings.DataFolder, d.log)
 	if err != nil {
 		return err
 	}
@@ -85,12 +85,13 @@
 			Incarnation:     cfg.Incarnation,
 			Peers:           cfg.Peers,
 			Bootstrap:       d.settings.Control.Members,
-			State:           state,
+			State:           disk.State,
+			Unsaved:         disk.Unsaved,
 			RelaysPerDomain: controlRelays,
 			Seed:            rand.Uint64(),
 			Timing:          timing,
 		},
-		Store:     s,
+		Store:     disk.Store,
 		Messenger: d.mesh,
 		Apply:     d.applyRecord,
 		GroupOf:   controlGroup,
@@ -99,12 +100,12 @@
 	d.control = c
 	d.core.onHostsChanged = c.SetPeers
 	d.proposer = c
-	if s != nil {
-		event.Log(context.Background(), d.log, event.DiskOpened, slog.String("disk", state.Disk),
-			slog.Uint64("version", state.Version()), slog.Bool("voting", c.View().Voting))
+	if disk.Store != nil {
+		event.Log(context.Background(), d.log, event.DiskOpened, slog.String("disk", disk.State.Disk),
+			slog.Uint64("version", disk.State.Version()), slog.Bool("voting", c.View().Voting))
 	}
-	if state.Chosen != nil {
-		d.applyStored(state.Chosen)
+	if disk.State.Chosen != nil {
+		d.applyStored(disk.State.Chosen)
 	}
 	return nil
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -88,6 +88,8 @@
 	MinionsRestored   ID = 5011
 	MinionsUnreadable ID = 5012
 	MinionsNotSaved   ID = 5013
+	StoreUnreadable   ID = 5014
+	StoreRecovered    ID = 5015
 
 	RequestPanicked   ID = 6001
 	ServerFailed      ID = 6002
@@ -162,7 +164,7 @@
 	{ConfigApplied, slog.LevelInfo, "configuration version applied", "None."},
 	{StoreCorrupt, slog.LevelError, "durable file corrupt", "Replace the disk or clear the data folder, then admit the control host again."},
 	{StoreWriteError, slog.LevelError, "durable write failed", "Check the disk's space and health."},
-	{VotingStopped, slog.LevelError, "control host stopped voting", "Repair its disk, restart the host and admit it again."},
+	{VotingStopped, slog.LevelError, "control host stopped voting", "After 5003 it votes again once its disk takes writes (5015). Otherwise repair its disk, restart the host and admit it again."},
 	{ChangeAccepted, slog.LevelInfo, "configuration change accepted", "None."},
 	{PlanConfirmed, slog.LevelInfo, "plan confirmed", "None."},
 	{DiskOpened, slog.LevelInfo, "data folder opened", "None; a new disk votes once a configuration change has admitted its identity."},
@@ -171,7 +173,9 @@
 	{NoMajority, slog.LevelWarn, "no majority of the control hosts answered in time", "Check the control hosts and the network between them."},
 	{MinionsRestored, slog.LevelInfo, "known minions read from the disk", "None."},
 	{MinionsUnreadable, slog.LevelWarn, "known minions on the disk can't be read", "None; minions are learned as they announce themselves. Check the disk."},
-	{MinionsNotSaved, slog.LevelWarn, "known minions not saved, and no longer saved by this process", "Check the disk and its free space; after a restart of all control hosts, minions are learned as they announce themselves."},
+	{MinionsNotSaved, slog.LevelWarn, "known minions not saved", "Check the disk and its free space; until a write succeeds, minions are learned as they announce themselves after a restart of all control hosts."},
+	{StoreUnreadable, slog.LevelError, "durable file can't be read", "Check the disk's health; restart the host once the disk can be read."},
+	{StoreRecovered, slog.LevelInfo, "durable write succeeded again", "None."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
 	{ConnectionRefused, slog.LevelWarn, "connection refused, max_connections reached", "Find the clients with many connections, or raise max_connections."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -166,11 +166,11 @@
 // openControl opens the data folder and creates the controller. A host without a
 // data folder learns documents but doesn't vote on them.
 func (h *Host) openControl() error {
-	s, state, err := register.OpenStore(store.OS{}, h.settings.DataFolder, h.log)
+	disk, err := register.OpenDisk(store.OS{}, h.settings.DataFolder, h.log)
 	if err != nil {
 		return err
 	}
-	first, err := h.bootstrapMembers(s)
+	first, unsaved, err := h.bootstrapMembers(disk.Store)
 	if err != nil {
 		return err
 	}
@@ -179,20 +179,21 @@
 			Self:            membership.Host{Name: h.self.Name, FailureDomain: h.self.FailureDomain, Region: h.self.Region},
 			Incarnation:     h.self.Incarnation,
 			Bootstrap:       first,
-			State:           state,
+			State:           disk.State,
+			Unsaved:         disk.Unsaved || len(unsaved) > 0,
 			RelaysPerDomain: relaysPerDomain,
 			Seed:            rand.Uint64(),
 			Timing:          control.DefaultTiming(),
 			GroupSize:       h.settings.ControlGroupSize(),
 		},
-		Store: s, Messenger: h.mesh, Apply: h.apply, OnSaved: h.metrics.stateSaved, Log: h.log,
+		Store: disk.Store, Unsaved: unsaved, Messenger: h.mesh, Apply: h.apply, OnSaved: h.metrics.stateSaved, Log: h.log,
 	})
-	if s != nil {
-		h.rosterStore = s.Independent()
-		h.logEvent(event.DiskOpened, slog.String("disk", state.Disk), slog.Uint64("version", state.Version()), slog.Bool("voting", h.control.View().Voting))
+	if disk.Store != nil {
+		h.rosterStore = disk.Store
+		h.logEvent(event.DiskOpened, slog.String("disk", disk.State.Disk), slog.Uint64("version", disk.State.Version()), slog.Bool("voting", h.control.View().Voting))
 	}
-	if state.Chosen != nil {
-		h.apply(state.Chosen)
+	if disk.State.Chosen != nil {
+		h.apply(disk.State.Chosen)
 	}
 	return nil
 }
@@ -200,33 +201,37 @@
 // bootstrapMembers returns the hosts that choose the first document: the seeds in
 // the settings of the system's first start. A control host saves them then and
 // reads them back after a restart. The result is nil on a host without a data
-// folder, and on one that joins a running system.
-func (h *Host) bootstrapMembers(s *store.Store) ([]string, error) {
+// folder, and on one that joins a running system. unsaved holds the file if it can't
+// be written yet.
+func (h *Host) bootstrapMembers(s *store.Store) (first []string, unsaved map[string][]byte, err error) {
 	if s == nil {
-		return nil, nil
+		return nil, nil, nil
 	}
-	var first []string
 	payload, err := s.Load(bootstrapFile)
 	switch {
 	case err == nil:
-		return first, errors.Wrap(msgpack.Unmarshal(payload, &first), bootstrapFile)
+		return first, nil, errors.Wrap(msgpack.Unmarshal(payload, &first), bootstrapFile)
 	case !errors.Is(err, os.ErrNotExist):
-		return nil, err
+		return nil, nil, err
 	case !h.settings.FirstStart:
-		return nil, nil
+		return nil, nil, nil
 	}
 	for _, seed := range h.settings.Seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if err != nil {
-			return nil, errors.Wrapf(err, "parse seed address %q", seed)
+			return nil, nil, errors.Wrapf(err, "parse seed address %q", seed)
 		}
 		first = append(first, host)
 	}
 	payload, err = msgpack.Marshal(first)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, nil, errors.WithStack(err)
+	}
+	if err := s.Save(bootstrapFile, payload); err != nil {
+		h.logEvent(event.StoreWriteError, slog.String("file", bootstrapFile), slog.String("error", err.Error()))
+		return first, map[string][]byte{bootstrapFile: payload}, nil
 	}
-	return first, s.Save(bootstrapFile, payload)
+	return first, nil, nil
 }
 
 // Run serves until ctx ends. Call BeginShutdown some time before that, so that other
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -27,7 +27,7 @@
 	orders expvar.Map // orders to minions, by kind and answer
 
 	answerTimes     durations // from submission to answer, by outcome
-	storeWriteTimes durations // synced writes of a control host's state
+	storeWriteTimes durations // synced writes of a control host's state, by outcome
 }
 
 // durations holds one histogram of durations, in microseconds, for each name.
@@ -85,8 +85,15 @@
 	m.answerTimes.record(outcome, took)
 }
 
-// stateSaved records how long a synced write of the control state took.
-func (m *metrics) stateSaved(took time.Duration) { m.storeWriteTimes.record("state", took) }
+// stateSaved records how long a synced write of the control state took, and whether it
+// failed.
+func (m *metrics) stateSaved(took time.Duration, err error) {
+	name := "state"
+	if err != nil {
+		name = "state_failed"
+	}
+	m.storeWriteTimes.record(name, took)
+}
 
 // orderAnswered counts an order to a minion and its answer.
 func (m *metrics) orderAnswered(kind string, a pool.Answer) {
--- a/internal/fleet/snapshots.go
+++ b/internal/fleet/snapshots.go
@@ -39,11 +39,12 @@
 	h.logEvent(event.MinionsRestored, slog.Int("minions", n))
 }
 
-// saveRoster saves a snapshot when the roster has changed, until ctx ends or a write fails.
+// saveRoster saves a snapshot when the roster has changed, until ctx ends. After a failed
+// write it tries again; of several failures in a row only the first is logged.
 func (h *Host) saveRoster(ctx context.Context, s *store.Store) {
 	ticker := time.NewTicker(snapshotInterval)
 	defer ticker.Stop()
-	saved := uint64(0)
+	saved, failing := uint64(0), false
 	for {
 		select {
 		case <-ctx.Done():
@@ -69,11 +70,13 @@
 			if r == nil {
 				continue
 			}
-			if err := writeSnapshot(s, r); err != nil {
+			err := writeSnapshot(s, r)
+			if err != nil && !failing {
 				h.logEvent(event.MinionsNotSaved, slog.String("error", err.Error()))
-				return
 			}
-			saved = version
+			if failing = err != nil; !failing {
+				saved = version
+			}
 		}
 	}
 }
--- a/internal/register/controller.go
+++ b/internal/register/controller.go
@@ -50,9 +50,12 @@
 	// GroupOf returns the control hosts that a proposed document lists. It is
 	// nil if documents don't list control hosts.
 	GroupOf func(document []byte) ([]peer.ControlMember, error)
-	// OnSaved, if not nil, is called with the duration of each synced write of
-	// the state.
-	OnSaved func(took time.Duration)
+	// Unsaved holds the contents of other files that could not be written to the
+	// disk yet, by name. They are written before the state.
+	Unsaved map[string][]byte
+	// OnSaved, if not nil, is called with the duration and the error of each
+	// synced write of the state.
+	OnSaved func(took time.Duration, err error)
 	Log     *slog.Logger
 }
 
@@ -66,7 +69,9 @@
 	messenger       Messenger
 	apply           func(*peer.ConfigRecord)
 	groupOf         func(document []byte) ([]peer.ControlMember, error)
-	onSaved         func(took time.Duration)
+	unsaved         map[string][]byte // see Options.Unsaved; a file is removed once it is written
+	onSaved         func(took time.Duration, err error)
+	storeFailedAt   time.Time                       // when the first of the latest writes in a row failed; zero: the latest one succeeded
 	proposalWaiters map[uint64]chan control.Outcome // by ticket
 	readWaiters     map[uint64]chan bool            // by ticket
 	self            string
@@ -89,6 +94,7 @@
 		messenger:       o.Messenger,
 		apply:           o.Apply,
 		groupOf:         o.GroupOf,
+		unsaved:         o.Unsaved,
 		onSaved:         o.OnSaved,
 		proposalWaiters: make(map[uint64]chan control.Outcome),
 		readWaiters:     make(map[uint64]chan bool),
@@ -99,6 +105,9 @@
 		readTimeout:     2 * o.Machine.Timing.ReadTimeout,
 		bootstrapCount:  len(o.Machine.Bootstrap),
 	}
+	if o.Machine.Unsaved {
+		c.storeFailedAt = time.Now()
+	}
 	c.publishView()
 	return c
 }
@@ -118,36 +127,53 @@
 // input is one event for the controller, run on its goroutine.
 type input func(c *Controller, now time.Time)
 
-// OpenStore opens the data folder and returns the store and the stored state. If
-// the state can't be read, decoded or written again, OpenStore logs the error and
-// returns no store: the host then runs without a disk, that is, it serves and
-// learns versions but does not vote. The store is also nil if folder is empty. An
-// error is returned only if the folder can't be opened.
-func OpenStore(fs store.FS, folder string, log *slog.Logger) (*store.Store, control.State, error) {
+// Disk is an open data folder with the state that it holds.
+type Disk struct {
+	Store   *store.Store // nil: the host runs without a disk
+	State   control.State
+	Unsaved bool // State could not be written; pass it on as control.Config.Unsaved
+}
+
+// OpenDisk opens the data folder and reads the state. If the state can't be read or
+// decoded, OpenDisk logs the error and returns no store: the host then runs without
+// a disk, that is, it serves and learns versions but does not vote. The store is
+// also nil if folder is empty. An error is returned only if the folder can't be
+// opened.
+//
+// The state is written again, because after a failed sync of an earlier process the
+// file may be readable without being durable. If that fails, the host does not vote
+// until the controller has written it.
+func OpenDisk(fs store.FS, folder string, log *slog.Logger) (Disk, error) {
 	if folder == "" {
-		return nil, control.State{}, nil
+		return Disk{}, nil
 	}
 	s, err := store.Open(fs, folder)
 	if err != nil {
-		return nil, control.State{}, err
+		return Disk{}, err
 	}
 	state, err := loadState(s)
-	if err == nil {
-		return s, state, nil
+	if err != nil {
+		id := event.StoreUnreadable
+		if errors.Is(err, store.ErrCorrupt) {
+			id = event.StoreCorrupt
+		}
+		logVotingStopped(context.Background(), log, id, slog.String("folder", folder), slog.String("error", err.Error()))
+		return Disk{}, nil
 	}
-	id := event.StoreWriteError
-	if errors.Is(err, store.ErrCorrupt) {
-		id = event.StoreCorrupt
+	if err := saveState(s, &state); err != nil {
+		logVotingStopped(context.Background(), log, event.StoreWriteError, slog.String("folder", folder), slog.String("error", err.Error()))
+		return Disk{Store: s, State: state, Unsaved: true}, nil
 	}
-	attrs := []slog.Attr{slog.String("folder", folder), slog.String("error", err.Error())}
-	event.Log(context.Background(), log, id, attrs...)
-	event.Log(context.Background(), log, event.VotingStopped, attrs...)
-	return nil, control.State{}, nil
+	return Disk{Store: s, State: state}, nil
+}
+
+// logVotingStopped logs a fault of the disk and that the host does not vote.
+func logVotingStopped(ctx context.Context, log *slog.Logger, fault event.ID, attrs ...slog.Attr) {
+	event.Log(ctx, log, fault, attrs...)
+	event.Log(ctx, log, event.VotingStopped, attrs...)
 }
 
-// loadState reads the state, or creates it for a new disk. It writes the state
-// again before returning it, because after a failed sync of an earlier process
-// the file may be readable without being durable.
+// loadState reads the state, or creates it for a new disk.
 func loadState(s *store.Store) (control.State, error) {
 	var state control.State
 	payload, err := s.Load(stateFile)
@@ -161,7 +187,7 @@
 			return control.State{}, errors.Wrap(store.ErrCorrupt, err.Error())
 		}
 	}
-	return state, saveState(s, &state)
+	return state, nil
 }
 
 func saveState(s *store.Store, state *control.State) error {
@@ -240,20 +266,40 @@
 }
 
 // persist writes the state to the store and reports whether that succeeded. If it
-// failed, the host stops voting.
+// failed, the host does not vote until a later write succeeds. Of several failures
+// in a row only the first is logged.
 func (c *Controller) persist(ctx context.Context, state *control.State) bool {
 	started := time.Now()
-	err := saveState(c.store, state)
-	if err == nil {
-		if c.onSaved != nil {
-			c.onSaved(time.Since(started))
+	err := c.saveFiles(state)
+	if c.onSaved != nil {
+		c.onSaved(time.Since(started), err)
+	}
+	if err != nil {
+		c.machine.StoreFailed(time.Now())
+		if c.storeFailedAt.IsZero() {
+			c.storeFailedAt = started
+			logVotingStopped(ctx, c.log, event.StoreWriteError, slog.String("disk", state.Disk), slog.String("error", err.Error()))
+		}
+		return false
+	}
+	if c.machine.HasStoreFailed() {
+		c.machine.StoreRecovered()
+		event.Log(ctx, c.log, event.StoreRecovered, slog.String("disk", state.Disk), slog.Uint64("version", state.Version()),
+			slog.Bool("voting", c.machine.Voting()), slog.Int64("failed_ms", time.Since(c.storeFailedAt).Milliseconds()))
+		c.storeFailedAt = time.Time{}
+	}
+	return true
+}
+
+// saveFiles writes the files that are still unsaved, then the state.
+func (c *Controller) saveFiles(state *control.State) error {
+	for name, payload := range c.unsaved {
+		if err := c.store.Save(name, payload); err != nil {
+			return err
 		}
-		return true
+		delete(c.unsaved, name)
 	}
-	c.machine.StoreFailed()
-	event.Log(ctx, c.log, event.StoreWriteError, slog.String("file", stateFile), slog.String("error", err.Error()))
-	event.Log(ctx, c.log, event.VotingStopped, slog.String("disk", c.machine.Disk()))
-	return false
+	return saveState(c.store, state)
 }
 
 func (c *Controller) deliverOutcome(ctx context.Context, d control.Decision) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,16 +31,12 @@
 // ErrCorrupt is returned for a file with a wrong header, length or checksum.
 var ErrCorrupt = errors.New("store: file corrupt")
 
-// ErrWriteFailed is returned by Save after an earlier Save has failed: the
-// contents of the disk are unknown until the next start loads them.
-var ErrWriteFailed = errors.New("store: an earlier write failed")
-
-// Store is an open data folder. It is not safe for concurrent use.
+// Store is an open data folder. Files with different names may be used
+// concurrently.
 type Store struct {
 	fs     FS
 	folder string
 	lock   io.Closer
-	failed bool // a Save has failed; later ones return ErrWriteFailed
 }
 
 // Open creates the folder if it does not exist and locks it against other
@@ -56,17 +52,6 @@
 	return &Store{fs: fs, folder: folder, lock: lock}, nil
 }
 
-// Independent returns a store for other files of the same folder. A failed write of one
-// of the two does not make the other refuse writes. The folder stays locked until s is
-// closed.
-func (s *Store) Independent() *Store { return &Store{fs: s.fs, folder: s.folder, lock: noLock{}} }
-
-// noLock is the lock of a store whose folder another store has locked.
-type noLock struct{}
-
-// Close implements io.Closer.
-func (noLock) Close() error { return nil }
-
 // Close releases the lock on the folder.
 func (s *Store) Close() error { return errors.WithStack(s.lock.Close()) }
 
@@ -85,16 +70,10 @@
 
 // Save replaces the payload of a file, or creates the file. The payload is
 // durable once Save returns nil. After an error, the old or the new payload
-// remains, and every further Save returns ErrWriteFailed.
+// remains, until a later Save succeeds: it writes and syncs all of the file anew,
+// so that nothing depends on what the failed one left.
 func (s *Store) Save(name string, payload []byte) error {
-	if s.failed {
-		return ErrWriteFailed
-	}
-	if err := s.replace(filepath.Join(s.folder, name), encode(payload)); err != nil {
-		s.failed = true
-		return errors.Wrap(err, "store")
-	}
-	return nil
+	return errors.Wrap(s.replace(filepath.Join(s.folder, name), encode(payload)), "store")
 }
 
 func (s *Store) replace(path string, content []byte) error {
