pool: tasks without processor demand no longer divide by zero

Cause: usableCPU divides by the average task's processor demand as an integer. Each task without demand multiplies the moving average by 0.98, so that it gets between 0 and 1 and the divisor is 0.

Related paths: the other integer divisors in the packages that decide were read; each is a constant, bounded below by 1 or checked. Change: the divisor is at least one thousandth of a processor.

Evidence: TestTasksWithoutCPUKeepTheDispatcherRunning panics with "integer divide by zero" in usableCPU before, and passes now.

--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -186,13 +186,11 @@
 }
 
 // usableCPU returns the free processors of a minion, in thousandths, rounded down to
-// a multiple of an average task's size.
+// a multiple of an average task's size. The average approaches 0 while tasks arrive that
+// request accelerators or memory only.
 func (p *Pool) usableCPU(m *minion) int64 {
 	free := m.CPU - m.usedCPU
-	if p.meanTaskCPU <= 0 {
-		return max(0, free)
-	}
-	unit := int64(p.meanTaskCPU)
+	unit := max(1, int64(p.meanTaskCPU))
 	return max(0, free/unit*unit)
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -609,3 +610,17 @@
 	s.p.UpdateMinion(s.now, peer.MinionRecord{ID: id(0), Service: "s", FailureDomain: "z", CPU: cpu, MemoryMB: 1000, Seq: 1, Incarnation: 5})
 	must.Eq(t, before-cpu, s.p.Load().Capacity, must.Sprint("it restarted after the takeover"))
 }
+
+// Tasks that request no processor take the average task's size below one thousandth of a
+// processor, which must not be divided by: the panic ended the dispatching process.
+func TestTasksWithoutCPUKeepTheDispatcherRunning(t *testing.T) {
+	s := newHarness(t)
+	s.addMinion("m", 64_000)
+	s.offerJob("first", 1, 27_000, 10)
+	for i := range 600 {
+		s.offerJob(fmt.Sprint("j", i), 1, 0, 10)
+		s.advanceAnswering("m", 1)
+	}
+	must.Less(t, 1, s.p.meanTaskCPU)
+	must.Eq(t, 64_000, s.p.Load().Free)
+}
