entry: a cancellation is repeated until its dispatcher answers

Cause: an entry host whose caller left sent the cancellation of the job three times in 0.3 s and forgot it. While connections are reset all three are lost, and any other message of the host keeps the dispatcher from giving it up.

Ruled out: dispatchers that ignore a cancellation (without the cut a run is stopped in some 20 ms); hosts of one failure domain, where a closed connection leads to a takeover.

Change: cancellations are repeated each 0.15 s until the dispatcher answers with a JobResult, at most until the job's deadline; dispatchers answer each of them. The same for cancellations at unavailable dispatchers, at the caller's deadline, and of unwanted offers, which were sent once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,8 +41,11 @@
 	// maxOffers bounds the number of dispatchers that may refuse a job for lack of
 	// capacity before the caller's request is refused.
 	maxOffers = 3
-	// maxCancelSends is how many times a cancellation is sent.
-	maxCancelSends = 3
+	// minCancelPeriod is the shortest time for which a cancellation is repeated.
+	minCancelPeriod = time.Second
+	// unknownJobCancelPeriod is the time for which the cancellation of a job with an unknown
+	// deadline is repeated. Few callers wait for longer.
+	unknownJobCancelPeriod = 15 * time.Second
 )
 
 // Outcome is what the caller of a job receives.
@@ -125,13 +128,15 @@
 	number uint64
 }
 
-// pendingCancel is a cancellation that is repeated until the offer's result
-// arrives or it was sent maxCancelSends times.
+// pendingCancel is a cancellation that is repeated until the offer's result arrives.
+// Messages on a connection that is reset are lost, so no number of copies is enough: a
+// caller that has left may have sent the job again to another host, and its runs here
+// must not go on beside the new ones.
 type pendingCancel struct {
-	to             string
-	body           peer.JobCancel
-	sentAt         time.Time
-	sendsRemaining int
+	to     string
+	body   peer.JobCancel
+	sentAt time.Time
+	until  time.Time // when the dispatcher has ended the job by itself, at its deadline
 }
 
 // Table holds the open jobs of one host.
@@ -230,14 +235,23 @@
 	if ref.host == "" {
 		return
 	}
-	c := &pendingCancel{to: ref.host, body: peer.JobCancel{Job: j.offer.Job, Offer: ref.number, Shard: ref.shard}, sentAt: now, sendsRemaining: maxCancelSends}
+	t.startCancel(now, ref.host, peer.JobCancel{Job: j.offer.Job, Offer: ref.number, Shard: ref.shard}, j.deadline)
+}
+
+// startCancel sends a cancellation and keeps it pending until the deadline, but at least
+// for minCancelPeriod.
+func (t *Table) startCancel(now time.Time, to string, body peer.JobCancel, deadline time.Time) {
+	until := now.Add(minCancelPeriod)
+	if deadline.After(until) {
+		until = deadline
+	}
+	c := &pendingCancel{to: to, body: body, until: until}
 	t.cancels = append(t.cancels, c)
 	t.sendCancel(now, c)
 }
 
 func (t *Table) sendCancel(now time.Time, c *pendingCancel) {
 	c.sentAt = now
-	c.sendsRemaining--
 	t.send(c.to, &c.body)
 }
 
@@ -305,16 +319,24 @@
 		t.flight = nil
 		return
 	}
-	if j == nil || j.prevOffer.host != from || j.prevOffer.number != a.Offer {
-		t.send(from, &peer.JobCancel{Job: a.Job, Offer: a.Offer, Shard: a.Shard})
+	if j != nil && j.prevOffer.host == from && j.prevOffer.number == a.Offer {
+		return
+	}
+	body := peer.JobCancel{Job: a.Job, Offer: a.Offer, Shard: a.Shard}
+	if i := slices.IndexFunc(t.cancels, func(c *pendingCancel) bool { return c.to == from && c.body == body }); i >= 0 {
+		t.sendCancel(now, t.cancels[i])
+		return
 	}
+	t.startCancel(now, from, body, now.Add(unknownJobCancelPeriod))
 }
 
 // HandleResult handles the result of an offer. It acknowledges every result, and
 // ignores results of offers that are no longer current.
 func (t *Table) HandleResult(now time.Time, from string, r *peer.JobResult) {
 	t.send(from, &peer.JobResultAck{Job: r.Job, Offer: r.Offer})
-	t.cancels = slices.DeleteFunc(t.cancels, func(c *pendingCancel) bool { return c.body.Job == r.Job && c.body.Offer == r.Offer })
+	t.cancels = slices.DeleteFunc(t.cancels, func(c *pendingCancel) bool {
+		return c.to == from && c.body.Job == r.Job && c.body.Offer == r.Offer
+	})
 	j := t.jobs[r.Job]
 	if j == nil || j.dispatcher.host != from || j.offer.Offer != r.Offer {
 		return
@@ -491,12 +513,13 @@
 	}
 	pending := t.cancels[:0]
 	for _, c := range t.cancels {
+		if now.After(c.until) {
+			continue
+		}
 		if now.Sub(c.sentAt) >= resendInterval {
 			t.sendCancel(now, c)
 		}
-		if c.sendsRemaining > 0 {
-			pending = append(pending, c)
-		}
+		pending = append(pending, c)
 	}
 	t.cancels = pending
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -334,3 +334,35 @@
 	must.Eq(t, "far", m[0].To)
 	must.Eq(t, peer.JobCancel{Job: "j", Offer: o.Offer - 1, Shard: 3}, *m[0].Body.(*peer.JobCancel))
 }
+
+// A cancellation is repeated until its dispatcher answers: while connections are reset,
+// any number of copies may be lost, and the job would run on beside the caller's next try.
+func TestCancellationIsRepeatedUntilAnswered(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		x := newTable()
+		x.SetDispatchers(begin, []Dispatcher{dispatcherOf("near", "a", 100_000, 0)})
+		submit(x, "j")
+		o := offers(x.Ready())[0].Body.(*peer.JobOffer)
+		x.RemoveWaiter(begin, "j", 1)
+		must.Len(t, 1, x.Ready().Messages)
+		cancelsIn := func(from, to time.Duration) (n int) {
+			for at := from; at < to; at += 20 * ms {
+				x.Tick(begin.Add(at))
+				for _, m := range x.Ready().Messages {
+					must.Eq(t, peer.JobCancel{Job: "j", Offer: o.Offer, Shard: o.Shard}, *m.Body.(*peer.JobCancel))
+					n++
+				}
+			}
+			return n
+		}
+		for at := time.Duration(0); at < 2*time.Second; at += 200 * ms {
+			must.Positive(t, cancelsIn(at, at+200*ms), must.Sprint(at))
+		}
+		if answered {
+			x.HandleResult(begin, "near", &peer.JobResult{Job: "j", Offer: o.Offer, Outcome: peer.JobUnknown})
+			x.Ready()
+			must.Zero(t, cancelsIn(2*time.Second, 3*time.Second))
+		}
+		must.Zero(t, cancelsIn(4*time.Second, 5*time.Second)) // the dispatcher ends the job at its deadline, at 3 s
+	}
+}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -196,6 +196,8 @@
 		if x := c.shards[m.Shard]; x != nil {
 			x.pool.Cancel(now, from, m)
 		}
+		// Acknowledges the cancellation, which is repeated until then.
+		c.sendTo(from, &peer.JobResult{Job: m.Job, Offer: m.Offer, Outcome: peer.JobUnknown, Reason: "the offer was withdrawn"})
 	}
 }
 
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -208,6 +208,38 @@
 	must.Eq(t, 0, x.pool.JobCount())
 }
 
+// recordingEnvironment records the messages that a core sends to other hosts.
+type recordingEnvironment struct {
+	environment
+	sent []peer.Body
+}
+
+func (e *recordingEnvironment) send(_ string, b peer.Body) { e.sent = append(e.sent, b) }
+
+// Every cancellation is answered, also when the job is not known or has ended: its sender
+// repeats it until then.
+func TestCancellationsAreAnswered(t *testing.T) {
+	sim := newSimulation(simConfig{failureDomains: 1, entryHosts: 2, minions: 2, recoveryPeriod: time.Second}, 1)
+	h := sim.hostByName["e0-0"]
+	h.launch()
+	now := simStart
+	h.core.detectSuspension(now, time.Hour)
+	x := h.holdShard(now)
+	out := &recordingEnvironment{environment: h.core.environment}
+	h.core.environment = out
+	h.core.receive(now, "far", "1", smallOffer("j", h.core.heartbeatClock(), 0))
+	must.Eq(t, 1, x.pool.JobCount())
+	for _, shard := range []int{0, 0, 5} {
+		out.sent = nil
+		h.core.receive(now, "far", "1", &peer.JobCancel{Job: "j", Offer: 1, Shard: shard})
+		must.Eq(t, 0, x.pool.JobCount())
+		must.Len(t, 1, out.sent)
+		r := out.sent[0].(*peer.JobResult)
+		must.Eq(t, "j", r.Job)
+		must.Eq(t, 1, r.Offer)
+	}
+}
+
 // The sender of an offer that was in flight for too long is told that it has not run, so
 // that its caller need not wait. Neither the offer nor a later copy of it is started. An
 // offer of which an earlier copy was accepted is not answered so.
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -216,7 +216,8 @@
 }
 
 // JobCancel withdraws an offer. The dispatcher ends the job, unless it has an offer of
-// the job from another host as well.
+// the job from another host as well, and answers with a JobResult. The sender repeats the
+// JobCancel until then.
 type JobCancel struct {
 	Job   string `msgpack:"j"`
 	Offer uint64 `msgpack:"o"`
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -106,6 +106,9 @@
 mutant 'controller: recovery of the store not reported to the machine' internal/register/controller.go '/c.machine.StoreRecovered()/d' ./internal/register 'TestController|TestHostStarted'
 mutant 'control: state not written again after a failure' internal/control/machine.go 's/m.saveDue = m.saveDue || .*/m.saveDue = false/' ./internal/control TestRandomFaults
 # Mutants of the code for hosts with leased minions.
+mutant 'leased: cancellations are not repeated' internal/entry/entry.go 's/^		pending = append(pending, c)$//' ./internal/entry RepeatedUntilAnswered
+mutant 'leased: cancellations are not answered' internal/fleet/core.go '/Outcome: peer.JobUnknown, Reason: "the offer was withdrawn"/d' ./internal/fleet CancellationsAreAnswered
+mutant 'leased: mean task size of 0 is divided by' internal/pool/admit.go 's/unit := max(1, int64(p.meanTaskCPU))/unit := int64(p.meanTaskCPU)/' ./internal/pool TasksWithoutCPU
 mutant 'leased: an orphaned run blocks only until its stop is confirmed' internal/pool/lease.go 's/ (x.stopConfirmedAt.IsZero() || x.step == nil) {/ x.stopConfirmedAt.IsZero() {/' ./internal/pool OrphanedRun
 mutant 'leased: an unanswered start is repeated at once' internal/pool/place.go 's/^			p.raiseToken(now, m)$/			p.endRun(now, m, x, EndStopped)/' ./internal/pool Unanswered
 mutant 'leased: the lease of an unreachable minion is renewed' internal/pool/lease.go 's/if m.reachable && m.clock > 0/if m.clock > 0/' ./internal/pool UnreachableMinion
