fleet: the end of a caller's connection waits for a full input ring

Cause: the inputs "caller gone" and "begin of the shutdown" were dropped when the ring of the core's inputs was full, and nobody repeats them. A job whose caller has left would run on to its deadline, beside the caller's next try; a host that stops would not hand over its minions.

Change: both wait for the ring. Inputs that their senders repeat are still dropped.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -291,6 +291,10 @@
 // full.
 func (h *Host) enqueue(f func(now time.Time)) bool { return h.inputs.TryPush(f) }
 
+// enqueueWaiting queues f for the core's goroutine, for inputs that nobody repeats. While
+// the input ring is full, it waits, unless the host has stopped.
+func (h *Host) enqueueWaiting(f func(now time.Time)) { h.inputs.Push(f, h.done) }
+
 // receive passes a message from another host to the controller or the core.
 func (h *Host) receive(from string, inc membership.Incarnation, b peer.Body) {
 	if peer.IsControl(b.Kind()) {
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -90,7 +90,7 @@
 	case <-ctx.Done():
 	case <-h.done:
 	}
-	h.enqueue(func(now time.Time) {
+	h.enqueueWaiting(func(now time.Time) {
 		h.core.callerDisconnected(now, j.ID, waiter)
 	})
 	return entry.Outcome{Outcome: peer.JobUnknown, Reason: "caller is gone"}
@@ -178,7 +178,7 @@
 	h.shuttingDown.Store(true)
 	h.ready.Store(false)
 	h.logEvent(event.StopRequested, slog.String("host", h.self.Name))
-	h.enqueue(func(now time.Time) { h.core.beginShutdown(now) })
+	go h.enqueueWaiting(func(now time.Time) { h.core.beginShutdown(now) }) // the shutdown must not wait for a busy core
 }
 
 // Reload applies new seeds, the only setting that may change in a running process.
