control: a missing majority says which answers it lacked

Event 5016 now lists for each control host what it answered to a read or a change, with this host's version, disk and vote; a change that ends without a majority is logged also when its operator has left.

TestMissingMajorityNamesTheAnswers; no decision changes.

--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -205,3 +205,32 @@
 	must.Eq(t, r.Version, r.Command().Version)
 	must.Eq(t, r.Version-RecentCommands+1, r.Recent[0].Version)
 }
+
+// A read or a change without a majority says what each control host has answered, so that
+// a log tells an unreachable host from one that does not vote.
+func TestMissingMajorityNamesTheAnswers(t *testing.T) {
+	for _, c := range []struct {
+		report peer.ControlReport
+		want   string
+	}{
+		{peer.ControlReport{Disk: "b1", Version: 4, StoreFailed: true}, "b: its disk refuses writes"},
+		{peer.ControlReport{Disk: "new", Version: 4}, `b: disk "new" is not in the group`},
+		{peer.ControlReport{Disk: "b1", Version: 3}, "b: has version 3"},
+		{peer.ControlReport{Disk: "b1", Version: 4, Pending: true}, "b: a change is undecided"},
+	} {
+		m := newMachine(stateAtVersion(4))
+		m.Read(startTime)
+		c.report.Nonce = lastMessage[*peer.ControlQuery](t, m.Ready()).Nonce
+		m.Receive(startTime, "b", &c.report)
+		m.Tick(startTime.Add(DefaultTiming().ReadTimeout))
+		r := m.Ready().Reads
+		must.SliceLen(t, 1, r)
+		must.False(t, r[0].Verified)
+		must.Eq(t, "a: no answer, "+c.want+", c: no answer", r[0].Detail)
+	}
+	m := newMachine(stateAtVersion(4))
+	ballot := propose(t, m, Proposal{Command: "x", Base: 4})
+	m.Receive(startTime, "b", &peer.ControlPromise{Version: 5, Ballot: ballot, Disk: "b1"})
+	m.Tick(startTime.Add(DefaultTiming().ProposeTimeout))
+	must.StrContains(t, m.Ready().Decisions[0].Outcome.Detail, "(a: no answer, b: promised, c: no answer)")
+}
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -127,9 +127,9 @@
 	case p.Base > version:
 		m.decide(p, result.NoMajority, fmt.Sprintf("this host knows version %d, the plan was made on %d", version, p.Base))
 	case m.storesFailed(p):
-		m.decide(p, result.StoreUnavailable, "the stores of too many control hosts failed; the change may still be chosen")
+		m.decide(p, result.StoreUnavailable, "the stores of too many control hosts failed; the change may still be chosen ("+m.describeProgress(p)+")")
 	default:
-		m.decide(p, result.NoMajority, "the change may still be chosen; resend the command to learn its outcome")
+		m.decide(p, result.NoMajority, "the change may still be chosen; resend the command to learn its outcome ("+m.describeProgress(p)+")")
 	}
 	m.cancelAttempt(p)
 	return true
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -12,6 +12,7 @@
 	Ticket   uint64
 	Verified bool // a majority confirmed that Version was the newest at some time since the read began
 	Version  uint64
+	Detail   string // if not verified: what each control host has answered
 }
 
 // pendingRead is a read in progress. It completes when a majority of the group
@@ -22,7 +23,8 @@
 	nonce    uint64
 	deadline time.Time
 	resendAt time.Time
-	upToDate map[string]string // disk by host name, of the hosts that reported the same latest version
+	upToDate map[string]string              // disk by host name, of the hosts that reported the same latest version
+	reports  map[string]*peer.ControlReport // latest answer of each host, to any query of the read
 }
 
 // readResendInterval is the interval between the queries of a read. An undecided
@@ -35,7 +37,7 @@
 // after at most Timing.ReadTimeout and one tick.
 func (m *Machine) Read(now time.Time) (ticket uint64) {
 	m.lastTicket++
-	r := &pendingRead{ticket: m.lastTicket, deadline: now.Add(m.cfg.Timing.ReadTimeout)}
+	r := &pendingRead{ticket: m.lastTicket, deadline: now.Add(m.cfg.Timing.ReadTimeout), reports: make(map[string]*peer.ControlReport)}
 	m.reads = append(m.reads, r)
 	m.sendQueries(now, r)
 	return r.ticket
@@ -69,6 +71,11 @@
 		return
 	}
 	m.admission.recordReport(now, from, r.Disk)
+	for _, x := range m.reads {
+		if x.nonce == r.Nonce {
+			x.reports[from] = r
+		}
+	}
 	if r.Version != m.Version() || r.StoreFailed || r.Pending || m.state.Chosen == nil {
 		return
 	}
@@ -106,7 +113,8 @@
 	remaining := m.reads[:0]
 	for _, r := range m.reads {
 		if !now.Before(r.deadline) {
-			m.ready.Reads = append(m.ready.Reads, ReadResult{Ticket: r.ticket, Version: m.Version()})
+			detail := m.describeAcceptors(func(host string) string { return m.describeReport(host, r.reports[host]) })
+			m.ready.Reads = append(m.ready.Reads, ReadResult{Ticket: r.ticket, Version: m.Version(), Detail: detail})
 			continue
 		}
 		if !now.Before(r.resendAt) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -90,6 +90,7 @@
 	MinionsNotSaved   ID = 5013
 	StoreUnreadable   ID = 5014
 	StoreRecovered    ID = 5015
+	MajorityMissing   ID = 5016
 
 	RequestPanicked   ID = 6001
 	ServerFailed      ID = 6002
@@ -176,6 +177,7 @@
 	{MinionsNotSaved, slog.LevelWarn, "known minions not saved", "Check the disk and its free space; until a write succeeds, minions are learned as they announce themselves after a restart of all control hosts."},
 	{StoreUnreadable, slog.LevelError, "durable file can't be read", "Check the disk's health; restart the host once the disk can be read."},
 	{StoreRecovered, slog.LevelInfo, "durable write succeeded again", "None."},
+	{MajorityMissing, slog.LevelWarn, "too few control hosts confirmed a change or a read", "Look at the hosts that its answers name: no answer, a disk that refuses writes or is not in the group, an older version, or an undecided change."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
 	{ConnectionRefused, slog.LevelWarn, "connection refused, max_connections reached", "Find the clients with many connections, or raise max_connections."},
--- a/internal/register/controller.go
+++ b/internal/register/controller.go
@@ -243,7 +243,7 @@
 		}
 		c.publishView()
 		for _, x := range r.Reads {
-			c.deliverReadResult(x)
+			c.deliverReadResult(ctx, x)
 		}
 		if !c.sendMessages(r.Messages) {
 			return
@@ -303,8 +303,11 @@
 }
 
 func (c *Controller) deliverOutcome(ctx context.Context, d control.Decision) {
-	if d.Outcome.Code == result.OK {
+	switch d.Outcome.Code {
+	case result.OK:
 		event.Log(ctx, c.log, event.ChangeAccepted, slog.Uint64("version", d.Outcome.Version), slog.String("command", d.Outcome.Command))
+	case result.NoMajority, result.StoreUnavailable: // its proposer may have left already
+		c.logNoMajority(ctx, "change", d.Outcome.Detail)
 	}
 	if w, ok := c.proposalWaiters[d.Ticket]; ok {
 		w <- d.Outcome // never blocks: the channel is buffered for its only value
@@ -323,7 +326,16 @@
 	}
 }
 
-func (c *Controller) deliverReadResult(r control.ReadResult) {
+// logNoMajority logs which answers a change or a read of this host lacked.
+func (c *Controller) logNoMajority(ctx context.Context, what, detail string) {
+	event.Log(ctx, c.log, event.MajorityMissing, slog.String("for", what), slog.Uint64("version", c.machine.Version()),
+		slog.String("disk", c.machine.Disk()), slog.Bool("voting", c.machine.Voting()), slog.String("answers", detail))
+}
+
+func (c *Controller) deliverReadResult(ctx context.Context, r control.ReadResult) {
+	if !r.Verified {
+		c.logNoMajority(ctx, "read", r.Detail)
+	}
 	if w, ok := c.readWaiters[r.Ticket]; ok {
 		w <- r.Verified // never blocks: the channel is buffered for its only value
 		delete(c.readWaiters, r.Ticket)
