control: a read counts answers that take longer than its resend interval

Cause: a read was repeated every 60 ms under a new nonce, and the answers to the earlier queries were discarded. Where a round trip between control hosts takes longer than that, because machines or links are busy or a peer is writing its state, no read can ever succeed: each is answered 503 after 0.8 s, at every host, although all hosts run and are connected.

Change: a read has one nonce. Answers of different times may be combined: if a newer version had been chosen before the read began, one host of any majority would have accepted it by then and would not confirm the older one at any later time. Queries go only to the hosts that have not confirmed yet, at doubling intervals, so that slow hosts don't get ever more of them. A version learned meanwhile starts the answers anew.

--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -234,3 +234,46 @@
 	m.Tick(startTime.Add(DefaultTiming().ProposeTimeout))
 	must.StrContains(t, m.Ready().Decisions[0].Outcome.Detail, "(a: no answer, b: promised, c: no answer)")
 }
+
+// A read is answered although each answer takes longer than the interval between its
+// queries: discarding the answers to earlier queries would fail every read then.
+func TestReadCountsSlowAnswers(t *testing.T) {
+	const answerTime, tick = 200 * time.Millisecond, 20 * time.Millisecond // one-way latency of 100 ms
+	m := newMachine(stateAtVersion(4))
+	m.Read(startTime)
+	answers := make(map[time.Duration][]uint64) // nonces by the time at which host b answers
+	for at := time.Duration(0); at <= DefaultTiming().ReadTimeout; at += tick {
+		m.Tick(startTime.Add(at))
+		for _, nonce := range answers[at] {
+			for _, g := range groupABC[:2] {
+				m.Receive(startTime.Add(at), g.Host, &peer.ControlReport{Disk: g.Disk, Version: 4, Nonce: nonce})
+			}
+		}
+		r := m.Ready()
+		if len(r.Reads) > 0 {
+			must.True(t, r.Reads[0].Verified)
+			must.Less(t, 2*answerTime, at)
+			return
+		}
+		for _, x := range r.Messages {
+			if q, ok := x.Body.(*peer.ControlQuery); ok && x.To == "b" {
+				answers[at+answerTime] = append(answers[at+answerTime], q.Nonce)
+			}
+		}
+	}
+	t.Fatal("the read has no result")
+}
+
+// An answer that confirmed an earlier version does not count for the version that the
+// host has learned since.
+func TestReadStartsAnewWithANewVersion(t *testing.T) {
+	m := newMachine(stateAtVersion(4))
+	m.Read(startTime)
+	nonce := lastMessage[*peer.ControlQuery](t, m.Ready()).Nonce
+	m.Receive(startTime, "b", &peer.ControlReport{Disk: "b1", Version: 4, Nonce: nonce})
+	m.Receive(startTime, "c", &peer.ControlChosen{Record: newRecord(5, "x", groupABC)})
+	m.Receive(startTime, "c", &peer.ControlReport{Disk: "c1", Version: 5, Nonce: nonce})
+	must.SliceEmpty(t, m.Ready().Reads)
+	m.Receive(startTime, "b", &peer.ControlReport{Disk: "b1", Version: 5, Nonce: nonce})
+	must.SliceLen(t, 1, m.Ready().Reads)
+}
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -16,42 +16,63 @@
 }
 
 // pendingRead is a read in progress. It completes when a majority of the group
-// reports this host's latest version as theirs and has no accepted value that
-// may become the next version.
+// has reported, in answer to queries of this read, this host's latest version as
+// theirs and no accepted value that may become the next version. The answers may be
+// of different times: if a newer version had been chosen before the read began, one
+// host of any majority would have accepted it by then, and would not report so at any
+// time since.
 type pendingRead struct {
-	ticket   uint64
-	nonce    uint64
-	deadline time.Time
-	resendAt time.Time
-	upToDate map[string]string              // disk by host name, of the hosts that reported the same latest version
-	reports  map[string]*peer.ControlReport // latest answer of each host, to any query of the read
+	ticket    uint64
+	nonce     uint64 // of all queries of this read, and of no others of this process
+	version   uint64 // latest version when upToDate was begun
+	deadline  time.Time
+	resendAt  time.Time
+	resendGap time.Duration
+	upToDate  map[string]string              // disk by host name, of the hosts that reported version
+	reports   map[string]*peer.ControlReport // latest answer of each host
 }
 
-// readResendInterval is the interval between the queries of a read. An undecided
-// value delays a read until it is chosen, which takes about two syncs of a slow
-// disk.
-const readResendInterval = 60 * time.Millisecond
+const (
+	// firstReadResend is the interval after which a read is repeated at the hosts that have
+	// not confirmed the version: an undecided value delays a read until it is chosen, which
+	// takes about two syncs of a slow disk. The interval doubles, so that hosts that are slow
+	// to answer don't get ever more queries.
+	firstReadResend = 60 * time.Millisecond
+	maxReadResend   = 250 * time.Millisecond
+)
 
 // Read starts a read, which determines whether the latest known version is the
 // newest one. Its result is delivered in Ready.Reads with the returned ticket,
 // after at most Timing.ReadTimeout and one tick.
 func (m *Machine) Read(now time.Time) (ticket uint64) {
 	m.lastTicket++
-	r := &pendingRead{ticket: m.lastTicket, deadline: now.Add(m.cfg.Timing.ReadTimeout), reports: make(map[string]*peer.ControlReport)}
+	m.lastNonce++
+	r := &pendingRead{
+		ticket: m.lastTicket, nonce: m.lastNonce, deadline: now.Add(m.cfg.Timing.ReadTimeout), resendGap: firstReadResend,
+		reports: make(map[string]*peer.ControlReport),
+	}
 	m.reads = append(m.reads, r)
 	m.sendQueries(now, r)
 	return r.ticket
 }
 
-// sendQueries queries the whole group with a new nonce and discards earlier
-// answers. The nonce makes sure that only answers to these queries count.
+// sendQueries queries the members of the group that have not confirmed the latest
+// version.
 func (m *Machine) sendQueries(now time.Time, r *pendingRead) {
-	m.lastNonce++
-	r.nonce = m.lastNonce
-	r.resendAt = now.Add(readResendInterval)
-	r.upToDate = make(map[string]string)
+	r.resendAt = now.Add(r.resendGap)
+	r.resendGap = min(2*r.resendGap, maxReadResend)
+	m.restartOutdated(r)
 	for _, host := range m.acceptors() {
-		m.send(host, &peer.ControlQuery{Nonce: r.nonce, Version: m.Version()})
+		if _, confirmed := r.upToDate[host]; !confirmed {
+			m.send(host, &peer.ControlQuery{Nonce: r.nonce, Version: m.Version()})
+		}
+	}
+}
+
+// restartOutdated discards the answers that confirmed an earlier version.
+func (m *Machine) restartOutdated(r *pendingRead) {
+	if r.upToDate == nil || r.version != m.Version() {
+		r.version, r.upToDate = m.Version(), make(map[string]string)
 	}
 }
 
@@ -82,9 +103,10 @@
 	remaining := m.reads[:0]
 	for _, x := range m.reads {
 		if x.nonce == r.Nonce {
+			m.restartOutdated(x)
 			x.upToDate[from] = r.Disk
 		}
-		if m.hasMajority(x) {
+		if x.version == m.Version() && m.hasMajority(x) {
 			m.ready.Reads = append(m.ready.Reads, ReadResult{Ticket: x.ticket, Verified: true, Version: m.Version()})
 			continue
 		}
