control: a replacement needs a majority without the new member

Cause: a host outside the group may replace a member that does not report to it. With as many disks of the group lost as it tolerates, a spare host took the place of a member that only it couldn't reach, and lost its own disk before the change was chosen. The acceptors completed the change, and three of the new group's five disks were lost: no majority for good, with all hosts up and connected.

Ruled out: a hole in the ballots; every version was chosen by a majority of the one before.

Change: where a member is replaced in a group of three or more, the kept members alone must have promised as a majority of the new group. A member that is gone makes no difference to this, since the majority that chooses the change consists of the others then.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -54,9 +54,15 @@
 	return ""
 }
 
+// minTolerantGroup is the smallest group that tolerates the loss of a member.
+const minTolerantGroup = 3
+
 // nextGroup returns the group to write into the next version, or the reason why
 // the answers received so far don't show that a majority of a changed group,
-// including every added member, is reachable and up to date.
+// including every added member, is reachable and up to date. Where a member is replaced,
+// the others alone must be a majority: the new disk may be lost before the change is
+// chosen, and the change may still be completed then. A replaced member that is gone
+// makes no difference to this; one that is only out of reach of the proposer stays.
 func (m *Machine) nextGroup(a *attempt) (group []peer.ControlMember, reason string) {
 	if m.state.Chosen == nil {
 		return a.firstGroup()
@@ -71,6 +77,9 @@
 			live++
 		}
 	}
+	if len(p.Group) >= minTolerantGroup && len(p.Group) == len(m.state.Chosen.Group) && live < majority(len(p.Group)) {
+		return nil, fmt.Sprintf("only %d of the %d wanted control hosts would be left if the added one were lost", live, len(p.Group))
+	}
 	for _, g := range m.addedMembers(p) {
 		r := a.reports[g.Host]
 		if r == nil || r.Disk != g.Disk || r.Version != m.Version() || r.StoreFailed {
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -277,3 +277,35 @@
 	m.Receive(startTime, "b", &peer.ControlReport{Disk: "b1", Version: 5, Nonce: nonce})
 	must.SliceLen(t, 1, m.Ready().Reads)
 }
+
+// A host does not replace a member that votes while as many disks of the group are lost as
+// it tolerates: if the new disk were lost before the change is completed, the group would
+// have no majority for good.
+func TestReplacementNeedsAMajorityWithoutTheNewMember(t *testing.T) {
+	groupABD := []peer.ControlMember{{Host: "a", Disk: "a1"}, {Host: "b", Disk: "b1"}, {Host: "d", Disk: "d1"}}
+	for name, c := range map[string]struct {
+		promises []peer.ControlMember
+		want     bool
+	}{
+		"the replaced member votes, another is lost":  {[]peer.ControlMember{groupABC[0], groupABC[2]}, false},
+		"the replaced member is lost":                 {groupABC[:2], true},
+		"the replaced member votes, no other is lost": {groupABC, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine(stateAtVersion(4))
+			ballot := propose(t, m, Proposal{Command: "x", Base: 4, Group: groupABD})
+			m.Receive(startTime, "d", &peer.ControlReport{Disk: "d1", Version: 4})
+			for _, g := range c.promises {
+				m.Receive(startTime, g.Host, &peer.ControlPromise{Version: 5, Ballot: ballot, Disk: g.Disk})
+			}
+			m.Tick(startTime.Add(DefaultTiming().GroupChangeTimeout))
+			r := m.Ready()
+			if c.want {
+				lastMessage[*peer.ControlAccept](t, r)
+				return
+			}
+			must.SliceLen(t, 1, r.Decisions)
+			must.Eq(t, result.PlanRefused, r.Decisions[0].Outcome.Code)
+		})
+	}
+}
