control: the pause between ballots grows with their duration

Cause: a refused ballot was tried again after a random 10 to 30 ms, doubled at each refusal. On links with a round trip of 0.3 s that interrupts the competing ballot before its next phase ends, several times.

Change: the pause is at least about as long as the refused ballot took, within the same maximum of 0.5 s.

--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -307,13 +307,15 @@
 }
 
 // backOff marks the attempt's ballot as refused and schedules the next one after
-// a random delay, so that competing proposers don't block each other forever.
+// a random delay, so that competing proposers don't block each other forever. The delay
+// is at least about as long as this ballot took until its refusal: on slow links a
+// shorter one would interrupt the competing ballot before its next phase ends.
 func (m *Machine) backOff(now time.Time, a *attempt, promised peer.Ballot) {
 	m.highestRound = max(m.highestRound, promised.Round)
 	if !a.retryAt.IsZero() {
 		return
 	}
-	pause := m.cfg.Timing.FirstBackoff << min(m.refusedBallots, 10)
+	pause := max(m.cfg.Timing.FirstBackoff<<min(m.refusedBallots, 10), now.Sub(a.startedAt))
 	pause = min(pause, m.cfg.Timing.MaxBackoff)
 	m.refusedBallots++
 	a.retryAt = now.Add(pause/2 + time.Duration(m.rng.Int64N(int64(pause))))
