control: answers to an earlier process of a host count for no read

Cause: nonces of queries began at 1 in every process, so that a report which answered a query of the process before, and was held up, could confirm a version for a read that began later. Found by reading the code of reads; not seen in a run. Ruled out for ballots, which carry the incarnation.

Change: nonces begin at a random number. TestReadIgnoresAnswersToAnEarlierProcess fails before.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -120,6 +120,9 @@
 	ready         Ready
 }
 
+// nonceStream selects the random numbers of nonces, apart from those of delays.
+const nonceStream = 1
+
 // New returns a Machine that continues from cfg.State.
 func New(cfg Config) *Machine {
 	return &Machine{
@@ -127,6 +130,7 @@
 		state:       cfg.State,
 		storeFailed: cfg.Unsaved,
 		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		lastNonce:   rand.New(rand.NewPCG(cfg.Seed, nonceStream)).Uint64() >> 1, // answers to an earlier process of this host must match no query of this one
 		refusals:    make(map[string]refusal),
 		synced:      make(map[string]bool),
 	}
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -309,3 +309,22 @@
 		})
 	}
 }
+
+// An answer to a query of an earlier process of the host does not count for a read: it
+// describes a time before the read began.
+func TestReadIgnoresAnswersToAnEarlierProcess(t *testing.T) {
+	read := func(seed uint64) (m *Machine, nonce uint64) {
+		m = New(Config{Self: membership.Host{Name: "a"}, State: stateAtVersion(4), Seed: seed, Timing: DefaultTiming()})
+		m.Read(startTime)
+		return m, lastMessage[*peer.ControlQuery](t, m.Ready()).Nonce
+	}
+	_, earlier := read(1)
+	m, nonce := read(2)
+	for _, n := range []uint64{earlier, nonce} {
+		must.SliceEmpty(t, m.Ready().Reads)
+		for _, g := range groupABC[1:] {
+			m.Receive(startTime, g.Host, &peer.ControlReport{Disk: g.Disk, Version: 4, Nonce: n})
+		}
+	}
+	must.SliceLen(t, 1, m.Ready().Reads)
+}
