--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -328,3 +328,15 @@
 	}
 	must.SliceLen(t, 1, m.Ready().Reads)
 }
+
+// A host with an undecided value does not confirm a read: the value may be chosen already.
+func TestReadWaitsForAnUndecidedValue(t *testing.T) {
+	m := newMachine(stateAtVersion(4))
+	m.Read(startTime)
+	nonce := lastMessage[*peer.ControlQuery](t, m.Ready()).Nonce
+	m.Receive(startTime, "b", &peer.ControlReport{Disk: "b1", Version: 4, Nonce: nonce, Pending: true})
+	m.Receive(startTime, "c", &peer.ControlReport{Disk: "c1", Version: 4, Nonce: nonce})
+	must.SliceEmpty(t, m.Ready().Reads)
+	m.Receive(startTime, "b", &peer.ControlReport{Disk: "b1", Version: 4, Nonce: nonce})
+	must.SliceLen(t, 1, m.Ready().Reads)
+}
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -368,6 +368,15 @@
 	}
 }
 
+// TestCandidateLosesItsDisk runs the seeds of self-managed groups that end without a
+// majority: a host that replaces a member loses its disk before the change is complete,
+// beside as many members as the group tolerates.
+func TestCandidateLosesItsDisk(t *testing.T) {
+	for _, seed := range []uint64{300021, 300399, 300552, 300565} {
+		runSimulationOf(newSimulation(seed, 3+2*int(seed%2), true), 40*time.Second)
+	}
+}
+
 // TestRandomFaults runs fixed seeds with message loss, duplication and reordering,
 // one-way link failures, crashes around writes, failing writes, lost disks, frozen
 // hosts, and operators who propose concurrently or send commands again.
