--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -340,3 +340,23 @@
 	m.Receive(startTime, "b", &peer.ControlReport{Disk: "b1", Version: 4, Nonce: nonce})
 	must.SliceLen(t, 1, m.Ready().Reads)
 }
+
+// Of several accepted values among the promises, the one under the highest ballot is
+// proposed: only that one can have been chosen.
+func TestProposerAdoptsTheHighestAcceptedValue(t *testing.T) {
+	older, newer := peer.Ballot{Round: 1, Proposer: "p"}, peer.Ballot{Round: 2, Proposer: "q"}
+	accepted := map[string]*peer.ControlPromise{
+		"b": {Accepted: older, Value: newRecord(5, "older", groupABC)},
+		"c": {Accepted: newer, Value: newRecord(5, "newer", groupABC)},
+	}
+	for _, order := range [][]string{{"b", "c"}, {"c", "b"}} {
+		m := newMachine(stateAtVersion(4))
+		ballot := propose(t, m, Proposal{Command: "own", Base: 4})
+		for _, host := range order {
+			p := *accepted[host]
+			p.Version, p.Ballot, p.Disk = 5, ballot, host+"1"
+			m.Receive(startTime, host, &p)
+		}
+		must.Eq(t, "newer", lastMessage[*peer.ControlAccept](t, m.Ready()).Value.Command().Command)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -82,7 +82,7 @@
 mutant 'control: acceptance not synced' $acceptor '/a.Ballot, a.Ballot, a.Value/{n;d}' ./internal/control TestRandomFaults
 mutant 'control: accept ignores the promise' $acceptor 's/if a.Ballot.Compare(m.state.Promised) < 0/if false/' ./internal/control TestRandomFaults
 mutant 'control: proposer ignores accepted values' $proposer 's/value := a.highestAccepted()/var value *peer.ConfigRecord/' ./internal/control TestRandomFaults
-mutant 'control: proposer adopts the lowest accepted value' $proposer 's/p.Accepted.Compare(best) > 0/(value == nil || p.Accepted.Compare(best) < 0)/' ./internal/control TestRandomFaults
+mutant 'control: proposer adopts the lowest accepted value' $proposer 's/p.Accepted.Compare(best) > 0/(value == nil || p.Accepted.Compare(best) < 0)/' ./internal/control 'TestRandomFaults|TestProposerAdopts'
 mutant 'control: new disk votes at once' internal/control/state.go 's/return disk != "" \&\& diskOf(group, host) == disk/return disk != "" \&\& diskOf(group, host) != ""/' ./internal/control TestRandomFaults
 mutant 'control: majority off by one' internal/control/state.go 's/return n\/2 + 1/return max(1, n\/2)/' ./internal/control TestRandomFaults
 mutant 'control: command identity ignored' $proposer 's/if c, ok := findCommand(m.state.Chosen, p.Command); ok {/if c, ok := findCommand(nil, p.Command); ok {/' ./internal/control TestRandomFaults
@@ -104,6 +104,8 @@
 mutant 'controller: state not written again at start' internal/register/controller.go 's/if err := saveState(s, \&state); err != nil {/if err := error(nil); err != nil {/' ./internal/register 'TestController|TestUnsynced|TestState'
 mutant 'controller: store failure not reported to the machine' internal/register/controller.go '/c.machine.StoreFailed(time.Now())/d' ./internal/register 'TestController|TestUnsynced|TestState'
 mutant 'controller: recovery of the store not reported to the machine' internal/register/controller.go '/c.machine.StoreRecovered()/d' ./internal/register 'TestController|TestHostStarted'
+mutant 'control: undecided values do not delay a read' internal/control/read.go 's/ || r.Pending || / || /' ./internal/control TestReadWaits
+mutant 'control: a replacement counts on the new disk' internal/control/group.go 's/len(m.state.Chosen.Group) \&\& live < majority(len(p.Group))/len(m.state.Chosen.Group) \&\& false/' ./internal/control TestReplacementNeeds
 mutant 'control: state not written again after a failure' internal/control/machine.go 's/m.saveDue = m.saveDue || .*/m.saveDue = false/' ./internal/control TestRandomFaults
 # Mutants of the code for hosts with leased minions.
 mutant 'leased: cancellations are not repeated' internal/entry/entry.go 's/^		pending = append(pending, c)$//' ./internal/entry RepeatedUntilAnswered
