--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"first-ack":      firstAck,
 	"entry-killed":   entryKilled,
 	"cancelled":      cancelled,
+	"attempts":       attempts,
 	"reborn":         reborn,
 }
 
--- a/review/rig/operator.go
+++ b/review/rig/operator.go
@@ -60,17 +60,22 @@
 	f        *fleet
 	controls []*host
 	client   *http.Client
+	text     []byte // of the manifest that declare sends; nil: manifest(version)
 }
 
 // declare sends a manifest until it is acknowledged or the time is up. It returns the host
 // that acknowledged it, or nil.
 func (o *operator) declare(version uint64, within time.Duration) *host {
+	text := o.text
+	if text == nil {
+		text = manifest(version)
+	}
 	backoff := 50 * time.Millisecond
 	until := time.Now().Add(within)
 	for i := 0; time.Now().Before(until); i++ {
 		h := o.controls[i%len(o.controls)]
 		sent := time.Now()
-		status, _, err := call(o.client, time.Second, http.MethodPut, "http://"+o.f.address(h.ip, o.f.ports.control)+"/-/config", "", nil, manifest(version))
+		status, _, err := call(o.client, time.Second, http.MethodPut, "http://"+o.f.address(h.ip, o.f.ports.control)+"/-/config", "", nil, text)
 		o.f.rec.printf("operator: PUT /-/config version %d to %s: status %d, error %v, after %v", version, h.ip, status, err, time.Since(sent).Round(time.Millisecond))
 		if err == nil && status == http.StatusOK {
 			return h
