--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,12 +23,11 @@
 
 // cases holds the function of each case. It returns an error if the case could not run.
 var cases = map[string]func(rec *record, trouble bool) (ruleBroken string, err error){
-	"first-manifest": firstManifest,
-	"first-ack":      firstAck,
-	"entry-killed":   entryKilled,
-	"cancelled":      cancelled,
-	"attempts":       attempts,
-	"reborn":         reborn,
+	"first-ack":    firstAck,
+	"entry-killed": entryKilled,
+	"attempts":     attempts,
+	"copied-ping":  copiedPing,
+	"reborn":       reborn,
 }
 
 func main() { os.Exit(run()) }
