--- a/review/rig/case_attempts.go
+++ b/review/rig/case_attempts.go
@@ -12,13 +12,14 @@
 )
 
 // attempts: an operator changes the manifest to let tasks of a route be tried as often as
-// the number holds. Clients are at the entry hosts that dispatch nothing themselves.
+// the number holds. Clients are at all entry hosts alike.
 func attempts(rec *record, trouble bool) (string, error) {
 	const (
 		taskTime  = 200 * time.Millisecond
 		timeLimit = 1500 * time.Millisecond // of the clients
 		apply     = 2 * time.Second         // config_apply_ms
-		requests  = 300
+		requests  = 400
+		maxFailed = 0.6 // share of the requests that may be refused or fail
 		interval  = 40 * time.Millisecond
 	)
 	f, err := newFleet(rec, 1)
@@ -31,7 +32,7 @@
 		return "", err
 	}
 	var entries []*host
-	for i := range 3 {
+	for i := range 4 {
 		e, err := f.add(11+i, "z1", false)
 		if err != nil {
 			return "", err
@@ -54,13 +55,9 @@
 		defer m.close()
 	}
 	time.Sleep(8 * time.Second)
-	dispatching, others := holders(f, entries)
-	if len(dispatching) != 1 {
-		return "", fmt.Errorf("%d hosts dispatch, want 1", len(dispatching))
-	}
 	c := &callers{f: f, client: newHTTPClient(), timeLimit: timeLimit, answers: make(map[string]int)}
-	before := c.load(others, requests/3, interval)
-	rec.printf("before the change: %d of %d requests served: %v", before, requests/3, c.answers)
+	before := c.load(entries, requests/4, interval)
+	rec.printf("before the change: %d of %d requests served: %v", before, requests/4, c.answers)
 	if before == 0 {
 		return "", errors.New("no request was served before the change")
 	}
@@ -74,13 +71,13 @@
 	}
 	time.Sleep(apply + time.Second)
 	clear(c.answers)
-	served := c.load(others, requests, interval)
+	served := c.load(entries, requests, interval)
 	rec.printf("with max_attempts %d: %d of %d requests served: %v", limit, served, requests, c.answers)
 	if out := f.exitedHosts(); len(out) > 0 {
 		return "", fmt.Errorf("hosts %v have ended", out)
 	}
-	if served == 0 {
-		return fmt.Sprintf("Fault: none of %d requests was served after the change of the manifest: %v", requests, c.answers), nil
+	if failed := 1 - float64(served)/requests; failed > maxFailed {
+		return fmt.Sprintf("Gate: %.0f%% of %d requests were refused or failed after the change of the manifest, by host and answer: %v", 100*failed, requests, c.answers), nil
 	}
 	return "", nil
 }
@@ -109,9 +106,9 @@
 			c.f.rec.printf("client: POST job %s to %s: status %d %s, error %v, after %v", id, h.ip, status, answer, err, time.Since(sent).Round(time.Millisecond))
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			key := fmt.Sprint(status, " ", string(answer))
+			key := fmt.Sprint(h.ip, " ", status, " ", string(answer))
 			if err != nil {
-				key = "no answer"
+				key = h.ip + " no answer"
 			}
 			c.answers[key]++
 			if err == nil && status == http.StatusOK {
