evacuation: orders, their storage, and obedience by pools and job tables

An operator's order for a failure domain was answered 404, and nothing kept it. The stored document now has the evacuated failure domains. POST and DELETE /-/evacuate/ZONE on the control address change them by compare-and-swap; a declared document takes over those of its base, and a version before the first document may hold evacuations only.

An evacuated pool reports no capacity, returns jobs without a start at once, and returns started ones when their runs have ended (JobResult.RunsEnded), so that another failure domain continues them. Entry hosts offer nothing to evacuated failure domains and refuse at once when all are. A host that knows of a version which it has not applied waits for it before it claims shards.

New tests in internal/pool, internal/entry and internal/fleet pass; go test of internal/pool, entry, queue, event and settings passes. The simulation of fleet and the platform's process tests have not been run on this commit.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -66,6 +66,9 @@
 		if j.boundToShard && !d.servesShardOf(j) {
 			continue
 		}
+		if !t.takesJob(d, j) {
+			continue
+		}
 		flight := unacked[d.id()]
 		if !j.boundToShard && flight.isFull(now) {
 			continue
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,6 +154,8 @@
 	lastOffer        uint64 // number of the newest offer
 	rng              *rand.Rand
 	ready            Ready
+	evacuated        []string // failure domains that get no new jobs, sorted
+	allEvacuated     bool     // no failure domain takes jobs
 }
 
 // New returns the table of a host that knows no dispatcher yet. Offers are
@@ -348,8 +350,8 @@
 	case peer.JobMoved:
 		j.offer.Done = r.Done
 		j.minionsDigest = r.MinionsDigest
-		j.boundToShard = !r.NotStarted
-		j.mayHaveStarted = j.mayHaveStarted || j.boundToShard
+		j.boundToShard = !r.NotStarted && !r.RunsEnded
+		j.mayHaveStarted = j.mayHaveStarted || !r.NotStarted
 		j.dispatcher = dispatcherID{}
 		t.flight = nil
 		j.unassignedAt = now
@@ -385,7 +387,7 @@
 		t.offer(now, j, d)
 		return
 	}
-	if !j.boundToShard && (now.Sub(t.waitingSince(j)) >= takeoverTimeout || now.After(j.latestStart())) {
+	if !j.boundToShard && (t.allEvacuated || now.Sub(t.waitingSince(j)) >= takeoverTimeout || now.After(j.latestStart())) {
 		t.answer(now, j, t.unassignedOutcome())
 	}
 }
@@ -409,7 +411,10 @@
 // dispatcher can be offered.
 func (t *Table) unassignedOutcome() Outcome {
 	o := Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
-	if len(t.dispatchers) > 0 {
+	switch {
+	case t.allEvacuated:
+		o.Reason = "every failure domain is evacuated"
+	case len(t.dispatchers) > 0:
 		o.Reason = "no dispatcher takes further offers"
 	}
 	return o
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,8 @@
 	EntryJobReoffered     ID = 2113
 	EntryRequestInvalid   ID = 2114
 	EntryJobSucceeded     ID = 2115
+	PoolEvacuated         ID = 2130
+	PoolJobReturned       ID = 2131
 	PoolMinionDraining    ID = 3101
 	PoolMinionRestarted   ID = 3102
 	PoolMinionUnreachable ID = 3103
@@ -92,6 +94,10 @@
 	StoreRecovered    ID = 5015
 	MajorityMissing   ID = 5016
 
+	EvacuationsApplied ID = 5030
+	EvacuationOrdered  ID = 5031
+	EvacuationRefused  ID = 5032
+
 	RequestPanicked   ID = 6001
 	ServerFailed      ID = 6002
 	ConnectionRefused ID = 6003
@@ -142,6 +148,8 @@
 	{EntryJobReoffered, slog.LevelInfo, "job offered to another dispatcher", "None."},
 	{EntryRequestInvalid, slog.LevelInfo, "caller's request refused as invalid", "Report the error to the caller's team."},
 	{EntryJobSucceeded, slog.LevelInfo, "job answered with success", "None."},
+	{PoolEvacuated, slog.LevelInfo, "evacuation of claimed minions changed", "None. Its jobs without a start were returned to their entry hosts."},
+	{PoolJobReturned, slog.LevelInfo, "job returned after its runs had ended in an evacuated failure domain", "None; another failure domain continues it."},
 	{PoolMinionDraining, slog.LevelInfo, "minion draining", "None."},
 	{PoolMinionRestarted, slog.LevelInfo, "minion restarted", "None."},
 	{PoolMinionUnreachable, slog.LevelWarn, "minion unreachable", "Check the minion's process and its network."},
@@ -178,6 +186,9 @@
 	{StoreUnreadable, slog.LevelError, "durable file can't be read", "Check the disk's health; restart the host once the disk can be read."},
 	{StoreRecovered, slog.LevelInfo, "durable write succeeded again", "None."},
 	{MajorityMissing, slog.LevelWarn, "too few control hosts confirmed a change or a read", "Look at the hosts that its answers name: no answer, a disk that refuses writes or is not in the group, an older version, or an undecided change."},
+	{EvacuationsApplied, slog.LevelInfo, "evacuated failure domains changed", "Compare known_age_ms over all hosts: a host with a high age has lost contact to the control hosts."},
+	{EvacuationOrdered, slog.LevelInfo, "order about an evacuation acknowledged", "None."},
+	{EvacuationRefused, slog.LevelWarn, "order about an unknown failure domain refused", "Compare the name with the setting failure_domains."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report it with the log."},
 	{ServerFailed, slog.LevelError, "listener failed", "Check the address in the settings."},
 	{ConnectionRefused, slog.LevelWarn, "connection refused, max_connections reached", "Find the clients with many connections, or raise max_connections."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -244,9 +244,10 @@
 
 // claimShard claims a shard that has no holder, or whose holder is shutting down. It
 // does nothing while this host must still wait: after its start, after a new cell layout,
-// after a lost claim, or without contact to any other host.
+// after a lost claim, without contact to any other host, or until it knows the version
+// that a control host has reported.
 func (c *core) claimShard(now time.Time, number int) {
-	if c.shards[number] != nil || !c.startupWaitOver(now) || now.Sub(c.cellLayoutAt) < newCellWait || !c.hasRecentContact(now) {
+	if c.shards[number] != nil || !c.startupWaitOver(now) || now.Sub(c.cellLayoutAt) < newCellWait || !c.hasRecentContact(now) || c.awaitsVersion(now) {
 		return
 	}
 	if !c.claimLostAt.IsZero() && now.Sub(c.claimLostAt) < claim.ReclaimDelay {
@@ -259,6 +260,7 @@
 	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent})}
 	c.shards[number] = x
 	x.pool.Claim(now, c.highestToken)
+	x.pool.SetEvacuated(now, c.evacuated.own, c.evacuated.startsUntil)
 	n := 0
 	for _, m := range c.roster.Minions(c.self.FailureDomain) {
 		if c.minionInCell(m.ID) && claim.ShardOf(m.ID, c.shardCount) == number {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -39,6 +39,7 @@
 	poll(p *pool.Pool, poll *pool.Poll)
 	logEvent(id event.ID, attrs ...slog.Attr)
 	version() uint64                // newest configuration version known to this host
+	evacuations() *[]string         // failure domains that the applied version evacuates; nil: no version is applied
 	seedHosts() []string            // configured hosts to contact first
 	setPeers([]membership.Host)     // hosts that new documents are pushed to
 	setDispatchersKnown(known bool) // whether any dispatcher is known: without one the host isn't ready
@@ -90,6 +91,7 @@
 	resumedAt          time.Time       // when a suspension was last detected
 	heartbeatDue       bool            // send heartbeats with the next output, without waiting for the interval
 	loopback           []peer.Body     // messages from this host to itself
+	evacuated          evacuatedState
 }
 
 // offerKey identifies a job offer by its sending entry host, job and number.
@@ -134,6 +136,7 @@
 	if now.Sub(c.rosterTickedAt) >= rosterTickInterval {
 		c.tickRoster(now)
 	}
+	c.tickEvacuations(now)
 	if c.self.Entry {
 		c.tickClaims(now)
 		c.detachTimedOutHosts(now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,8 +15,9 @@
 //	hostgroups.go               which hosts get heartbeats
 //	subscribers.go              which hosts get roster changes
 //	incarnations.go             messages of restarted hosts
+//	evacuated.go                evacuated failure domains
 //
-// Host (fleet.go, serve.go) is the API; loop.go runs its core, orders.go sends
+// Host (fleet.go, serve.go, evacuation.go) is the API; loop.go runs its core, orders.go sends
 // orders to minions, and snapshots.go keeps a control host's roster on its disk. The files sim_*_test.go simulate whole failure domains in
 // virtual time.
 package fleet
@@ -100,8 +101,9 @@
 	rosterStore       *store.Store // for the snapshot of the roster; nil: no disk
 	orders            *orders
 	document          atomic.Pointer[queue.Document]
-	documentKnown     chan struct{} // closed when the first document is applied
-	documentKnownOnce sync.Once     // closes documentKnown
+	evacuated         atomic.Pointer[[]string] // failure domains that the applied version evacuates; nil: no version is applied
+	documentKnown     chan struct{}            // closed when the first document is applied
+	documentKnownOnce sync.Once                // closes documentKnown
 	seeds             atomic.Pointer[[]string]
 	ready             atomic.Bool
 	shuttingDown      atomic.Bool
@@ -274,9 +276,13 @@
 		h.logEvent(event.ConfigUnreadable, slog.Uint64("version", r.Version), slog.String("error", err.Error()))
 		return
 	}
-	h.document.Store(d)
-	h.documentKnownOnce.Do(func() { close(h.documentKnown) })
-	h.logEvent(event.ConfigApplied, slog.Uint64("version", r.Version), slog.Uint64("document", d.Version), slog.Int("queues", len(d.Queues)))
+	h.evacuated.Store(&d.Evacuations) // the core adopts it with its next tick
+	if d.Declared() {
+		h.document.Store(d)
+		h.documentKnownOnce.Do(func() { close(h.documentKnown) })
+	}
+	h.logEvent(event.ConfigApplied, slog.Uint64("version", r.Version), slog.Uint64("document", d.Version), slog.Int("queues", len(d.Queues)),
+		slog.Any("evacuations", d.Evacuations))
 }
 
 func (h *Host) logEvent(id event.ID, attrs ...slog.Attr) {
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -187,6 +187,7 @@
 	if c.contactAt.IsZero() && heartbeat.From.Control {
 		c.contactAt = now
 	}
+	c.observeVersion(now, heartbeat)
 	for i := range heartbeat.Claims {
 		c.jobTable.UpdateLoad(now, heartbeat.From.Name, heartbeat.Claims[i].Shard, heartbeat.Claims[i].Load)
 	}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -132,6 +132,8 @@
 
 func (h *Host) version() uint64 { return h.control.View().Version }
 
+func (h *Host) evacuations() *[]string { return h.evacuated.Load() }
+
 func (h *Host) seedHosts() []string { return *h.seeds.Load() }
 
 func (h *Host) setPeers(hosts []membership.Host) { h.control.SetPeers(hosts) }
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -5,13 +5,10 @@
 	"log/slog"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/laburnumwalk/laburnumwalk/internal/control"
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/queue"
-	"github.com/laburnumwalk/laburnumwalk/internal/result"
 	"github.com/pkg/errors"
 )
 
@@ -133,40 +130,31 @@
 	if v.Record == nil {
 		return nil, nil
 	}
-	return queue.Decode(v.Record)
+	d, err := queue.Decode(v.Record)
+	if err != nil || !d.Declared() {
+		return nil, err
+	}
+	return d, nil
 }
 
 // DeclareDocument proposes a document until it or a newer one is chosen. A document that is
 // not newer than the newest known one changes nothing. It returns ErrNoMajority if the
-// outcome is unknown: the document may be chosen later or not at all.
+// outcome is unknown: the document may be chosen later or not at all. The evacuations
+// of the newest version stay in force.
 func (h *Host) DeclareDocument(ctx context.Context, d *queue.Document) error {
-	encoded, err := d.Encode()
-	if err != nil {
-		return err
-	}
-	for ctx.Err() == nil {
-		v := h.control.View()
-		if v.Record != nil {
-			known, err := queue.Decode(v.Record)
-			if err != nil {
-				return err
-			}
-			if known.Version >= d.Version {
-				_, err := h.NewestDocument(ctx)
-				return err
-			}
-		}
-		o := h.control.Propose(ctx, control.Proposal{Command: uuid.NewString(), Operator: h.self.Name, Base: v.Version, Document: encoded})
-		switch o.Code {
-		case result.OK:
+	return changeDocument(ctx, h.control, h.self.Name, declaration(d))
+}
+
+// declaration returns the change that replaces an older document by d.
+func declaration(d *queue.Document) func(known *queue.Document) *queue.Document {
+	return func(known *queue.Document) *queue.Document {
+		if known.Declared() && known.Version >= d.Version {
 			return nil
-		case result.VersionTaken, result.PlanStale:
-			continue // another proposal was chosen first: compare with its document
-		default:
-			return errors.WithMessage(ErrNoMajority, o.Detail)
 		}
+		next := *d
+		next.Evacuations = known.Evacuations
+		return &next
 	}
-	return ErrNoMajority
 }
 
 // BeginShutdown begins the shutdown: another host takes over the minions, and Ready becomes
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -33,10 +33,11 @@
 	linkRate      int                      // bytes per second, each way; 0: not limited
 	in, out       simQueue
 	callers       []*simCaller // of the current try; maybe some that have finished or left
+	applied       *simVersion
 }
 
 func (sim *simulation) addHost(rec peer.HostRecord) {
-	h := &simHost{sim: sim, rec: rec, linkRate: sim.config.linkRate, sent: make(map[peer.Kind]simTraffic)}
+	h := &simHost{sim: sim, rec: rec, applied: &simVersion{version: 1}, linkRate: sim.config.linkRate, sent: make(map[peer.Kind]simTraffic)}
 	sim.hosts = append(sim.hosts, h)
 	sim.hostByName[rec.Name] = h
 }
@@ -217,7 +218,8 @@
 	h.sim.trace("%s event %d%s", h.rec.Name, id, b.String())
 }
 
-func (h *simHost) version() uint64                   { return 1 }
+func (h *simHost) version() uint64                   { return h.applied.version }
+func (h *simHost) evacuations() *[]string            { return &h.applied.evacuations }
 func (h *simHost) seedHosts() []string               { return h.sim.seedHosts() }
 func (h *simHost) setPeers([]membership.Host)        {}
 func (h *simHost) setDispatchersKnown(known bool)    { h.ready = known && !h.shuttingDown }
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -206,6 +206,7 @@
 	Done          []int      `msgpack:"d,omitempty"` // of JobMoved: tasks that are known to have ended, as in JobOffer
 	NotStarted    bool       `msgpack:"c,omitempty"` // of JobMoved: no task has started
 	MinionsDigest uint64     `msgpack:"m,omitempty"` // of JobMoved: digest of the minions that may run tasks of the job; 0: not known
+	RunsEnded     bool       `msgpack:"e,omitempty"` // of JobMoved: tasks have started, but none runs any more or will be started; any dispatcher may continue the job
 	Reason        string     `msgpack:"n,omitempty"`
 }
 
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -173,6 +173,9 @@
 // where to offer their jobs.
 func (p *Pool) Load() peer.PoolLoad {
 	l := peer.PoolLoad{MinionsDigest: p.minionDigest}
+	if p.evacuation.active {
+		return l
+	}
 	for _, m := range p.ordered {
 		if p.countsAsCapacity(m) {
 			l.Capacity += m.CPU
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -39,7 +39,7 @@
 // dispatch starts every task that can be started, in the order of service. It does
 // not stop at a task that fits nowhere: a smaller one behind it may fit.
 func (p *Pool) dispatch(now time.Time) {
-	if now.Before(p.noStartsUntil) || !p.anyFreeCPU() {
+	if now.Before(p.noStartsUntil) || p.evacuation.blocksStarts(now) || !p.anyFreeCPU() {
 		return
 	}
 	for _, r := range p.waitingJobs(now) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,6 +21,7 @@
 	compare       func(a, b rank) int    // order of service: compareRanks, unless a test replaces it
 	meanTaskCPU   float64                // moving average of a task's demand, in thousandths of a processor; 0: unknown
 	noStartsUntil time.Time              // no new starts before this time: the owner hands over
+	evacuation    evacuation
 
 	meanStartLatency time.Duration // moving average of the time until a start is answered
 	pollLostAt       time.Time     // when a poll was last counted as lost
@@ -117,6 +118,9 @@
 	}
 	j := p.newJob(now, o)
 	j.waiters = []OfferRef{ref}
+	if p.returnUnstarted(now, j) {
+		return
+	}
 	if refusal := p.admit(now, j); refusal != nil {
 		p.finish(now, j, *refusal)
 		return
@@ -229,6 +233,7 @@
 		p.tickJob(now, j)
 	}
 	p.refuseLateJobs(now)
+	p.returnEndedJobs(now)
 	for ref, e := range p.earlyEnds {
 		if now.Sub(e.listedAt) > earlyEndTTL {
 			delete(p.earlyEnds, ref)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -17,8 +17,15 @@
 	Queues   []Queue   `json:"queues"`
 	Services []Service `json:"services"`
 	Source   []byte    `json:"source"` // the document as the operator sent it
+	// Evacuations are the failure domains whose minions get no work, sorted. They are
+	// changed by orders of their own; a newly declared document takes over those of its base.
+	Evacuations []string `json:"evacuations,omitempty"`
 }
 
+// Declared reports whether an operator has declared the document. Otherwise it holds
+// only evacuations, which were ordered before the first document.
+func (d *Document) Declared() bool { return d.Version > 0 || len(d.Source) > 0 }
+
 // Queue accepts jobs for one service. A request belongs to it by its host name and
 // path prefix.
 type Queue struct {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -15,8 +15,9 @@
 	IP              string   `json:"ip" validate:"required,ip"`
 	FailureDomain   string   `json:"failure_domain" validate:"required,max=64"`
 	Region          string   `json:"region" validate:"required,max=64"`
-	Entry           bool     `json:"entry"`   // accepts jobs from callers
-	Control         bool     `json:"control"` // accepts minion announcements and documents
+	FailureDomains  []string `json:"failure_domains" validate:"dive,required,max=64"` // those that can be evacuated; empty: any
+	Entry           bool     `json:"entry"`                                           // accepts jobs from callers
+	Control         bool     `json:"control"`                                         // accepts minion announcements and documents
 	CallerAddress   string   `json:"caller_address"`
 	ReadyAddress    string   `json:"ready_address"`
 	ControlAddress  string   `json:"control_address"`
