evacuation: simulation and tests of racing and repeated orders

The fleet simulation gives hosts the version that a peer reports, and entry hosts lose it at a restart. TestEvacuationUnderLoad evacuates one of three failure domains at a load of 0.4, undisturbed and with killed dispatchers, a restart of all hosts, or hosts that miss the order for 2 s.

--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -22,6 +22,7 @@
 	newest     register.View
 	race       func()
 	noMajority bool
+	loseAnswer bool // the next proposal is chosen, but its proposer fails before it answers
 }
 
 func (f *fakeVersions) View() *register.View {
@@ -48,6 +49,10 @@
 	}
 	f.newest.Version++
 	f.newest.Record = &peer.ConfigRecord{Version: f.newest.Version, Document: packed(p.Document)}
+	if f.loseAnswer {
+		f.loseAnswer = false
+		return control.Outcome{Code: result.NoMajority}
+	}
 	return control.Outcome{Code: result.OK}
 }
 
@@ -90,6 +95,17 @@
 	must.ErrorIs(t, f.order("c", true), ErrNoMajority)
 }
 
+// A control host that fails after its proposal was chosen leaves the operator without an
+// answer. The order that is sent again must be acknowledged, whatever was chosen since.
+func TestOrderIsResentAfterALostAnswer(t *testing.T) {
+	f := &fakeVersions{loseAnswer: true}
+	must.ErrorIs(t, f.order("a", true), ErrNoMajority)
+	must.NoError(t, f.order("b", true))
+	must.NoError(t, f.order("a", true))
+	must.Eq(t, []string{"a", "b"}, f.document(t).Evacuations)
+	must.Eq(t, 2, f.newest.Version)
+}
+
 // A manifest and an evacuation that are declared at the same time must both last,
 // whichever is chosen first.
 func TestRacingChangesKeepEachOther(t *testing.T) {
--- a/internal/fleet/sim_checker_test.go
+++ b/internal/fleet/sim_checker_test.go
@@ -23,6 +23,7 @@
 	running             map[simTask]*simMinion
 	done                map[simTask]bool
 	starts              map[string]int // by job
+	startsIn            map[string]int // by failure domain
 	violations          []string
 	answeredAfterFaults [2]int // number of jobs submitted well after the last fault: [0] those answered as complete, [1] all
 }
@@ -53,6 +54,7 @@
 		return nil
 	}
 	chk.starts[s.Task.Job]++
+	chk.startsIn[m.domain]++
 	if c.finished && c.refusals == c.tries {
 		chk.reportViolation("%s starts %v of a job that was refused as not started", m, s.Task)
 	}
@@ -62,6 +64,9 @@
 	if m.drainAckAt > 0 && chk.sim.now-m.drainAckAt > simDrainLimit && chk.sim.faultFreeFor(simContactLimit) {
 		chk.reportViolation("%s starts %v, %v after its draining was acknowledged", m, s.Task, chk.sim.now-m.drainAckAt)
 	}
+	if at := chk.sim.evacuatedAt[m.domain]; at > 0 && chk.sim.now-at > simEvacuationLimit {
+		chk.reportViolation("%s starts %v, %v after the evacuation of %s was acknowledged", m, s.Task, chk.sim.now-at, m.domain)
+	}
 	return c
 }
 
--- a/internal/fleet/sim_evacuation_test.go
+++ b/internal/fleet/sim_evacuation_test.go
@@ -1,7 +1,132 @@
 package fleet
 
-// simVersion is the version of the document that a simulated host has applied.
+import (
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	simEvacuationLimit = 5 * time.Second       // requirement: nothing is started in an evacuated failure domain this long after the acknowledgement
+	simFetchTime       = 20 * time.Millisecond // from a heartbeat with a newer version until that version is applied
+)
+
+// simVersion is the version of the document that a simulated host has applied. The zero
+// value is that of a process that has applied none yet.
 type simVersion struct {
 	version     uint64
-	evacuations []string
+	evacuations *[]string
+}
+
+// fetchVersion applies the newer version of another host that has reported it.
+func (sim *simulation) fetchVersion(h, from *simHost, reported uint64) {
+	if reported <= h.applied.version {
+		return
+	}
+	incarnation := h.incarnation
+	sim.after(simFetchTime, func() {
+		if h.incarnation == incarnation && from.applied.version > h.applied.version {
+			h.applied = from.applied
+		}
+	})
+}
+
+// orderEvacuations stores a new version on the first control hosts, which must be a
+// majority, and acknowledges it.
+func (sim *simulation) orderEvacuations(version uint64, majority int, domains ...string) {
+	for _, h := range sim.hosts {
+		if h.rec.Control && majority > 0 {
+			h.applied = simVersion{version, &domains}
+			majority--
+		}
+	}
+	sim.evacuatedAt = make(map[string]time.Duration)
+	for _, d := range domains {
+		sim.evacuatedAt[d] = sim.now
+	}
+}
+
+func evacuationConfig() simConfig {
+	return simConfig{failureDomains: 3, entryHosts: 3, minions: 8, load: 0.4, recoveryPeriod: 26 * time.Second}
+}
+
+// servedShare returns the share of the jobs from callers of a failure domain, submitted
+// between two times, that were completed at their first try.
+func (sim *simulation) servedShare(domain string, from, to time.Duration) float64 {
+	var all, served float64
+	for _, c := range sim.callers {
+		if c.domain == domain && c.began >= from && c.began < to {
+			all++
+			if c.outcome == peer.JobComplete && c.tries == 1 {
+				served++
+			}
+		}
+	}
+	return served / all
+}
+
+// An evacuated failure domain starts nothing after the limit, whichever of its hosts are
+// restarted, cut off from the control hosts before the order, or take over; its callers are
+// served by the other failure domains meanwhile, and by its own minions again when the
+// evacuation is withdrawn.
+func TestEvacuationUnderLoad(t *testing.T) {
+	const ordered, withdrawn, settled = 9 * time.Second, 19 * time.Second, 2 * time.Second
+	for name, disturb := range map[string]func(sim *simulation){
+		"undisturbed": func(*simulation) {},
+		"dispatchers are killed": func(sim *simulation) {
+			for _, after := range []time.Duration{100 * time.Millisecond, 4 * time.Second, 7 * time.Second} {
+				sim.after(ordered+after, func() {
+					sim.faultLasts(time.Second)
+					for _, h := range sim.hosts {
+						if h.rec.FailureDomain == "z1" && h.up && len(h.core.shards) > 0 {
+							h.endProcess(false)
+							sim.after(time.Second, h.launch)
+						}
+					}
+				})
+			}
+		},
+		"all hosts restart": func(sim *simulation) {
+			for _, h := range sim.hosts {
+				sim.after(ordered+4*time.Second, func() {
+					sim.faultLasts(time.Second)
+					h.endProcess(true)
+				})
+				sim.after(ordered+5*time.Second, h.powerOn)
+			}
+		},
+		"its hosts miss the order for 2 s": func(sim *simulation) {
+			sim.after(ordered-50*time.Millisecond, func() {
+				inside := sim.machines(func(domain string, host bool) bool { return domain == "z1" && host })
+				sim.cutBetween(inside, sim.machines(func(domain string, host bool) bool { return domain != "z1" && host }), false, 2*time.Second)
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(evacuationConfig(), 5)
+			sim.keepCallers = true
+			sim.after(ordered, func() { sim.orderEvacuations(2, 2, "z1") })
+			sim.after(withdrawn, func() { sim.orderEvacuations(3, 2) })
+			disturb(sim)
+			starts := make(map[time.Duration]int) // in z1, until then
+			for _, at := range []time.Duration{ordered, ordered + simEvacuationLimit, withdrawn, withdrawn + settled} {
+				sim.after(at, func() { starts[at] = sim.checker.startsIn["z1"] })
+			}
+			sim.run()
+			must.SliceEmpty(t, sim.checker.finish())
+			must.Positive(t, starts[ordered])
+			must.Eq(t, starts[ordered+simEvacuationLimit], starts[withdrawn])
+			must.Greater(t, starts[withdrawn], starts[withdrawn+settled], must.Sprint("its minions are used again"))
+			for _, d := range []string{"z0", "z1", "z2"} {
+				share := sim.servedShare(d, ordered, withdrawn)
+				t.Logf("%s: %.3f served at the first try during the evacuation, %.3f after it", d, share, sim.servedShare(d, withdrawn, withdrawn+5*time.Second))
+				if name == "undisturbed" {
+					must.Greater(t, 0.9, share)
+				}
+			}
+		})
+	}
 }
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -33,11 +33,14 @@
 	linkRate      int                      // bytes per second, each way; 0: not limited
 	in, out       simQueue
 	callers       []*simCaller // of the current try; maybe some that have finished or left
-	applied       *simVersion
+	applied       simVersion   // newest version that it has applied
 }
 
 func (sim *simulation) addHost(rec peer.HostRecord) {
-	h := &simHost{sim: sim, rec: rec, applied: &simVersion{version: 1}, linkRate: sim.config.linkRate, sent: make(map[peer.Kind]simTraffic)}
+	h := &simHost{sim: sim, rec: rec, linkRate: sim.config.linkRate, sent: make(map[peer.Kind]simTraffic)}
+	if rec.Control {
+		h.applied = simVersion{1, new([]string)}
+	}
 	sim.hosts = append(sim.hosts, h)
 	sim.hostByName[rec.Name] = h
 }
@@ -52,6 +55,9 @@
 	h.incarnation++
 	h.up, h.suspended, h.shuttingDown, h.ready, h.pendingInputs = true, false, false, false, nil
 	h.rec.Incarnation = membership.Incarnation(fmt.Sprintf("%s/%d", h.rec.Name, h.incarnation))
+	if !h.rec.Control {
+		h.applied = simVersion{} // it has no disk
+	}
 	tokenID := xxhash.Sum64String(string(h.rec.Incarnation))
 	h.core = newCore(h.clock(), h.rec, tokenID, h.sim.rng.Uint64()>>8, h)
 	h.core.minionsPerShard = claim.MinionsPerShard(int64(h.sim.config.linkRate))
@@ -219,7 +225,7 @@
 }
 
 func (h *simHost) version() uint64                   { return h.applied.version }
-func (h *simHost) evacuations() *[]string            { return &h.applied.evacuations }
+func (h *simHost) evacuations() *[]string            { return h.applied.evacuations }
 func (h *simHost) seedHosts() []string               { return h.sim.seedHosts() }
 func (h *simHost) setPeers([]membership.Host)        {}
 func (h *simHost) setDispatchersKnown(known bool)    { h.ready = known && !h.shuttingDown }
--- a/internal/fleet/sim_link_test.go
+++ b/internal/fleet/sim_link_test.go
@@ -150,6 +150,9 @@
 		if err != nil {
 			panic(err)
 		}
+		if heartbeat, ok := body.(*peer.FleetHeartbeat); ok {
+			sim.fetchVersion(other, h, heartbeat.ConfigVersion)
+		}
 		other.input(func(now time.Time) { other.core.receive(now, h.rec.Name, inc, body) })
 	})
 }
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -71,6 +71,7 @@
 	onHeartbeat func(from, to string, h *peer.FleetHeartbeat) // called with each heartbeat that is sent; may be nil
 	keepCallers bool                                          // after they have finished
 	stopAt      time.Duration                                 // when run ends; 0: when no more jobs are open
+	evacuatedAt map[string]time.Duration                      // by failure domain: when its evacuation was acknowledged
 }
 
 func newSimulation(cfg simConfig, seed uint64) *simulation {
@@ -82,6 +83,7 @@
 	sim.checker.running = make(map[simTask]*simMinion)
 	sim.checker.done = make(map[simTask]bool)
 	sim.checker.starts = make(map[string]int)
+	sim.checker.startsIn = make(map[string]int)
 	for d := range cfg.failureDomains {
 		domain := fmt.Sprintf("z%d", d)
 		for i := range max(1, cfg.controlHosts) {
