claim: size shards by what the cell's hosts carry

Every shard had at most 24 minions, whatever the host, so that a cell of 13 weak and 4 strong hosts had 5 shards, most of them on weak hosts. Hosts now report in heartbeats how many minions they carry by their processors, link and memory (settings processor_share, processor_cores, memory_mb). Where the hosts of a cell are uneven, the shard size is the largest for which the hosts that carry it are enough, at most 64, and a free shard goes to the host that is then loaded least in proportion to what it carries. Where hosts are alike, sizes and successors are as before.

New tests in internal/claim and internal/settings; the tests of internal/claim, settings, peer, fleet, entry, pool and platform pass.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -44,6 +44,7 @@
 type Candidate struct {
 	Host         string
 	ShuttingDown bool
+	Carries      int // number of minions that it can dispatch for; 0: not known
 	Claims       []peer.Claim
 }
 
@@ -61,14 +62,14 @@
 	minionLinkShare = 40
 )
 
-// MinionsPerShard returns how many minions one shard should have, given the rate of a
-// dispatcher's link in bytes per second; 0: not limited. The load that it answers is a
+// MinionsPerShard returns how many minions one shard should have where all hosts are alike,
+// given the rate of a dispatcher's link in bytes per second; 0: not limited. The load that it answers is a
 // failure domain whose dispatcher has a full link while those of other hosts are idle.
 func MinionsPerShard(linkRate int64) int {
 	if linkRate <= 0 {
 		return minionsPerShard
 	}
-	return int(min(minionsPerShard, max(minMinionsPerShard, linkRate*minionLinkShare/100/minionBytesPerSecond)))
+	return int(min(minionsPerShard, max(minMinionsPerShard, linkMinions(linkRate))))
 }
 
 // WantedShards returns the number of shards of the given size that suits the number of
@@ -174,21 +175,42 @@
 }
 
 // successor returns the host that should claim a free shard: among the hosts that are
-// not shutting down, one with the fewest shards, chosen by rendezvous hashing so that
-// all hosts choose the same. It returns an empty string if every host is shutting down.
+// not shutting down, the one that is then loaded least, chosen by rendezvous hashing among
+// several so that all hosts choose the same. The load is the number of shards; where hosts
+// are uneven, it is in proportion to what each carries. The result is an empty string if
+// every host is shutting down.
 func successor(candidates []Candidate, held map[string]int, shard int) string {
-	var eligible []string
+	var eligible []Candidate
 	for _, c := range candidates {
 		if !c.ShuttingDown {
-			eligible = append(eligible, c.Host)
+			eligible = append(eligible, c)
 		}
 	}
 	if len(eligible) == 0 {
 		return ""
 	}
-	return slices.MinFunc(eligible, func(a, b string) int {
-		return cmp.Or(cmp.Compare(held[a], held[b]), cmp.Compare(rendezvousHash(a, shard), rendezvousHash(b, shard)))
-	})
+	uneven := Uneven(reportedBy(candidates))
+	return slices.MinFunc(eligible, func(a, b Candidate) int {
+		return cmp.Or(compareLoads(&a, &b, held, uneven), cmp.Compare(rendezvousHash(a.Host, shard), rendezvousHash(b.Host, shard)))
+	}).Host
+}
+
+// compareLoads compares the loads that two hosts would have with one more shard.
+func compareLoads(a, b *Candidate, held map[string]int, uneven bool) int {
+	loadA, loadB := held[a.Host]+1, held[b.Host]+1
+	if uneven {
+		loadA, loadB = loadA*carried(b.Carries), loadB*carried(a.Carries)
+	}
+	return cmp.Compare(loadA, loadB)
+}
+
+// reportedBy returns what each host reports to carry.
+func reportedBy(candidates []Candidate) []int {
+	var out []int
+	for _, c := range candidates {
+		out = append(out, c.Carries)
+	}
+	return out
 }
 
 // rendezvousHash ranks the hosts for a shard; the lowest value wins.
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -45,7 +45,7 @@
 	var out []claim.Candidate
 	for _, h := range c.hosts().cell {
 		if alive(now, h) && h.Heartbeat.CellLayout.Version == c.cellLayout.Version {
-			out = append(out, claim.Candidate{Host: h.Name, ShuttingDown: h.Heartbeat.ShuttingDown, Claims: h.Heartbeat.Claims})
+			out = append(out, claim.Candidate{Host: h.Name, ShuttingDown: h.Heartbeat.ShuttingDown, Carries: h.Heartbeat.Carries, Claims: h.Heartbeat.Claims})
 		}
 	}
 	return out
@@ -77,7 +77,7 @@
 
 // ownCandidate returns this host's own claims, as its heartbeats carry them.
 func (c *core) ownCandidate() claim.Candidate {
-	own := claim.Candidate{Host: c.self.Name, ShuttingDown: c.shuttingDown}
+	own := claim.Candidate{Host: c.self.Name, ShuttingDown: c.shuttingDown, Carries: c.carries}
 	for _, x := range c.sortedShards() {
 		own.Claims = append(own.Claims, peer.Claim{Shard: x.number, ShardCount: x.shardCount, LayoutVersion: c.shardLayoutVersion, Token: x.pool.Token(), Load: x.pool.Load()})
 	}
@@ -182,14 +182,33 @@
 	return slices.ContainsFunc(c.roster.Hosts(), func(h *roster.Host) bool { return h.Control && now.Sub(h.HeartbeatAt) < 2*c.controlInterval(now) })
 }
 
+// cellCarries returns what each listed host of the cell, this one included, reports to
+// carry. Hosts that are unavailable for a short time count, too: a new layout interrupts
+// the service of its cell.
+func (c *core) cellCarries() []int {
+	out := []int{c.carries}
+	for _, h := range c.hosts().cell {
+		n := 0
+		if h.Heartbeat != nil {
+			n = h.Heartbeat.Carries
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// wantedShards returns the number of shards that suits the cell's minions and hosts.
+func (c *core) wantedShards() int {
+	minions, carries := c.countCellMinions(), c.cellCarries()
+	return claim.WantedShards(minions, len(carries), claim.ShardSize(minions, carries, c.minionsPerShard))
+}
+
 // updateShardLayout adopts the newest shard layout of the cell; while no host claims a
 // shard, that is the wanted number of shards. When the number of shards has been far
 // from the wanted one (claim.NeedsRelayout) during claim.RelayoutDelay, the holder of
 // the first shard makes a new layout.
 func (c *core) updateShardLayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
-	// Hosts that are unavailable for a short time count, too: a new layout interrupts the
-	// service of its cell.
-	wanted := claim.WantedShards(c.countCellMinions(), len(c.hosts().cell)+1, c.minionsPerShard)
+	wanted := c.wantedShards()
 	count, version := claim.NewestShardLayout(append([]claim.Candidate{self}, others...))
 	if version == 0 {
 		c.shardCount, c.shardLayoutVersion = wanted, 0
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -58,7 +58,8 @@
 	cellLayout         peer.CellLayout               // layout of the failure domain that this host has adopted
 	cell               peer.Cell                     // cell of this host
 	shardCount         int                           // number of shards in the cell
-	minionsPerShard    int                           // wanted by this host
+	minionsPerShard    int                           // wanted by this host where all hosts are alike
+	carries            int                           // number of minions that this host can dispatch for; 0: not known
 	shardLayoutVersion uint64                        // version of the shard layout: a number from claim.Token; 0: no layout yet
 	highestToken       uint64                        // highest fencing token that this host has used or seen
 	waiters            map[uint64]chan entry.Outcome // callers that wait for an outcome, by number
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -149,6 +149,9 @@
 	// earlier process on this host match none of this one's.
 	h.core = newCore(time.Now(), h.self, h.tokenID(), rand.Uint64()>>8, h)
 	h.core.minionsPerShard = claim.MinionsPerShard(s.LinkBytesPerSecond())
+	if s.Entry {
+		h.core.carries = claim.HostSize{Processors: s.Processors(), LinkBytesPerSecond: s.LinkBytesPerSecond(), MemoryMB: int64(s.MemoryMB)}.Carries()
+	}
 	if h.rosterStore != nil {
 		h.restoreRoster(h.rosterStore)
 	}
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -109,7 +109,7 @@
 // sameClaims reports whether two heartbeats of a host differ in the load of its shards at
 // most, as far as claims are concerned.
 func sameClaims(a, b *peer.FleetHeartbeat) bool {
-	return a.From.Incarnation == b.From.Incarnation && a.ShuttingDown == b.ShuttingDown && a.CellLayout == b.CellLayout &&
+	return a.From.Incarnation == b.From.Incarnation && a.ShuttingDown == b.ShuttingDown && a.Carries == b.Carries && a.CellLayout == b.CellLayout &&
 		slices.EqualFunc(a.Claims, b.Claims, func(x, y peer.Claim) bool {
 			x.Load, y.Load = peer.PoolLoad{}, peer.PoolLoad{}
 			return x == y
@@ -129,7 +129,7 @@
 // time. Only control hosts need the read position: those of all other hosts are equal.
 func (c *core) newHeartbeat(self *claim.Candidate, to string, interval time.Duration) *peer.FleetHeartbeat {
 	heartbeat := &peer.FleetHeartbeat{
-		From: c.self, ConfigVersion: c.version(), ShuttingDown: self.ShuttingDown, Claims: self.Claims, CellLayout: c.cellLayout,
+		From: c.self, ConfigVersion: c.version(), ShuttingDown: self.ShuttingDown, Claims: self.Claims, Carries: self.Carries, CellLayout: c.cellLayout,
 		NextMS: interval.Milliseconds(), Clock: c.heartbeatClock(),
 	}
 	heartbeat.ReadIncarnation, heartbeat.ReadIndex = c.roster.ReadPosition(to)
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -14,6 +14,7 @@
 	maxDurationMS = 1 << 40
 	maxPercent    = 1 << 20
 	maxAttempts   = 1 << 20
+	maxCarries    = 1 << 16 // minions
 )
 
 // checkedBody is a message whose numbers Decode checks.
@@ -47,7 +48,10 @@
 			return err
 		}
 	}
-	return firstInvalid(numberCheck{"next heartbeat", h.NextMS, 0, maxDurationMS})
+	return firstInvalid(
+		numberCheck{"next heartbeat", h.NextMS, 0, maxDurationMS},
+		numberCheck{"number of minions carried", int64(h.Carries), 0, maxCarries},
+	)
 }
 
 func (r *RosterUpdate) check() error {
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -93,6 +93,7 @@
 	ReadIndex       uint64                 `msgpack:"g"` // index up to which the sender has read the receiver's roster log
 	ReadIncarnation membership.Incarnation `msgpack:"o"` // incarnation of the receiver that kept that log
 
+	Carries    int        `msgpack:"b,omitempty"` // number of minions that the sender can dispatch for; 0: not known, counts as 24
 	CellLayout CellLayout `msgpack:"v"`           // cell layout that the sender applies to its failure domain
 	NextMS     int64      `msgpack:"n,omitempty"` // longest time until the sender's next heartbeat to this receiver; 0: 200 ms
 
--- a/internal/peer/heartbeat_codec.go
+++ b/internal/peer/heartbeat_codec.go
@@ -11,7 +11,7 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (h *FleetHeartbeat) EncodeMsgpack(e *msgpack.Encoder) error {
 	w := fieldWriter{e: e}
-	w.mapLen(6 + count(h.ShuttingDown) + count(len(h.Claims) > 0) + count(h.NextMS != 0))
+	w.mapLen(6 + count(h.ShuttingDown) + count(len(h.Claims) > 0) + count(h.NextMS != 0) + count(h.Carries != 0))
 	w.key("h")
 	w.hostRecord(&h.From)
 	w.uint("c", h.ConfigVersion)
@@ -25,6 +25,9 @@
 	}
 	w.uint("g", h.ReadIndex)
 	w.string("o", string(h.ReadIncarnation))
+	if h.Carries != 0 {
+		w.int("b", int64(h.Carries))
+	}
 	w.key("v")
 	w.mapLen(2)
 	w.int("c", int64(h.CellLayout.Cells))
@@ -122,6 +125,8 @@
 			h.ReadIndex, err = d.DecodeUint64()
 		case "o":
 			h.ReadIncarnation, err = decodeIncarnation(d)
+		case "b":
+			h.Carries, err = d.DecodeInt()
 		case "v":
 			return h.CellLayout.decodeFields(d)
 		case "n":
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -24,14 +24,26 @@
 	PeerListen      string   `json:"peer_listen" validate:"omitempty,hostname_port"` // empty: ip and peer_port
 	MetricsPort     int      `json:"metrics_port" validate:"min=0,max=65535"`        // 0: no metrics listener
 	Seeds           []string `json:"seeds" validate:"dive,hostname_port"`
-	FirstStart      bool     `json:"first_start"`                             // the whole system starts for the first time: the seeds choose the first document
-	DataFolder      string   `json:"data_folder"`                             // empty: no data on disk
-	StopGraceS      float64  `json:"stop_grace_s" validate:"min=1,max=60"`    // seconds from the stop signal until the process is killed
-	ToleratedLosses int      `json:"tolerated_losses" validate:"min=0,max=3"` // control hosts that may fail at the same time
-	LinkMbps        float64  `json:"link_mbps" validate:"min=0,max=1000000"`  // rate of the host's network link in megabits per second; 0: not limited
+	FirstStart      bool     `json:"first_start"`                                // the whole system starts for the first time: the seeds choose the first document
+	DataFolder      string   `json:"data_folder"`                                // empty: no data on disk
+	StopGraceS      float64  `json:"stop_grace_s" validate:"min=1,max=60"`       // seconds from the stop signal until the process is killed
+	ToleratedLosses int      `json:"tolerated_losses" validate:"min=0,max=3"`    // control hosts that may fail at the same time
+	LinkMbps        float64  `json:"link_mbps" validate:"min=0,max=1000000"`     // rate of the host's network link in megabits per second; 0: not limited
+	ProcessorShare  float64  `json:"processor_share" validate:"min=0,max=1024"`  // share of processor_cores that the host may use; 0: not known
+	ProcessorCores  float64  `json:"processor_cores" validate:"min=0,max=65536"` // processors of the host's machine; 0: not known
+	MemoryMB        float64  `json:"memory_mb" validate:"min=0,max=1000000000"`  // memory that the host may use; 0: not known
 	Log             FleetLog `json:"log"`
 }
 
+// Processors returns how many processors the host may use; 0: not known. A factor that is
+// not known counts as 1 if the other one is known.
+func (s *Fleet) Processors() float64 {
+	if s.ProcessorShare == 0 || s.ProcessorCores == 0 {
+		return max(s.ProcessorShare, s.ProcessorCores)
+	}
+	return s.ProcessorShare * s.ProcessorCores
+}
+
 // LinkBytesPerSecond returns the rate of the host's network link; 0: not limited.
 func (s *Fleet) LinkBytesPerSecond() int64 { return int64(s.LinkMbps * 1e6 / 8) }
 
