pool, platform: cold minions get little work; gauges of evacuations

Minions that return all at once after an evacuation are slow for the time that their announcements give, and got work by their full capacity. The record now has the end of that time on the minion's clock (MinionRecord.ColdUntilMS). A cold minion takes one run at first and more as the time shortens, only for tasks that no other minion can take; its run times are not learned, and load reports count only what it takes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,6 +54,8 @@
 	EntryJobSucceeded     ID = 2115
 	PoolEvacuated         ID = 2130
 	PoolJobReturned       ID = 2131
+	PoolMinionCold        ID = 2132
+	PoolMinionWarm        ID = 2133
 	PoolMinionDraining    ID = 3101
 	PoolMinionRestarted   ID = 3102
 	PoolMinionUnreachable ID = 3103
@@ -150,6 +152,8 @@
 	{EntryJobSucceeded, slog.LevelInfo, "job answered with success", "None."},
 	{PoolEvacuated, slog.LevelInfo, "evacuation of claimed minions changed", "None. Its jobs without a start were returned to their entry hosts."},
 	{PoolJobReturned, slog.LevelInfo, "job returned after its runs had ended in an evacuated failure domain", "None; another failure domain continues it."},
+	{PoolMinionCold, slog.LevelInfo, "minion is cold after its start", "None; it gets little work until the time that it announces."},
+	{PoolMinionWarm, slog.LevelInfo, "minion is no longer cold", "None."},
 	{PoolMinionDraining, slog.LevelInfo, "minion draining", "None."},
 	{PoolMinionRestarted, slog.LevelInfo, "minion restarted", "None."},
 	{PoolMinionUnreachable, slog.LevelWarn, "minion unreachable", "Check the minion's process and its network."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -268,7 +268,8 @@
 			n++
 		}
 	}
-	c.logEvent(event.ShardClaimed, slog.Int("shard", number), slog.Int("of", c.shardCount), slog.Uint64("token", c.highestToken), slog.Int("minions", n))
+	c.logEvent(event.ShardClaimed, slog.Int("shard", number), slog.Int("of", c.shardCount), slog.Uint64("token", c.highestToken), slog.Int("minions", n),
+		slog.Bool("evacuated", c.evacuated.own), slog.Int64("known_age_ms", c.knowledgeAge(now).Milliseconds()))
 	c.heartbeatDue = true
 }
 
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -33,7 +33,7 @@
 			h.core.tick(now)
 			if now.Sub(h.gaugesAt) >= gaugeInterval {
 				h.gaugesAt = now
-				h.publishGauges()
+				h.publishGauges(now)
 			}
 		case f := <-h.inputs.C():
 			h.handleInput(f)
@@ -95,14 +95,15 @@
 }
 
 // publishGauges updates the gauges from the state of the core.
-func (h *Host) publishGauges() {
+func (h *Host) publishGauges(now time.Time) {
 	c, m := h.core, h.metrics
-	var jobs int
+	var jobs, cold int
 	waiting := make(map[string]int)
 	var capacity, free int64
 	for _, x := range c.shards {
 		load := x.pool.Load()
 		jobs += x.pool.JobCount()
+		cold += x.pool.ColdMinions()
 		x.pool.CountWaiting(waiting)
 		capacity, free = capacity+load.Capacity, free+load.Free
 	}
@@ -118,6 +119,13 @@
 	m.cpuCapacity.Set(capacity)
 	m.cpuFree.Set(free)
 	m.listedHosts.Set(int64(len(c.roster.Hosts())))
+	m.coldMinions.Set(int64(cold))
+	m.evacuatedDomains.Set(int64(len(c.evacuated.domains)))
+	m.evacuatedSelf.Set(0)
+	if c.evacuated.own {
+		m.evacuatedSelf.Set(1)
+	}
+	m.knowledgeAge.Set(c.knowledgeAge(now).Milliseconds())
 }
 
 // The following methods implement environment.
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -24,6 +24,11 @@
 	cpuFree        expvar.Int // the part of cpuCapacity that is not in use
 	listedHosts    expvar.Int // other hosts in the roster
 
+	evacuatedDomains expvar.Int // evacuated failure domains, as this host knows
+	evacuatedSelf    expvar.Int // 1 if this host's failure domain is one of them
+	knowledgeAge     expvar.Int // milliseconds since a control host confirmed that no newer version is known
+	coldMinions      expvar.Int // claimed minions that are cold
+
 	orders expvar.Map // orders to minions, by kind and answer
 
 	answerTimes     durations // from submission to answer, by outcome
@@ -135,6 +140,10 @@
 	v.Set("minion_cpu_milli", &m.cpuCapacity)
 	v.Set("minion_cpu_free_milli", &m.cpuFree)
 	v.Set("hosts_listed", &m.listedHosts)
+	v.Set("evacuated_domains", &m.evacuatedDomains)
+	v.Set("evacuated_self", &m.evacuatedSelf)
+	v.Set("evacuations_known_age_ms", &m.knowledgeAge)
+	v.Set("cold_minions", &m.coldMinions)
 	v.Set("document_version", expvar.Func(func() any { return h.control.View().Version }))
 	v.Set("document_age_ms", expvar.Func(func() any { return time.Since(h.control.View().LearnedAt).Milliseconds() }))
 	v.Set("link_traffic_by_kind", expvar.Func(func() any { return h.mesh.Traffic() }))
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -43,6 +43,7 @@
 	MemoryMB      int64    `msgpack:"m"`
 	Accelerators  int64    `msgpack:"p,omitempty"`
 	Labels        []string `msgpack:"l,omitempty"`
+	ColdUntilMS   int64    `msgpack:"k,omitempty"` // until then the minion is slow after its start, in milliseconds of its clock, rounded up; 0: it is not
 }
 
 // CellLayout is the cell layout of a failure domain: the number of cells among which
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -86,7 +86,7 @@
 	var sum int64
 	for _, m := range p.ordered {
 		if m.Service == service && p.countsAsCapacity(m) {
-			sum += m.CPU
+			sum += p.warmCPU(m)
 		}
 	}
 	return sum
@@ -178,7 +178,7 @@
 	}
 	for _, m := range p.ordered {
 		if p.countsAsCapacity(m) {
-			l.Capacity += m.CPU
+			l.Capacity += p.warmCPU(m)
 			l.Free += p.usableCPU(m)
 		}
 	}
@@ -192,7 +192,7 @@
 // a multiple of an average task's size. The average approaches 0 while tasks arrive that
 // request accelerators or memory only.
 func (p *Pool) usableCPU(m *minion) int64 {
-	free := m.CPU - m.usedCPU
+	free := p.warmCPU(m) - m.usedCPU
 	unit := max(1, int64(p.meanTaskCPU))
 	return max(0, free/unit*unit)
 }
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -51,7 +51,7 @@
 			p.cfg.Log(event.MinionRestored, slog.String("minion", m.ID))
 		}
 		m.health.ejected, m.health.failures = false, 0
-		if x.job == nil || x.step == nil || !x.started || x.expectedTime <= 0 {
+		if x.job == nil || x.step == nil || !x.started || x.expectedTime <= 0 || m.cold.slowed(x) {
 			return
 		}
 		took := now.Sub(x.ackAt)
@@ -82,7 +82,7 @@
 	if t == nil || t.run != x {
 		return
 	}
-	if !stuck && (t.moves > 0 || !p.fitsElsewhere(m, x)) {
+	if !stuck && (t.moves > 0 || m.cold.active || !p.fitsElsewhere(m, x)) {
 		return
 	}
 	t.moves++
--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -16,6 +16,7 @@
 		return
 	}
 	m.observeClock(now, l.ClockMS)
+	p.updateCold(now, m)
 	m.failedPolls, m.listedAt = 0, now
 	m.nextPollAt = now
 	if !m.reachable {
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -96,6 +96,7 @@
 	failedPolls       int                     // in a row
 	nextPollAt        time.Time
 	health            health
+	cold              coldState
 }
 
 // UpdateMinion adds a minion that the pool owns, or updates its record.
@@ -125,6 +126,7 @@
 	known := m.Incarnation
 	m.MinionRecord, m.recordIncarnation = r, r.Incarnation
 	m.Incarnation = max(known, r.Incarnation)
+	p.updateCold(now, m)
 	p.checkCapacity(m)
 	if r.Left && len(m.runs) == 0 {
 		p.drop(m)
@@ -151,7 +153,7 @@
 	m.Incarnation = incarnation
 	m.replaced = false
 	m.lastEnd, m.listingClock, m.maxLeaseEnd, m.clock = 0, 0, 0, 0
-	m.health = health{}
+	m.health, m.cold = health{}, coldState{}
 	m.listed = false
 	clear(m.polls) // their answers come from the earlier incarnation
 	for _, x := range m.sortedRuns() {
@@ -355,6 +357,7 @@
 	if (regular == 0 || second) && !now.Before(m.nextPollAt) {
 		p.poll(now, m, wait, false)
 	}
+	p.updateCold(now, m)
 	p.pollOverdueStarts(now, m)
 	p.pollForUncertainTasks(now, m)
 	if !m.reachable && m.leaseExpired(now) && len(m.runs) > 0 {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -90,7 +90,7 @@
 		if t.step.MaxPerMinion > 0 && m.stepRuns(t.ref) >= t.step.MaxPerMinion {
 			continue
 		}
-		score := m.CPU - m.usedCPU - t.step.CPU + int64(slowdownPenalty*(m.health.slowdown()-1))
+		score := m.CPU - m.usedCPU - t.step.CPU + int64(slowdownPenalty*(m.health.slowdown()-1)) + m.cold.penalty()
 		if t.step.Rack != "" && !slices.Contains(m.Labels, t.step.Rack) {
 			score += remoteDataPenalty
 		}
@@ -109,7 +109,7 @@
 // moved before.
 func (p *Pool) acceptsStart(now time.Time, m *minion, t *task) bool {
 	if !m.listed || !m.reachable || m.Draining || m.Left || m.replaced || m.clock == 0 || m.blockedByOrphan() ||
-		!m.runsKnown() || !m.capacityKnown() {
+		!m.runsKnown() || !m.capacityKnown() || !m.cold.takesRun(len(m.runs)) {
 		return false
 	}
 	if !m.health.ejected {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -227,7 +227,7 @@
 // sameIncarnation reports whether two records of one ID and incarnation differ only in
 // what a minion changes while it runs.
 func sameIncarnation(a, b peer.MinionRecord) bool {
-	a.Seq, a.Draining, a.Left = b.Seq, b.Draining, b.Left
+	a.Seq, a.Draining, a.Left, a.ColdUntilMS = b.Seq, b.Draining, b.Left, b.ColdUntilMS
 	return equalRecords(a, b)
 }
 
@@ -238,7 +238,7 @@
 	a.Labels, b.Labels = nil, nil
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Seq == b.Seq && a.Service == b.Service && a.Address == b.Address &&
 		a.FailureDomain == b.FailureDomain && a.Draining == b.Draining && a.Left == b.Left && a.CPU == b.CPU &&
-		a.MemoryMB == b.MemoryMB && a.Accelerators == b.Accelerators
+		a.MemoryMB == b.MemoryMB && a.Accelerators == b.Accelerators && a.ColdUntilMS == b.ColdUntilMS
 }
 
 // Minion returns the record of a minion, and whether it is known.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -85,6 +85,10 @@
 	must.True(t, r.ApplyAnnouncement(minionOf(4, true)))
 	must.False(t, r.ApplyAnnouncement(minionOf(3, false)), must.Sprint("arrived after a newer one"))
 	must.False(t, r.ApplyAnnouncement(minionOf(5, true)), must.Sprint("changes nothing"))
+	cold := minionOf(6, true)
+	cold.ColdUntilMS = 500
+	must.True(t, r.ApplyAnnouncement(cold))
+	must.True(t, r.ApplyAnnouncement(minionOf(7, true)), must.Sprint("no longer cold, in the same incarnation"))
 	restarted := minionOf(1, false)
 	restarted.Incarnation = 6
 	must.True(t, r.ApplyAnnouncement(restarted))
