--- a/internal/fleet/evacuated.go
+++ b/internal/fleet/evacuated.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -115,3 +116,32 @@
 	e := &c.evacuated
 	return e.reported > 0 && e.applied == nil || !e.behindSince.IsZero() && now.Sub(e.behindSince) < versionWait
 }
+
+// domainSizes returns the sizes of the failure domains of all listed hosts and of the given
+// ones, sorted by name.
+func (c *core) domainSizes(domains []string) []DomainSize {
+	entryHosts := make(map[string]int)
+	for _, d := range append([]string{c.self.FailureDomain}, domains...) {
+		entryHosts[d] = 0
+	}
+	if c.self.Entry {
+		entryHosts[c.self.FailureDomain] = 1
+	}
+	for _, h := range c.roster.Hosts() {
+		n := entryHosts[h.FailureDomain]
+		if h.Entry {
+			n++
+		}
+		entryHosts[h.FailureDomain] = n
+	}
+	var out []DomainSize
+	for _, d := range slices.Sorted(maps.Keys(entryHosts)) {
+		s := DomainSize{Domain: d, EntryHosts: entryHosts[d]}
+		for _, m := range c.roster.Minions(d) {
+			s.Minions++
+			s.CPU += m.CPU
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
@@ -146,3 +147,27 @@
 	}
 	return change(known) == nil, nil
 }
+
+// DomainSize is the size of a failure domain, as far as this host knows. A control host
+// knows the minions of all failure domains, an entry host those of its own.
+type DomainSize struct {
+	Domain     string
+	EntryHosts int
+	Minions    int
+	CPU        int64 // of all minions, in thousandths of a processor
+}
+
+// FailureDomains returns the sizes of the known failure domains, sorted by name. It fails
+// if the core does not answer before ctx ends.
+func (h *Host) FailureDomains(ctx context.Context) ([]DomainSize, error) {
+	out := make(chan []DomainSize, 1)
+	if !h.enqueue(func(time.Time) { out <- h.core.domainSizes(h.settings.FailureDomains) }) {
+		return nil, errors.New("the host is busy")
+	}
+	select {
+	case sizes := <-out:
+		return sizes, nil
+	case <-ctx.Done():
+		return nil, errors.New("the host is busy")
+	}
+}
