--- a/internal/peer/minion_record.go
+++ b/internal/peer/minion_record.go
@@ -34,8 +34,8 @@
 	if r.CPU < 1 || r.CPU > maxMinionCPU || r.MemoryMB < 1 || r.MemoryMB > maxMinionMemoryMB || r.Accelerators < 0 || r.Accelerators > maxMinionAccelerators {
 		return errors.Errorf("capacity %d, %d, %d is out of range", r.CPU, r.MemoryMB, r.Accelerators)
 	}
-	if r.Seq > maxExactInteger || r.Incarnation < 0 || r.Incarnation > maxExactInteger {
-		return errors.Errorf("sequence number %d or start time %d is out of range", r.Seq, r.Incarnation)
+	if r.Seq > maxExactInteger || r.Incarnation < 0 || r.Incarnation > maxExactInteger || r.ColdUntilMS < 0 || r.ColdUntilMS > maxExactInteger {
+		return errors.Errorf("sequence number %d, start time %d or cold time %d is out of range", r.Seq, r.Incarnation, r.ColdUntilMS)
 	}
 	return nil
 }
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -11,6 +11,9 @@
 // no other minion can take it now.
 const coldPenalty = 1000 * slowdownPenalty
 
+// maxColdMS bounds the cold time of a record in milliseconds: no start takes longer.
+const maxColdMS = 600_000
+
 // coldState describes a minion that is slow for some time after its start. Many minions
 // are cold at once when a failure domain returns; work that they got by their capacity
 // would be late.
@@ -65,7 +68,7 @@
 	if m.ColdUntilMS == 0 || m.clock == 0 || !m.capacityKnown() {
 		return 0
 	}
-	return time.Duration(m.ColdUntilMS-m.clock)*time.Millisecond - now.Sub(m.clockAt)
+	return time.Duration(min(m.ColdUntilMS-m.clock, maxColdMS))*time.Millisecond - now.Sub(m.clockAt)
 }
 
 // warmCPU returns the processors of the minion, in thousandths, that count as capacity:
