pool: load test with uneven minions and with tasks of half a minion

The load test played equal queues on minions that hold two tasks or more and differ by 1.3. Placement for uneven minions could not be measured with it.

--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -24,6 +24,35 @@
 	seconds int
 	burst   bool                // 1.8 times the rate from second 4 to 8
 	compare func(a, b rank) int // replaces compareRanks, unless nil
+	site    *loadSite           // nil: defaultSite
+}
+
+// loadSite is what one pool serves: its minions and queues.
+type loadSite struct {
+	minions []loadMinionKind // minion i is of kind i modulo their number
+	count   int              // number of minions
+	queues  []loadQueue
+	taskCPU float64
+	share   float64 // share of the queues' arrival rates that the pool gets
+	// uneven: run times have a tail and vary within a job, and the objective is
+	// computed from the job's work without this variation.
+	uneven bool
+}
+
+// loadMinionKind is a kind of minions.
+type loadMinionKind struct {
+	label    string
+	cpu      int64
+	slowdown float64
+}
+
+// defaultSite is one failure domain with loadQueues.
+func defaultSite() *loadSite {
+	even := loadMinionKind{cpu: 64_000, slowdown: 1}
+	return &loadSite{
+		minions: []loadMinionKind{even, even, {cpu: 96_000, slowdown: 1.3}}, count: simMinions,
+		queues: loadQueues, taskCPU: baseTaskCPU, share: domainLoadShare,
+	}
 }
 
 // loadQueue is one queue of a workload.
@@ -48,6 +77,9 @@
 	baseTaskCPU     = 27_000
 	domainLoadShare = 0.33 // share of the load that one failure domain gets
 	networkDelay    = 400 * time.Microsecond
+	tailShare       = 0.03 // share of the jobs of an uneven site that take tailFactor times as long
+	tailFactor      = 7
+	minDeadline     = 1500 * time.Millisecond // of a job of an uneven site
 )
 
 // callerStats counts the results that the callers of one queue received.
@@ -110,7 +142,8 @@
 
 // loadSim simulates the minions and callers of one pool.
 type loadSim struct {
-	t       *testing.T
+	t       testing.TB
+	site    *loadSite
 	rng     *rand.Rand
 	p       *Pool
 	now     time.Time
@@ -122,9 +155,12 @@
 }
 
 // simulate runs a workload against a pool and returns the callers' results by queue.
-func simulate(t *testing.T, l workload) map[string]*callerStats {
+func simulate(t testing.TB, l workload) map[string]*callerStats {
+	if l.site == nil {
+		l.site = defaultSite()
+	}
 	y := &loadSim{
-		t: t, rng: rand.New(rand.NewPCG(l.seed, 1)), now: startTime, minions: make(map[string]*loadMinion),
+		t: t, site: l.site, rng: rand.New(rand.NewPCG(l.seed, 1)), now: startTime, minions: make(map[string]*loadMinion),
 		jobs: make(map[string]*loadJob), stats: make(map[string]*callerStats),
 		p: New(Config{Timing: DefaultTiming(), Log: func(event.ID, ...slog.Attr) {}}),
 	}
@@ -132,16 +168,18 @@
 		y.p.compare = l.compare
 	}
 	y.p.Claim(y.now, 1<<30)
-	for i := range simMinions {
-		m := &loadMinion{id: fmt.Sprintf("m%02d", i), cpu: 64_000, slowdown: 1, runs: make(map[TaskRef]*loadRun)}
-		if i%3 == 2 {
-			m.cpu, m.slowdown = 96_000, 1.3
-		}
+	for i := range l.site.count {
+		k := &l.site.minions[i%len(l.site.minions)]
+		m := &loadMinion{id: fmt.Sprintf("m%02d", i), cpu: k.cpu, slowdown: k.slowdown, runs: make(map[TaskRef]*loadRun)}
 		y.minions[m.id] = m
-		y.p.UpdateMinion(y.now, peer.MinionRecord{ID: m.id, Service: "s", FailureDomain: "z", CPU: m.cpu, MemoryMB: 131_072, Seq: 1})
+		r := peer.MinionRecord{ID: m.id, Service: "s", FailureDomain: "z", CPU: m.cpu, MemoryMB: 131_072, Seq: 1}
+		if k.label != "" {
+			r.Labels = []string{k.label}
+		}
+		y.p.UpdateMinion(y.now, r)
 	}
-	for i := range loadQueues {
-		k := &loadQueues[i]
+	for i := range l.site.queues {
+		k := &l.site.queues[i]
 		y.stats[k.name] = &callerStats{}
 		y.scheduleArrivals(k, l, time.Duration(l.seconds)*time.Second)
 	}
@@ -176,7 +214,7 @@
 func (y *loadSim) scheduleArrivals(k *loadQueue, l workload, until time.Duration) {
 	var at time.Duration
 	for n := 0; ; n++ {
-		rate := k.jobsPerSecond * domainLoadShare * l.factor
+		rate := k.jobsPerSecond * l.site.share * l.factor
 		if l.burst && at > 4*time.Second && at < 8*time.Second {
 			rate *= 1.8
 		}
@@ -192,6 +230,9 @@
 func (y *loadSim) newJob(k *loadQueue, n int) *loadJob {
 	width := min(int(4*k.width), max(1, int(math.Round(k.width*y.logNormal(workSpread)))))
 	work := min(4*k.taskMS, k.taskMS*y.logNormal(workSpread))
+	if y.site.uneven && y.rng.Float64() < tailShare {
+		work *= tailFactor
+	}
 	j := &loadJob{queue: k}
 	var longest, sum time.Duration
 	for range width {
@@ -200,13 +241,19 @@
 		longest = max(longest, d)
 		sum += d
 	}
+	if y.site.uneven {
+		longest = time.Duration(work * float64(time.Millisecond))
+	}
 	j.objective = longest*16/10 + 60*time.Millisecond
 	meanWork := k.width * k.taskMS * float64(time.Millisecond)
 	j.value = k.value * min(4, 0.3+0.7*float64(sum)/meanWork)
 	j.large = float64(sum) > 2*meanWork
 	declared := int64(work * math.Exp(workSpread*y.rng.NormFloat64()))
-	cpu := int64(baseTaskCPU * min(1.5, y.logNormal(0.2)))
+	cpu := int64(y.site.taskCPU * min(1.5, y.logNormal(0.2)))
 	deadline := 3*j.objective + time.Duration(y.rng.IntN(2000))*time.Millisecond
+	if y.site.uneven {
+		deadline = max(deadline, minDeadline)
+	}
 	j.offer = &peer.JobOffer{
 		Job: fmt.Sprintf("%s-%d", k.name, n), Offer: 1, Queue: k.name, Service: "s", Attempts: 3,
 		StretchPct: 160, AddMS: 60, RemainingMS: deadline.Milliseconds(),
@@ -361,6 +408,21 @@
 		float64(g.lateRefusals)/float64(g.submitted), float64(g.failed)/float64(g.submitted), float64(g.tooLate)/float64(g.submitted), g.earned/g.value, float64(g.largeServed)/float64(max(1, g.large)))
 }
 
+// add adds the counts of x.
+func (g *callerStats) add(x *callerStats) {
+	g.submitted += x.submitted
+	g.beforeObjective += x.beforeObjective
+	g.afterObjective += x.afterObjective
+	g.refused += x.refused
+	g.failed += x.failed
+	g.tooLate += x.tooLate
+	g.large += x.large
+	g.largeServed += x.largeServed
+	g.value += x.value
+	g.earned += x.earned
+	g.lateRefusals += x.lateRefusals
+}
+
 // loadSeeds are the random seeds that each workload is run with.
 var loadSeeds = []uint64{1, 2, 3}
 
@@ -374,17 +436,7 @@
 				s = &callerStats{}
 				sums[name] = s
 			}
-			s.submitted += x.submitted
-			s.beforeObjective += x.beforeObjective
-			s.afterObjective += x.afterObjective
-			s.refused += x.refused
-			s.failed += x.failed
-			s.tooLate += x.tooLate
-			s.large += x.large
-			s.largeServed += x.largeServed
-			s.value += x.value
-			s.earned += x.earned
-			s.lateRefusals += x.lateRefusals
+			s.add(x)
 		}
 	}
 	return sums
