pool: dispatch skips tasks that fit on no minion

While jobs queue up, each event made dispatch look at every minion for each waiting task, first for a run of the task (47% of the processor time of the load test at 1.4) and then for capacity. Tasks that request more than the largest free capacity are now skipped, as are the other tasks of a step that has found no minion, and minions are searched for a run of a task only when it is about to be started.

--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -39,22 +39,42 @@
 // dispatch starts every task that can be started, in the order of service. It does
 // not stop at a task that fits nowhere: a smaller one behind it may fit.
 func (p *Pool) dispatch(now time.Time) {
-	if now.Before(p.noStartsUntil) || !p.anyFreeCPU() {
+	if now.Before(p.noStartsUntil) {
+		return
+	}
+	free := p.largestFreeCPU()
+	if free <= 0 {
 		return
 	}
 	for _, r := range p.waitingJobs(now) {
-		for i := range r.job.tasks {
-			t := &r.job.tasks[i]
-			if !r.job.startable(t) || p.mayBeRunning(t.ref) {
-				continue
-			}
-			if m := p.pickMinion(now, r.job, t); m != nil {
-				p.start(now, m, r.job, t)
-			}
+		if p.dispatchJob(now, r.job, free) {
+			free = p.largestFreeCPU()
 		}
 	}
 }
 
+// dispatchJob starts the tasks of a job that can be started. It reports whether it has
+// started any. free is the result of largestFreeCPU. While jobs queue up, most tasks fit
+// on no minion; they are skipped without looking at each minion.
+func (p *Pool) dispatchJob(now time.Time, j *job, free int64) (started bool) {
+	var full *peer.TaskStep // a step for which there is no minion
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.step == full || t.step.CPU > free || !j.startable(t) {
+			continue
+		}
+		m := p.pickMinion(now, j, t)
+		if m == nil && t.nextRun == 1 {
+			full = t.step // a task that has run before is accepted by no more minions
+		}
+		if m != nil && !p.mayBeRunning(t.ref) {
+			p.start(now, m, j, t)
+			started = true
+		}
+	}
+	return started
+}
+
 // mayBeRunning reports whether any minion has, or may have, a run of the task.
 func (p *Pool) mayBeRunning(ref TaskRef) bool {
 	for _, m := range p.ordered {
@@ -65,14 +85,16 @@
 	return false
 }
 
-// anyFreeCPU reports whether a reachable, listed minion has any free processors.
-func (p *Pool) anyFreeCPU() bool {
+// largestFreeCPU returns the largest free part, in thousandths of a processor, of a
+// reachable, listed minion.
+func (p *Pool) largestFreeCPU() int64 {
+	var free int64
 	for _, m := range p.ordered {
-		if m.CPU > m.usedCPU && m.listed && m.reachable {
-			return true
+		if m.listed && m.reachable {
+			free = max(free, m.CPU-m.usedCPU)
 		}
 	}
-	return false
+	return free
 }
 
 // pickMinion returns the minion for a task, or nil if none can start it now. The best
