pool: compare minions by the probability that a task ends in time

The choice of a minion added a fixed penalty for slowness to the remaining capacity and did not know the job's objective: long tasks went to slow minions, on which they are late, while short ones took the fast minions. speed.go learns the slowdown by kind of minion (a label that three or more minions have) and queue, and the spread of run times of a queue and within a job. fit.go derives the probability that the tasks of a step end in time on a kind of minion. Minions are compared in steps of it, then by best fit. A task waits for a faster minion that is about to be free if it would be late on the free one and would end sooner after the wait. With one kind of minion, or few runs, the choice is as before.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -28,10 +28,11 @@
 	ejected         bool      // gets only single tasks, as probes
 	failures        int       // ejections since the last successful run
 	probeAt         time.Time // no probe before this time
-	meanLogSlowdown float64   // mean logarithm of the ratio of actual to expected run times
+	meanLogSlowdown float64   // mean logarithm of the ratio of actual run times to those expected on minions of its kind
 }
 
-// slowdown returns the ratio of the minion's run times to the expected ones.
+// slowdown returns the ratio of the minion's run times to those expected on minions of its
+// kind.
 func (h *health) slowdown() float64 { return math.Exp(h.meanLogSlowdown) }
 
 // eject excludes the minion from normal placement until a probe succeeds.
@@ -58,16 +59,27 @@
 		if t := x.job.task(x.task); t != nil {
 			t.runTime = took
 		}
-		slowdown := m.health.slowdown()
-		x.job.stats.observeRun(took, slowdown, x.step.EstimateMS)
-		expected := float64(x.job.expected(x.step))
-		m.health.meanLogSlowdown += slowdownWeight * (math.Log(math.Max(1, float64(took))/math.Max(1, expected)) - m.health.meanLogSlowdown)
+		p.learnRunTime(m, x, took)
 	case EndFailed:
 		m.health.eject(now)
 		p.cfg.Log(event.MinionEjected, slog.String("minion", m.ID), slog.String("reason", "a run failed"), slog.String("job", x.task.Job))
 	}
 }
 
+// learnRunTime adds a successful run to the run times of its queue, its minion and its
+// minion's kind.
+func (p *Pool) learnRunTime(m *minion, x *run, took time.Duration) {
+	j := x.job
+	kind := p.speeds.logSlowdownOf(m.speed, j.stats)
+	ratio := math.Log(math.Max(1, float64(took)) / math.Max(1, float64(j.expected(x.step))))
+	rest := ratio - kind - m.health.meanLogSlowdown
+	j.stats.observeRun(took, math.Exp(kind+m.health.meanLogSlowdown), x.step.EstimateMS)
+	j.stats.spread.observe(rest, j.logRatio.mean, j.logRatio.runs)
+	j.logRatio.observe(rest)
+	p.speeds.observe(m.speed, j.stats, ratio-m.health.meanLogSlowdown)
+	m.health.meanLogSlowdown += slowdownWeight * rest
+}
+
 // checkProgress stops a run, to start it elsewhere, if it makes no progress or if it
 // is so slow that a new run elsewhere would end sooner.
 func (p *Pool) checkProgress(now time.Time, m *minion, x *run) {
@@ -134,7 +146,7 @@
 // minionIsSlow reports whether the minion is slow in general, or a run of another job
 // on it is projected to exceed its expected run time by slowFactor, too.
 func (p *Pool) minionIsSlow(m *minion, x *run) bool {
-	if m.health.slowdown() > slowFactor/2 {
+	if math.Exp(p.logSlowdown(m, x.job.stats)) > slowFactor/2 {
 		return true
 	}
 	for _, o := range m.runs {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -49,6 +49,7 @@
 	deadline          time.Time // when the caller stops waiting
 	totalWork         int64     // expected processor time of all tasks, in the unit of waitingWork
 	runTimeFactor     float64   // ratio of expected to declared run times
+	logRatio          logMean   // of actual to expected run times of its runs, on an average minion
 }
 
 // byArrival orders jobs by arrival, then by ID.
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -96,6 +96,7 @@
 	failedPolls       int                     // in a row
 	nextPollAt        time.Time
 	health            health
+	speed             *kindSpeed // of its kind, since the last tick; nil: unknown
 }
 
 // UpdateMinion adds a minion that the pool owns, or updates its record.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -97,32 +97,46 @@
 	return free
 }
 
-// pickMinion returns the minion for a task, or nil if none can start it now. The best
-// fit wins: the minion with the least remaining capacity, so that large tasks still
-// fit elsewhere later. A slow minion, or one without the data nearby, gets a penalty
-// in proportion to the additional run time. The minion of the task's previous run gets
-// the largest fixed penalty.
+// pickMinion returns the minion for a task, or nil if none can start it now or a better
+// one is about to be free. The highest step of the probability that the task ends in time
+// wins, then the best fit: the minion with the least remaining capacity, so that large tasks
+// still fit elsewhere later. With too few runs to know that probability, a slow minion gets
+// a penalty in proportion to the additional run time. So does one without the data nearby.
+// The minion of the task's previous run gets the largest fixed penalty.
 func (p *Pool) pickMinion(now time.Time, j *job, t *task) *minion {
 	var best *minion
 	var bestScore int64
+	bestStep := 0
+	kinds := false
 	for _, m := range p.ordered {
-		if m.Service != j.offer.Service || !m.fitsWhenEmpty(t.step) || !m.hasCapacity(t.step) || !p.acceptsStart(now, m, t) {
+		if m.Service != j.offer.Service || !m.hasCapacity(t.step) || !m.fitsWhenEmpty(t.step) || !p.acceptsStart(now, m, t) {
 			continue
 		}
 		if t.step.MaxPerMinion > 0 && m.stepRuns(t.ref) >= t.step.MaxPerMinion {
 			continue
 		}
-		score := m.CPU - m.usedCPU - t.step.CPU + int64(slowdownPenalty*(m.health.slowdown()-1))
+		if best == nil {
+			kinds = p.fitKinds(now, j, t)
+		}
+		score, step := m.CPU-m.usedCPU-t.step.CPU+int64(slowdownPenalty*(m.health.slowdown()-1)), 0
+		if kinds && m.speed != nil {
+			step = m.speed.step
+			score -= int64(keepFast * m.speed.logSlowdown)
+		}
 		if t.step.Rack != "" && !slices.Contains(m.Labels, t.step.Rack) {
 			score += remoteDataPenalty
 		}
 		if m.ID == t.lastMinion && t.nextRun > 1 {
 			score += retryPenalty
+			step = -1
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = m, score
+		if best == nil || step > bestStep || step == bestStep && score < bestScore {
+			best, bestScore, bestStep = m, score, step
 		}
 	}
+	if best != nil && kinds && best.speed != nil && p.betterSoon(now, j, t, best) {
+		return nil
+	}
 	return best
 }
 
@@ -155,7 +169,7 @@
 func (p *Pool) start(now time.Time, m *minion, j *job, t *task) {
 	x := &run{
 		task: t.ref, number: t.nextRun, job: j, step: t.step, token: m.token, sentAt: now,
-		expectedTime: time.Duration(float64(j.expected(t.step)) * m.health.slowdown()),
+		expectedTime: p.expectedOn(m, j, t),
 	}
 	m.runs[t.ref] = x
 	m.reserve(x)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,8 +19,9 @@
 	jobs          map[string]*job        // by ID
 	queueStats    map[string]*queueStats // by queue name
 	compare       func(a, b rank) int    // order of service: compareRanks, unless a test replaces it
-	meanTaskCPU   float64                // moving average of a task's demand, in thousandths of a processor; 0: unknown
-	noStartsUntil time.Time              // no new starts before this time: the owner hands over
+	speeds        speeds
+	meanTaskCPU   float64   // moving average of a task's demand, in thousandths of a processor; 0: unknown
+	noStartsUntil time.Time // no new starts before this time: the owner hands over
 
 	meanStartLatency time.Duration // moving average of the time until a start is answered
 	pollLostAt       time.Time     // when a poll was last counted as lost
@@ -221,6 +222,7 @@
 func (p *Pool) Tick(now time.Time) {
 	p.uncertainOfferAt = p.newestUncertainOffer()
 	p.takingOver = p.takingOver && !p.takeoverComplete(now)
+	p.speeds.count(p.ordered)
 	for _, m := range slices.Clone(p.ordered) { // tickMinion removes minions that have left from p.ordered
 		p.tickMinion(now, m)
 	}
--- a/internal/pool/queuestats.go
+++ b/internal/pool/queuestats.go
@@ -20,6 +20,7 @@
 	runs          int     // number of runs observed
 	meanLogTime   float64 // mean logarithm of the run time in milliseconds
 	meanLogRatio  float64 // mean logarithm of the ratio of actual to declared run times
+	spread        spread
 }
 
 // statsFor returns the statistics of a queue, and creates them for a new queue.
