--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -97,6 +97,7 @@
 	nextPollAt        time.Time
 	health            health
 	cold              coldState
+	speed             *kindSpeed // of its kind, since the last tick; nil: unknown
 }
 
 // UpdateMinion adds a minion that the pool owns, or updates its record.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -39,22 +39,42 @@
 // dispatch starts every task that can be started, in the order of service. It does
 // not stop at a task that fits nowhere: a smaller one behind it may fit.
 func (p *Pool) dispatch(now time.Time) {
-	if now.Before(p.noStartsUntil) || p.evacuation.blocksStarts(now) || !p.anyFreeCPU() {
+	if now.Before(p.noStartsUntil) || p.evacuation.blocksStarts(now) {
+		return
+	}
+	free := p.largestFreeCPU()
+	if free <= 0 {
 		return
 	}
 	for _, r := range p.waitingJobs(now) {
-		for i := range r.job.tasks {
-			t := &r.job.tasks[i]
-			if !r.job.startable(t) || p.mayBeRunning(t.ref) {
-				continue
-			}
-			if m := p.pickMinion(now, r.job, t); m != nil {
-				p.start(now, m, r.job, t)
-			}
+		if p.dispatchJob(now, r.job, free) {
+			free = p.largestFreeCPU()
 		}
 	}
 }
 
+// dispatchJob starts the tasks of a job that can be started. It reports whether it has
+// started any. free is the result of largestFreeCPU. While jobs queue up, most tasks fit
+// on no minion; they are skipped without looking at each minion.
+func (p *Pool) dispatchJob(now time.Time, j *job, free int64) (started bool) {
+	var full *peer.TaskStep // a step for which there is no minion
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.step == full || t.step.CPU > free || !j.startable(t) {
+			continue
+		}
+		m := p.pickMinion(now, j, t)
+		if m == nil && t.nextRun == 1 {
+			full = t.step // a task that has run before is accepted by no more minions
+		}
+		if m != nil && !p.mayBeRunning(t.ref) {
+			p.start(now, m, j, t)
+			started = true
+		}
+	}
+	return started
+}
+
 // mayBeRunning reports whether any minion has, or may have, a run of the task.
 func (p *Pool) mayBeRunning(ref TaskRef) bool {
 	for _, m := range p.ordered {
@@ -65,42 +85,61 @@
 	return false
 }
 
-// anyFreeCPU reports whether a reachable, listed minion has any free processors.
-func (p *Pool) anyFreeCPU() bool {
+// largestFreeCPU returns the largest free part, in thousandths of a processor, of a
+// reachable, listed minion.
+func (p *Pool) largestFreeCPU() int64 {
+	var free int64
 	for _, m := range p.ordered {
-		if m.CPU > m.usedCPU && m.listed && m.reachable {
-			return true
+		if m.listed && m.reachable {
+			free = max(free, m.CPU-m.usedCPU)
 		}
 	}
-	return false
+	return free
 }
 
-// pickMinion returns the minion for a task, or nil if none can start it now. The best
-// fit wins: the minion with the least remaining capacity, so that large tasks still
-// fit elsewhere later. A slow minion, or one without the data nearby, gets a penalty
-// in proportion to the additional run time. The minion of the task's previous run gets
-// the largest fixed penalty.
+// pickMinion returns the minion for a task, or nil if none can start it now or a better
+// one is about to be free. The highest step of the probability that the task ends in time
+// wins, then the best fit: the minion with the least remaining capacity, so that large tasks
+// still fit elsewhere later. With too few runs to know that probability, a slow minion gets
+// a penalty in proportion to the additional run time. So does one without the data nearby.
+// The minion of the task's previous run gets the largest fixed penalty.
 func (p *Pool) pickMinion(now time.Time, j *job, t *task) *minion {
 	var best *minion
 	var bestScore int64
+	bestStep := 0
+	kinds := false
 	for _, m := range p.ordered {
-		if m.Service != j.offer.Service || !m.fitsWhenEmpty(t.step) || !m.hasCapacity(t.step) || !p.acceptsStart(now, m, t) {
+		if m.Service != j.offer.Service || !m.hasCapacity(t.step) || !m.fitsWhenEmpty(t.step) || !p.acceptsStart(now, m, t) {
 			continue
 		}
 		if t.step.MaxPerMinion > 0 && m.stepRuns(t.ref) >= t.step.MaxPerMinion {
 			continue
 		}
-		score := m.CPU - m.usedCPU - t.step.CPU + int64(slowdownPenalty*(m.health.slowdown()-1)) + m.cold.penalty()
+		if best == nil {
+			kinds = p.fitKinds(now, j, t)
+		}
+		score, step := m.CPU-m.usedCPU-t.step.CPU+int64(slowdownPenalty*(m.health.slowdown()-1))+m.cold.penalty(), 0
+		if kinds && m.speed != nil {
+			step = m.speed.step
+			score -= int64(keepFast * m.speed.logSlowdown)
+		}
+		if m.cold.active {
+			step = 0
+		}
 		if t.step.Rack != "" && !slices.Contains(m.Labels, t.step.Rack) {
 			score += remoteDataPenalty
 		}
 		if m.ID == t.lastMinion && t.nextRun > 1 {
 			score += retryPenalty
+			step = -1
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = m, score
+		if best == nil || step > bestStep || step == bestStep && score < bestScore {
+			best, bestScore, bestStep = m, score, step
 		}
 	}
+	if best != nil && kinds && best.speed != nil && p.betterSoon(now, j, t, best) {
+		return nil
+	}
 	return best
 }
 
@@ -133,7 +172,7 @@
 func (p *Pool) start(now time.Time, m *minion, j *job, t *task) {
 	x := &run{
 		task: t.ref, number: t.nextRun, job: j, step: t.step, token: m.token, sentAt: now,
-		expectedTime: time.Duration(float64(j.expected(t.step)) * m.health.slowdown()),
+		expectedTime: p.expectedOn(m, j, t),
 	}
 	m.runs[t.ref] = x
 	m.reserve(x)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -22,6 +22,7 @@
 	meanTaskCPU   float64                // moving average of a task's demand, in thousandths of a processor; 0: unknown
 	noStartsUntil time.Time              // no new starts before this time: the owner hands over
 	evacuation    evacuation
+	speeds        speeds
 
 	meanStartLatency time.Duration // moving average of the time until a start is answered
 	pollLostAt       time.Time     // when a poll was last counted as lost
@@ -225,6 +226,7 @@
 func (p *Pool) Tick(now time.Time) {
 	p.uncertainOfferAt = p.newestUncertainOffer()
 	p.takingOver = p.takingOver && !p.takeoverComplete(now)
+	p.speeds.count(p.ordered)
 	for _, m := range slices.Clone(p.ordered) { // tickMinion removes minions that have left from p.ordered
 		p.tickMinion(now, m)
 	}
