entry, fleet: withdraw offers that were not tried

A job was held until its deadline and answered 504 although nothing of it had started, when its dispatcher did not acknowledge it or became unavailable: the entry host could not learn that nothing had run.

JobCancel has Withdraw, and names the process that the offer was sent to. That process states NotStartedHere if it has started no task of the offer; the offer is then remembered as ended, so no later copy is accepted. Each offer to an unavailable dispatcher is a doubt of its own at the entry host. When no doubt is left, the job is offered elsewhere or refused.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/membership"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
@@ -77,7 +78,8 @@
 	ShardCount    int // number of shards in the cell
 	Cell          peer.Cell
 	Load          peer.PoolLoad
-	LoadAt        time.Time // when Load was received
+	LoadAt        time.Time              // when Load was received
+	Process       membership.Incarnation // of the host
 }
 
 // dispatcherID identifies a dispatcher; one host can dispatch on several shards.
@@ -103,29 +105,27 @@
 
 // openJob is a job that has not been answered yet.
 type openJob struct {
-	offer          peer.JobOffer // as sent last; offers to other dispatchers reuse it
-	arrived        time.Time
-	deadline       time.Time
-	waiters        []uint64
-	dispatcher     dispatcherID // that the job is offered to; zero: none
-	domain         string       // failure domain of the dispatcher offered to last
-	offeredAt      time.Time    // when the offer was first sent
-	sentAt         time.Time    // when it was last sent
-	sends          int          // how many times it was sent
-	ackedAt        time.Time    // when the dispatcher acknowledged the offer; zero: not yet
-	refusedBy      []dispatcherID
-	retryMS        int64     // shortest retry time that these dispatchers named
-	boundToShard   bool      // may still run on its shard's minions: offered only to that shard's dispatcher
-	mayHaveStarted bool      // may have run on any minion: never answered as refused
-	minionsDigest  uint64    // digest of the dispatcher's minions, as last reported
-	unassignedAt   time.Time // when its last dispatcher became unavailable or handed the job over
-	prevOffer      offerRef  // to an unavailable dispatcher; zero once cancelled there
-}
-
-// offerRef identifies an offer that was sent to a dispatcher.
-type offerRef struct {
-	dispatcherID
-	number uint64
+	offer           peer.JobOffer // as sent last; offers to other dispatchers reuse it
+	arrived         time.Time
+	deadline        time.Time
+	waiters         []uint64
+	dispatcher      dispatcherID // that the job is offered to; zero: none
+	domain          string       // failure domain of the dispatcher offered to last
+	offeredAt       time.Time    // when the offer was first sent
+	sentAt          time.Time    // when it was last sent
+	sends           int          // how many times it was sent
+	ackedAt         time.Time    // when the dispatcher acknowledged the offer; zero: not yet
+	refusedBy       []dispatcherID
+	retryMS         int64                  // shortest retry time that these dispatchers named
+	boundToShard    bool                   // may still run on its shard's minions: offered only to that shard's dispatcher
+	started         bool                   // has started on a minion, or a dispatcher could not tell
+	doubts          []offerRef             // offers to unavailable dispatchers, which may have started it
+	process         membership.Incarnation // of the dispatcher's host
+	withdrawal      withdrawal             // of the current offer
+	minionsDigest   uint64                 // digest of the dispatcher's minions, as last reported
+	unassignedAt    time.Time              // when its last dispatcher became unavailable or handed the job over
+	prevOffer       offerRef               // to an unavailable dispatcher; zero once cancelled there
+	prevWithdrawnAt time.Time              // when the withdrawal of prevOffer was last sent
 }
 
 // pendingCancel is a cancellation that is repeated until the offer's result arrives.
@@ -133,10 +133,10 @@
 // caller that has left may have sent the job again to another host, and its runs here
 // must not go on beside the new ones.
 type pendingCancel struct {
-	to     string
-	body   peer.JobCancel
-	sentAt time.Time
-	until  time.Time // when the dispatcher has ended the job by itself, at its deadline
+	offerRef
+	job        string
+	repeatedAt time.Time
+	until      time.Time // when the dispatcher has ended the job by itself, at its deadline
 }
 
 // Table holds the open jobs of one host.
@@ -220,7 +220,7 @@
 // it before.
 func (t *Table) cancel(now time.Time, j *openJob) {
 	t.cancelPrevOffer(now, j)
-	t.cancelOffer(now, j, offerRef{j.dispatcher, j.offer.Offer})
+	t.cancelOffer(now, j, j.currentOffer())
 }
 
 // cancelPrevOffer cancels the job at its unavailable previous dispatcher.
@@ -235,24 +235,30 @@
 	if ref.host == "" {
 		return
 	}
-	t.startCancel(now, ref.host, peer.JobCancel{Job: j.offer.Job, Offer: ref.number, Shard: ref.shard}, j.deadline)
+	t.startCancel(now, ref, j.offer.Job, j.deadline)
 }
 
 // startCancel sends a cancellation and keeps it pending until the deadline, but at least
 // for minCancelPeriod.
-func (t *Table) startCancel(now time.Time, to string, body peer.JobCancel, deadline time.Time) {
+func (t *Table) startCancel(now time.Time, ref offerRef, job string, deadline time.Time) {
 	until := now.Add(minCancelPeriod)
 	if deadline.After(until) {
 		until = deadline
 	}
-	c := &pendingCancel{to: to, body: body, until: until}
+	c := &pendingCancel{offerRef: ref, job: job, until: until}
 	t.cancels = append(t.cancels, c)
 	t.sendCancel(now, c)
 }
 
+// matches reports whether the cancellation is that of an offer.
+func (c *pendingCancel) matches(host, job string, number uint64) bool {
+	return c.host == host && c.job == job && c.number == number
+}
+
 func (t *Table) sendCancel(now time.Time, c *pendingCancel) {
-	c.sentAt = now
-	t.send(c.to, &c.body)
+	c.repeatedAt = now
+	body := c.cancelBody(now, c.job, false)
+	t.send(c.host, &body)
 }
 
 func (t *Table) send(to string, b peer.Body) {
@@ -264,7 +270,7 @@
 func (t *Table) answer(now time.Time, j *openJob, o Outcome) {
 	delete(t.jobs, j.offer.Job)
 	t.flight = nil
-	if o.Outcome == peer.JobRefused && j.mayHaveStarted {
+	if o.Outcome == peer.JobRefused && j.mayHaveStarted() {
 		o.Outcome = peer.JobUnknown
 	}
 	for _, w := range j.waiters {
@@ -276,14 +282,15 @@
 	}
 	t.logEvent(event.EntryJobUnsuccessful, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.Int("outcome", int(o.Outcome)),
 		slog.String("reason", o.Reason), slog.String("dispatcher", j.dispatcher.host), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
-		slog.Int64("retry_ms", o.RetryMS), slog.Bool("may_have_run", j.mayHaveStarted))
+		slog.Int64("retry_ms", o.RetryMS), slog.Bool("may_have_run", j.mayHaveStarted()))
 }
 
 // offer assigns the job to a dispatcher and sends the offer under a new number.
 func (t *Table) offer(now time.Time, j *openJob, d *Dispatcher) {
 	t.lastOffer++
 	j.offer.Offer = t.lastOffer
-	j.dispatcher, j.domain = d.id(), d.FailureDomain
+	j.dispatcher, j.domain, j.process = d.id(), d.FailureDomain, d.Process
+	j.withdrawal = withdrawal{}
 	j.offer.Shard, j.offer.ShardCount, j.offer.Cell = d.Shard, d.ShardCount, d.Cell
 	j.ackedAt, j.offeredAt, j.sends = time.Time{}, now, 0
 	t.flight = nil
@@ -316,45 +323,51 @@
 	j := t.jobs[a.Job]
 	if j != nil && j.dispatcher.host == from && j.offer.Offer == a.Offer {
 		j.ackedAt, j.minionsDigest = now, a.Load.MinionsDigest
+		j.withdrawal.kept = j.withdrawal.kept || a.Started
 		t.flight = nil
 		return
 	}
 	if j != nil && j.prevOffer.host == from && j.prevOffer.number == a.Offer {
 		return
 	}
-	body := peer.JobCancel{Job: a.Job, Offer: a.Offer, Shard: a.Shard}
-	if i := slices.IndexFunc(t.cancels, func(c *pendingCancel) bool { return c.to == from && c.body == body }); i >= 0 {
+	if i := slices.IndexFunc(t.cancels, func(c *pendingCancel) bool { return c.matches(from, a.Job, a.Offer) }); i >= 0 {
 		t.sendCancel(now, t.cancels[i])
 		return
 	}
-	t.startCancel(now, from, body, now.Add(unknownJobCancelPeriod))
+	t.startCancel(now, offerRef{dispatcherID: dispatcherID{from, a.Shard}, number: a.Offer}, a.Job, now.Add(unknownJobCancelPeriod))
 }
 
 // HandleResult handles the result of an offer. It acknowledges every result, and
 // ignores results of offers that are no longer current.
 func (t *Table) HandleResult(now time.Time, from string, r *peer.JobResult) {
 	t.send(from, &peer.JobResultAck{Job: r.Job, Offer: r.Offer})
-	t.cancels = slices.DeleteFunc(t.cancels, func(c *pendingCancel) bool {
-		return c.to == from && c.body.Job == r.Job && c.body.Offer == r.Offer
-	})
+	t.cancels = slices.DeleteFunc(t.cancels, func(c *pendingCancel) bool { return c.matches(from, r.Job, r.Offer) })
 	j := t.jobs[r.Job]
-	if j == nil || j.dispatcher.host != from || j.offer.Offer != r.Offer {
+	if j == nil {
 		return
 	}
-	switch r.Outcome {
-	case peer.JobRefused:
+	notStarted := r.NotStarted || r.NotStartedHere || r.Outcome == peer.JobRefused
+	if notStarted && j.isDoubt(from, r.Offer) {
+		t.clearDoubt(now, j, from, r.Offer)
+		return
+	}
+	if j.dispatcher.host != from || j.offer.Offer != r.Offer {
+		return
+	}
+	switch outcome := r.Outcome; {
+	case outcome == peer.JobRefused:
 		t.flight = nil
 		t.handleRefusal(now, j, r)
-	case peer.JobMoved:
+	case outcome == peer.JobMoved, outcome == peer.JobUnknown && notStarted:
 		j.offer.Done = r.Done
 		j.minionsDigest = r.MinionsDigest
-		j.boundToShard = !r.NotStarted
-		j.mayHaveStarted = j.mayHaveStarted || j.boundToShard
+		j.started = j.started || !notStarted
+		j.boundToShard = !r.NotStarted && j.mayHaveStarted()
 		j.dispatcher = dispatcherID{}
 		t.flight = nil
 		j.unassignedAt = now
 		t.handedOver[dispatcherID{from, j.offer.Shard}] = true
-		t.assign(now, j)
+		t.assignOrRefuse(now, j)
 	default:
 		t.answer(now, j, Outcome{Outcome: r.Outcome, Reason: r.Reason})
 	}
@@ -479,8 +492,10 @@
 	if j.offer.MayHaveRun && now.Sub(j.unassignedAt) < runEndTimeout {
 		j.minionsDigest = 0 // the dispatcher before this one may still run it on minions that are not known
 	}
-	j.boundToShard, j.mayHaveStarted = true, true
-	j.prevOffer, j.dispatcher = offerRef{j.dispatcher, j.offer.Offer}, dispatcherID{}
+	j.boundToShard = true
+	j.prevOffer, j.dispatcher = j.currentOffer(), dispatcherID{}
+	j.doubts = append(j.doubts, j.prevOffer)
+	j.prevWithdrawnAt = now // a planned hand-over returns the job by itself within that time
 	t.flight = nil
 	j.unassignedAt = now
 	t.assign(now, j)
@@ -516,7 +531,7 @@
 		if now.After(c.until) {
 			continue
 		}
-		if now.Sub(c.sentAt) >= resendInterval {
+		if now.Sub(c.repeatedAt) >= resendInterval {
 			t.sendCancel(now, c)
 		}
 		pending = append(pending, c)
@@ -540,7 +555,8 @@
 		t.assign(now, j)
 		return
 	}
-	if j.dispatcher.host != "" && j.ackedAt.IsZero() && now.Sub(j.sentAt) >= resendDelay(j.sends) {
+	t.tickWithdrawals(now, j)
+	if j.dispatcher.host != "" && j.ackedAt.IsZero() && j.withdrawal.sentAt.IsZero() && now.Sub(j.sentAt) >= resendDelay(j.sends) {
 		t.sendOffer(now, j)
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,8 @@
 	EntryJobReoffered     ID = 2113
 	EntryRequestInvalid   ID = 2114
 	EntryJobSucceeded     ID = 2115
+	EntryOfferWithdrawn   ID = 2140
+	EntryJobNotStarted    ID = 2141
 	PoolMinionDraining    ID = 3101
 	PoolMinionRestarted   ID = 3102
 	PoolMinionUnreachable ID = 3103
@@ -142,6 +144,8 @@
 	{EntryJobReoffered, slog.LevelInfo, "job offered to another dispatcher", "None."},
 	{EntryRequestInvalid, slog.LevelInfo, "caller's request refused as invalid", "Report the error to the caller's team."},
 	{EntryJobSucceeded, slog.LevelInfo, "job answered with success", "None."},
+	{EntryOfferWithdrawn, slog.LevelInfo, "offer withdrawn from a dispatcher", "If frequent, look at the dispatcher's load and link."},
+	{EntryJobNotStarted, slog.LevelInfo, "job of an unavailable dispatcher has not started", "None: it is refused or offered elsewhere."},
 	{PoolMinionDraining, slog.LevelInfo, "minion draining", "None."},
 	{PoolMinionRestarted, slog.LevelInfo, "minion restarted", "None."},
 	{PoolMinionUnreachable, slog.LevelWarn, "minion unreachable", "Check the minion's process and its network."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -309,6 +309,9 @@
 			list = append(list, newDispatcher(h.Name, h.FailureDomain, cell, held, h.LoadAt))
 		}
 	}
+	for i := range list {
+		list[i].Process = c.incarnationOf(list[i].Host)
+	}
 	c.jobTable.SetDispatchers(now, list)
 	c.setDispatchersKnown(len(list) > 0)
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -192,12 +192,7 @@
 	case *peer.JobResultAck:
 		delete(c.unackedResults, offerKey{from, m.Job, m.Offer})
 	case *peer.JobCancel:
-		c.endedOffers.add(now, offerKey{from, m.Job, m.Offer})
-		if x := c.shards[m.Shard]; x != nil {
-			x.pool.Cancel(now, from, m)
-		}
-		// Acknowledges the cancellation, which is repeated until then.
-		c.sendTo(from, &peer.JobResult{Job: m.Job, Offer: m.Offer, Outcome: peer.JobUnknown, Reason: "the offer was withdrawn"})
+		c.handleCancel(now, from, m)
 	}
 }
 
@@ -243,8 +238,11 @@
 func (c *core) carryOutJobTable(now time.Time) {
 	r := c.jobTable.Ready()
 	for _, m := range r.Messages {
-		if o, ok := m.Body.(*peer.JobOffer); ok {
-			c.stampOffer(now, m.To, o)
+		switch b := m.Body.(type) {
+		case *peer.JobOffer:
+			b.ReceiverClock, b.ReceiverClockAgeMS = c.receiverClock(now, m.To)
+		case *peer.JobCancel:
+			b.ReceiverClock, b.ReceiverClockAgeMS = c.receiverClock(now, m.To)
 		}
 		c.sendTo(m.To, m.Body)
 	}
--- a/internal/fleet/incarnations.go
+++ b/internal/fleet/incarnations.go
@@ -33,3 +33,11 @@
 	}
 	return true
 }
+
+// incarnationOf returns the incarnation of a host's present process; empty if not known.
+func (c *core) incarnationOf(host string) membership.Incarnation {
+	if host == c.self.Name {
+		return c.self.Incarnation
+	}
+	return c.incarnations[host].current
+}
--- a/internal/fleet/offer_age.go
+++ b/internal/fleet/offer_age.go
@@ -26,12 +26,22 @@
 // readings of different processes don't match.
 func (c *core) heartbeatClock() int64 { return int64(c.tokenID>>16) + c.lastBootTime.Milliseconds() }
 
-// stampOffer copies the newest clock reading from the receiver's heartbeats into an
-// offer, so that the receiver can compute the age of the offer.
-func (c *core) stampOffer(now time.Time, to string, o *peer.JobOffer) {
+// receiverClock returns the newest clock reading in a host's heartbeats, and its age, for
+// messages of which that host has to compute the age.
+func (c *core) receiverClock(now time.Time, to string) (clock, ageMS int64) {
 	if h := c.roster.Host(to); h != nil && h.Heartbeat != nil {
-		o.ReceiverClock, o.ReceiverClockAgeMS = h.Heartbeat.Clock, now.Sub(h.HeartbeatAt).Milliseconds()
+		return h.Heartbeat.Clock, now.Sub(h.HeartbeatAt).Milliseconds()
 	}
+	return 0, 0
+}
+
+// flight returns how long a message was in flight, given the receiver's clock reading in
+// it. It is beyond maxKnownOfferAge either way if the reading is none of this process.
+func (c *core) flight(clock, ageMS int64) time.Duration {
+	if clock == 0 {
+		return -maxKnownOfferAge
+	}
+	return time.Duration(c.heartbeatClock()-clock-ageMS) * time.Millisecond
 }
 
 // offerAge says how long an offer was in flight.
@@ -48,10 +58,10 @@
 	if from == c.self.Name {
 		return offerFresh
 	}
-	flight := time.Duration(c.heartbeatClock()-o.ReceiverClock-o.ReceiverClockAgeMS) * time.Millisecond
+	flight := c.flight(o.ReceiverClock, o.ReceiverClockAgeMS)
 	age := offerAgeUnknown
 	switch {
-	case o.ReceiverClock == 0 || flight <= -maxOfferAge || flight > maxKnownOfferAge:
+	case flight <= -maxOfferAge || flight > maxKnownOfferAge:
 	case flight > maxOfferAge:
 		age = offerLate
 	default:
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -47,7 +47,7 @@
 		return
 	}
 	if x == nil || x.shardCount != o.ShardCount || o.Cell != c.cell || !x.knownTo(from, c.self.Name, o) {
-		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"})
+		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, NotStartedHere: true, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"})
 		return
 	}
 	x.pool.Offer(now, from, o)
@@ -65,10 +65,10 @@
 // need not wait until its deadline.
 func (c *core) handleLateOffer(now time.Time, key offerKey, x *shard, o *peer.JobOffer) {
 	switch {
-	case x != nil && x.pool.HasOffer(key.sender, o):
+	case x != nil && x.pool.HasOffer(key.sender, o.Job, o.Offer):
 		c.sendTo(key.sender, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
 	case o.MayHaveRun:
-		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, MinionsDigest: o.MinionsDigest, Reason: "the offer was late"})
+		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStartedHere: true, MinionsDigest: o.MinionsDigest, Reason: "the offer was late"})
 	default:
 		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobRefused, RetryMS: busyRetryAfter.Milliseconds(), Reason: "the offer was late"})
 	}
@@ -87,8 +87,8 @@
 	r := &pendingResult{body: result, sendsRemaining: maxResultSends}
 	if key.sender != c.self.Name {
 		c.unackedResults[key] = r
-		c.endedOffers.add(now, key)
 	}
+	c.endedOffers.add(now, key, result.NotStarted || result.NotStartedHere || result.Outcome == peer.JobRefused)
 	c.sendResult(now, key, r)
 }
 
--- a/internal/fleet/sim_caller_test.go
+++ b/internal/fleet/sim_caller_test.go
@@ -247,6 +247,9 @@
 func (c *simCaller) answered(o entry.Outcome) {
 	sim := c.sim
 	sim.trace("caller of %s gets outcome %d, %s", c.offer.Job, o.Outcome, o.Reason)
+	if sim.onAnswer != nil {
+		sim.onAnswer(c.offer.Job, o.Outcome, o.Reason)
+	}
 	switch o.Outcome {
 	case peer.JobUnknown:
 		c.retryLater(c.out)
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -210,6 +210,9 @@
 func (h *simHost) send(to string, b peer.Body) { h.sim.sendBody(h, to, b) }
 
 func (h *simHost) logEvent(id event.ID, attrs ...slog.Attr) {
+	if h.sim.onEvent != nil {
+		h.sim.onEvent(h, id, attrs)
+	}
 	var b strings.Builder
 	for _, a := range attrs {
 		fmt.Fprintf(&b, " %s", a)
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -3,9 +3,11 @@
 import (
 	"container/heap"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
@@ -68,9 +70,11 @@
 	trace       func(format string, args ...any)
 	faultUntil  time.Duration // time until which the host and link faults so far last
 	lastJobID   int
-	onHeartbeat func(from, to string, h *peer.FleetHeartbeat) // called with each heartbeat that is sent; may be nil
-	keepCallers bool                                          // after they have finished
-	stopAt      time.Duration                                 // when run ends; 0: when no more jobs are open
+	onHeartbeat func(from, to string, h *peer.FleetHeartbeat)            // called with each heartbeat that is sent; may be nil
+	onEvent     func(h *simHost, id event.ID, attrs []slog.Attr)         // called with each log event; may be nil
+	onAnswer    func(job string, outcome peer.JobOutcome, reason string) // called with each answer to a caller; may be nil
+	keepCallers bool                                                     // after they have finished
+	stopAt      time.Duration                                            // when run ends; 0: when no more jobs are open
 }
 
 func newSimulation(cfg simConfig, seed uint64) *simulation {
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -183,6 +183,8 @@
 	Offer uint64   `msgpack:"o"`
 	Shard int      `msgpack:"s"`
 	Load  PoolLoad `msgpack:"p"` // load of the shard, including the job
+
+	Started bool `msgpack:"t,omitempty"` // answers a withdrawal: a task may have started, so the dispatcher keeps the job
 }
 
 // JobOutcome is the outcome of an offer.
@@ -207,6 +209,11 @@
 	NotStarted    bool       `msgpack:"c,omitempty"` // of JobMoved: no task has started
 	MinionsDigest uint64     `msgpack:"m,omitempty"` // of JobMoved: digest of the minions that may run tasks of the job; 0: not known
 	Reason        string     `msgpack:"n,omitempty"`
+
+	// NotStartedHere says of JobMoved and JobUnknown that the sending process has started no
+	// task of the offer and will start none. Unlike NotStarted it says nothing about
+	// earlier dispatchers.
+	NotStartedHere bool `msgpack:"h,omitempty"`
 }
 
 // JobResultAck acknowledges a JobResult.
@@ -222,6 +229,17 @@
 	Job   string `msgpack:"j"`
 	Offer uint64 `msgpack:"o"`
 	Shard int    `msgpack:"h"`
+
+	// Withdraw asks for the job's return only if no task of it has started. A dispatcher that
+	// keeps the job answers with a JobAck.
+	Withdraw bool `msgpack:"w,omitempty"`
+
+	// With the following fields the receiver can tell whether it would know of the offer:
+	// only the process that the offer was sent to does, and only for some time.
+	Process            membership.Incarnation `msgpack:"p,omitempty"` // that the offer was sent to
+	SinceOfferMS       int64                  `msgpack:"a,omitempty"` // time since the offer was first sent
+	ReceiverClock      int64                  `msgpack:"e,omitempty"` // as in JobOffer
+	ReceiverClockAgeMS int64                  `msgpack:"i,omitempty"`
 }
 
 // Kind implements Body.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -139,7 +139,7 @@
 	m.reserve(x)
 	t.run, t.state, t.lastMinion = x, taskPlaced, m.ID
 	t.nextRun++
-	j.mayHaveStarted = true
+	j.mayHaveStarted, j.startedHere = true, true
 	p.cfg.Log(event.PoolTaskStarted, slog.String("job", j.id), slog.Int("task", t.ref.Index), slog.Int("run", x.number), slog.String("minion", m.ID),
 		slog.Uint64("token", m.token), slog.Uint64("listed_token", m.listedToken), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
 		slog.Int64("used_cpu", m.usedCPU), slog.Int64("cpu", m.CPU), slog.Int64("born", m.Incarnation), slog.Int64("record_born", m.recordIncarnation))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -88,7 +88,7 @@
 // tasks that are known to be done.
 func (p *Pool) Release(now time.Time) {
 	for _, j := range p.sortedJobs() {
-		r := peer.JobResult{Outcome: peer.JobMoved, Done: j.doneTasks(), NotStarted: !j.mayHaveStarted, MinionsDigest: p.minionDigest, Reason: "dispatcher hands over"}
+		r := peer.JobResult{Outcome: peer.JobMoved, Done: j.doneTasks(), NotStarted: !j.mayHaveStarted, NotStartedHere: !j.startedHere, MinionsDigest: p.minionDigest, Reason: "dispatcher hands over"}
 		if j.hasUncertainTasks() {
 			r.MinionsDigest = 0 // an earlier owner may have run tasks on minions unknown here
 		}
@@ -103,7 +103,7 @@
 // refuses it. If the pool already has the job, the host is added to those that wait for
 // its result. A copy of an offer whose result is pending in Ready is ignored.
 func (p *Pool) Offer(now time.Time, from string, o *peer.JobOffer) {
-	if p.resultPending(from, o) {
+	if p.resultPending(from, o.Job, o.Offer) {
 		return
 	}
 	ref := OfferRef{Host: from, Offer: o.Offer}
@@ -131,15 +131,22 @@
 
 // HasOffer reports whether the pool has the job of an offer, with that offer among those
 // that wait for its result, or is about to return the offer's result.
-func (p *Pool) HasOffer(from string, o *peer.JobOffer) bool {
-	j := p.jobs[o.Job]
-	return j != nil && slices.Contains(j.waiters, OfferRef{Host: from, Offer: o.Offer}) || p.resultPending(from, o)
+func (p *Pool) HasOffer(from, job string, offer uint64) bool {
+	j := p.jobs[job]
+	return j != nil && slices.Contains(j.waiters, OfferRef{Host: from, Offer: offer}) || p.resultPending(from, job, offer)
+}
+
+// OfferNotStarted reports whether the pool has the job of an offer, for no other offer, and
+// neither started a task of it nor has seen a run of it.
+func (p *Pool) OfferNotStarted(from, job string, offer uint64) bool {
+	j := p.jobs[job]
+	return j != nil && !j.startedHere && len(j.waiters) == 1 && j.waiters[0] == OfferRef{Host: from, Offer: offer}
 }
 
 // resultPending reports whether Ready is going to return the offer's result.
-func (p *Pool) resultPending(from string, o *peer.JobOffer) bool {
+func (p *Pool) resultPending(from, job string, offer uint64) bool {
 	return slices.ContainsFunc(p.ready.Results, func(r Result) bool {
-		return r.To == from && r.Body.Job == o.Job && r.Body.Offer == o.Offer
+		return r.To == from && r.Body.Job == job && r.Body.Offer == offer
 	})
 }
 
@@ -173,7 +180,7 @@
 		for _, w := range j.waiters {
 			if w.Host == host {
 				p.ready.Results = append(p.ready.Results, Result{To: host, Body: peer.JobResult{
-					Job: j.id, Offer: w.Offer, Outcome: peer.JobUnknown, Reason: "the dispatcher did not hear of the host",
+					Job: j.id, Offer: w.Offer, Outcome: peer.JobUnknown, NotStartedHere: p.OfferNotStarted(host, j.id, w.Offer), Reason: "the dispatcher did not hear of the host",
 				}})
 			}
 		}
