--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,8 @@
 	PoolJobReturned       ID = 2131
 	PoolMinionCold        ID = 2132
 	PoolMinionWarm        ID = 2133
+	EntryOfferWithdrawn   ID = 2140
+	EntryJobNotStarted    ID = 2141
 	PoolMinionDraining    ID = 3101
 	PoolMinionRestarted   ID = 3102
 	PoolMinionUnreachable ID = 3103
@@ -154,6 +156,8 @@
 	{PoolJobReturned, slog.LevelInfo, "job returned after its runs had ended in an evacuated failure domain", "None; another failure domain continues it."},
 	{PoolMinionCold, slog.LevelInfo, "minion is cold after its start", "None; it gets little work until the time that it announces."},
 	{PoolMinionWarm, slog.LevelInfo, "minion is no longer cold", "None."},
+	{EntryOfferWithdrawn, slog.LevelInfo, "offer withdrawn from a dispatcher", "If frequent, look at the dispatcher's load and link."},
+	{EntryJobNotStarted, slog.LevelInfo, "job of an unavailable dispatcher has not started", "None: it is refused or offered elsewhere."},
 	{PoolMinionDraining, slog.LevelInfo, "minion draining", "None."},
 	{PoolMinionRestarted, slog.LevelInfo, "minion restarted", "None."},
 	{PoolMinionUnreachable, slog.LevelWarn, "minion unreachable", "Check the minion's process and its network."},
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -185,6 +185,8 @@
 	Offer uint64   `msgpack:"o"`
 	Shard int      `msgpack:"s"`
 	Load  PoolLoad `msgpack:"p"` // load of the shard, including the job
+
+	Started bool `msgpack:"t,omitempty"` // answers a withdrawal: a task may have started, so the dispatcher keeps the job
 }
 
 // JobOutcome is the outcome of an offer.
@@ -210,6 +212,11 @@
 	MinionsDigest uint64     `msgpack:"m,omitempty"` // of JobMoved: digest of the minions that may run tasks of the job; 0: not known
 	RunsEnded     bool       `msgpack:"e,omitempty"` // of JobMoved: tasks have started, but none runs any more or will be started; any dispatcher may continue the job
 	Reason        string     `msgpack:"n,omitempty"`
+
+	// NotStartedHere says of JobMoved and JobUnknown that the sending process has started no
+	// task of the offer and will start none. Unlike NotStarted it says nothing about
+	// earlier dispatchers.
+	NotStartedHere bool `msgpack:"h,omitempty"`
 }
 
 // JobResultAck acknowledges a JobResult.
@@ -225,6 +232,17 @@
 	Job   string `msgpack:"j"`
 	Offer uint64 `msgpack:"o"`
 	Shard int    `msgpack:"h"`
+
+	// Withdraw asks for the job's return only if no task of it has started. A dispatcher that
+	// keeps the job answers with a JobAck.
+	Withdraw bool `msgpack:"w,omitempty"`
+
+	// With the following fields the receiver can tell whether it would know of the offer:
+	// only the process that the offer was sent to does, and only for some time.
+	Process            membership.Incarnation `msgpack:"p,omitempty"` // that the offer was sent to
+	SinceOfferMS       int64                  `msgpack:"a,omitempty"` // time since the offer was first sent
+	ReceiverClock      int64                  `msgpack:"e,omitempty"` // as in JobOffer
+	ReceiverClockAgeMS int64                  `msgpack:"i,omitempty"`
 }
 
 // Kind implements Body.
