fleet: random faults while failure domains are evacuated

TestRandomFaultsAndEvacuations plays 8 seeds with random orders under random faults; the checker requires that nothing starts in an evacuated failure domain 5 s after the order and after the last fault.

--- a/internal/fleet/sim_evacuation_test.go
+++ b/internal/fleet/sim_evacuation_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -130,3 +132,29 @@
 		})
 	}
 }
+
+// Random faults while failure domains are evacuated and restored at random. The guarantees
+// of TestRandomFaults must hold, and nothing may start in an evacuated failure domain once
+// no fault keeps its hosts from learning of the order.
+func TestRandomFaultsAndEvacuations(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(simConfig{failureDomains: 3, entryHosts: 3, minions: 6, load: 0.35, faultPeriod: 24 * time.Second, recoveryPeriod: 14 * time.Second}, seed)
+			rng := rand.New(rand.NewPCG(seed, 78)) // of the orders only
+			version := uint64(1)
+			order := func(domains ...string) {
+				version++
+				sim.trace("evacuated are now %v", domains)
+				sim.orderEvacuations(version, 2, domains...)
+			}
+			for at := 5 * time.Second; at < sim.faultsEnd(); at += time.Duration(500+rng.IntN(6000)) * time.Millisecond {
+				domains := [][]string{nil, {"z0"}, {"z1"}, {"z2"}, {"z0", "z1"}}[rng.IntN(5)]
+				sim.after(at, func() { order(domains...) })
+			}
+			sim.after(sim.faultsEnd()+time.Second, func() { order("z1") })
+			sim.run()
+			must.SliceEmpty(t, sim.checker.finish())
+		})
+	}
+}
