fleet: test that a job is continued outside an evacuated failure domain

TestJobIsContinuedOutsideTheEvacuatedDomain: the first step runs for 3 s in the evacuated domain; the second runs elsewhere, and nothing runs twice.

--- a/internal/fleet/sim_evacuation_test.go
+++ b/internal/fleet/sim_evacuation_test.go
@@ -158,3 +158,28 @@
 		})
 	}
 }
+
+// A job whose first step outlasts the grace must be continued in another failure domain
+// without a second run of that step, so that its caller gets its answer.
+func TestJobIsContinuedOutsideTheEvacuatedDomain(t *testing.T) {
+	const submitted = 8 * time.Second
+	cfg := evacuationConfig()
+	cfg.load = 0.05
+	sim := newSimulation(cfg, 1)
+	sim.keepCallers = true
+	var c *simCaller
+	sim.after(submitted, func() {
+		c = sim.newCaller()
+		c.domain = "z1"
+		c.offer.Steps = []peer.TaskStep{{Count: 2, CPU: simTaskCPU, MemoryMB: 64, EstimateMS: 3000}, {Count: 2, CPU: simTaskCPU, MemoryMB: 64, EstimateMS: 100, After: []int{0}}}
+		c.work = []time.Duration{3 * time.Second, 100 * time.Millisecond}
+		c.try()
+	})
+	sim.after(submitted+500*time.Millisecond, func() { sim.orderEvacuations(2, 2, "z1") })
+	sim.run()
+	must.Eq(t, 4, sim.checker.starts[c.offer.Job])
+	must.SliceEmpty(t, sim.checker.finish())
+	must.Eq(t, peer.JobComplete, c.outcome)
+	must.Eq(t, 1, c.tries)
+	must.Less(t, submitted+4*time.Second, c.finishedAt)
+}
