pool: continue a job with its remaining tasks only

A job that another failure domain continues after an evacuation was admitted like a new one: the first step counted as work to do, and the job was refused for the backlog, so its caller got an unknown outcome and sent it again. Seen in TestJobIsContinuedOutsideTheEvacuatedDomain with a first step of 6 s (6 starts instead of 4). Jobs with tasks that are done now count as started.

--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -72,6 +72,7 @@
 	keepCallers bool                                          // after they have finished
 	stopAt      time.Duration                                 // when run ends; 0: when no more jobs are open
 	evacuatedAt map[string]time.Duration                      // by failure domain: when its evacuation was acknowledged
+	noFetchIn   string                                        // failure domain whose hosts get no new versions; empty: none
 }
 
 func newSimulation(cfg simConfig, seed uint64) *simulation {
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -20,12 +20,12 @@
 // admit returns nil if a new job is to be added to the queue, and the job's result
 // otherwise. It refuses a job that, behind the current backlog, would end after
 // job.usefulUntil, and fails a job that no minion can ever run. A job that may have
-// run is always added.
+// run, or of which tasks are done, is always added.
 func (p *Pool) admit(now time.Time, j *job) *peer.JobResult {
 	if len(j.tasks) == 0 {
 		return &peer.JobResult{Outcome: peer.JobComplete}
 	}
-	if j.offer.MayHaveRun {
+	if j.mayHaveStarted {
 		return nil
 	}
 	if reason := p.unplaceableReason(j); reason != "" {
--- a/internal/pool/evacuate.go
+++ b/internal/pool/evacuate.go
@@ -35,17 +35,17 @@
 	p.evacuation = evacuation{evacuated, startsUntil}
 	before := len(p.jobs)
 	for _, j := range p.sortedJobs() {
-		p.returnUnstarted(now, j)
+		p.returnUnstarted(now, j, j.mayHaveStarted)
 	}
 	p.cfg.Log(event.PoolEvacuated, slog.Bool("evacuated", evacuated), slog.Int("jobs", before), slog.Int("returned", before-len(p.jobs)),
 		slog.Int64("grace_ms", max(0, startsUntil.Sub(now)).Milliseconds()))
 	p.dispatch(now)
 }
 
-// returnUnstarted returns a job without a start to its entry host while the failure domain
-// is evacuated, and reports whether it did.
-func (p *Pool) returnUnstarted(now time.Time, j *job) bool {
-	if !p.evacuation.active || j.mayHaveStarted {
+// returnUnstarted returns a job of which nothing was started in this failure domain to its
+// entry host while the failure domain is evacuated, and reports whether it did.
+func (p *Pool) returnUnstarted(now time.Time, j *job, started bool) bool {
+	if !p.evacuation.active || started {
 		return false
 	}
 	p.finish(now, j, peer.JobResult{Outcome: peer.JobMoved, Done: j.offer.Done, NotStarted: true, Reason: "the failure domain is evacuated"})
--- a/internal/pool/evacuate_test.go
+++ b/internal/pool/evacuate_test.go
@@ -79,3 +79,25 @@
 	must.Len(t, 1, s.out.Results)
 	must.True(t, s.out.Results[0].Body.RunsEnded)
 }
+
+// A job that is continued after its runs have ended elsewhere must start only its remaining
+// tasks, and must not be refused for a backlog: it has run, so its caller could not be told
+// that it has not.
+func TestContinuedJobStartsItsRemainingTasks(t *testing.T) {
+	s := newHarness(t)
+	s.addMinion("m", 1000)
+	s.offerJob("long", 1, 1000, 60_000)
+	s.collect()
+	s.answerStarts(AnswerOK)
+	s.p.Offer(s.now, "entry", &peer.JobOffer{
+		Job: "j", Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, AgeMS: 2000, RemainingMS: 5000, Done: []int{0},
+		Steps: []peer.TaskStep{{Count: 1, CPU: 1000, EstimateMS: 2000}, {Count: 1, CPU: 1000, EstimateMS: 100, After: []int{0}}},
+	})
+	s.collect()
+	must.Len(t, 0, s.out.Results)
+	s.addMinion("n", 1000)
+	s.advance(20 * ms)
+	must.Len(t, 0, s.out.Results)
+	must.Len(t, 1, s.out.Starts)
+	must.Eq(t, TaskRef{Job: "j", Step: 1}, s.out.Starts[0].Task)
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -60,7 +60,7 @@
 // its queue's averages.
 func (p *Pool) newJob(now time.Time, o *peer.JobOffer) *job {
 	j := &job{
-		id: o.Job, offer: o, stats: p.statsFor(o.Queue), mayHaveStarted: o.MayHaveRun,
+		id: o.Job, offer: o, stats: p.statsFor(o.Queue), mayHaveStarted: o.MayHaveRun || len(o.Done) > 0,
 		offeredAt:         now,
 		arrived:           now.Add(-time.Duration(o.AgeMS) * time.Millisecond),
 		deadline:          now.Add(time.Duration(o.RemainingMS) * time.Millisecond),
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -118,7 +118,7 @@
 	}
 	j := p.newJob(now, o)
 	j.waiters = []OfferRef{ref}
-	if p.returnUnstarted(now, j) {
+	if p.returnUnstarted(now, j, o.MayHaveRun) {
 		return
 	}
 	if refusal := p.admit(now, j); refusal != nil {
