--- a/internal/pool/evacuate_test.go
+++ b/internal/pool/evacuate_test.go
@@ -86,7 +86,7 @@
 func TestContinuedJobStartsItsRemainingTasks(t *testing.T) {
 	s := newHarness(t)
 	s.addMinion("m", 1000)
-	s.offerJob("long", 1, 1000, 60_000)
+	s.offerJob("long", 1, 1000, 4000)
 	s.collect()
 	s.answerStarts(AnswerOK)
 	s.p.Offer(s.now, "entry", &peer.JobOffer{
