pool: the test of continued jobs covers their admission

With a deadline shorter than the whole job, TestContinuedJobStartsItsRemainingTasks fails when a continued job is admitted like a new one, and passes now.

--- a/internal/pool/evacuate_test.go
+++ b/internal/pool/evacuate_test.go
@@ -90,7 +90,7 @@
 	s.collect()
 	s.answerStarts(AnswerOK)
 	s.p.Offer(s.now, "entry", &peer.JobOffer{
-		Job: "j", Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, AgeMS: 2000, RemainingMS: 5000, Done: []int{0},
+		Job: "j", Offer: 1, Queue: "q", Service: "s", Attempts: 2, StretchPct: 160, AddMS: 60, AgeMS: 2000, RemainingMS: 1000, Done: []int{0},
 		Steps: []peer.TaskStep{{Count: 1, CPU: 1000, EstimateMS: 2000}, {Count: 1, CPU: 1000, EstimateMS: 100, After: []int{0}}},
 	})
 	s.collect()
