--- a/internal/fleet/sim_evacuation_test.go
+++ b/internal/fleet/sim_evacuation_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,7 +24,7 @@
 
 // fetchVersion applies the newer version of another host that has reported it.
 func (sim *simulation) fetchVersion(h, from *simHost, reported uint64) {
-	if reported <= h.applied.version {
+	if reported <= h.applied.version || h.rec.FailureDomain == sim.noFetchIn {
 		return
 	}
 	incarnation := h.incarnation
@@ -130,3 +132,91 @@
 		})
 	}
 }
+
+// Random faults while failure domains are evacuated and restored at random. The guarantees
+// of TestRandomFaults must hold, and nothing may start in an evacuated failure domain once
+// no fault keeps its hosts from learning of the order.
+func TestRandomFaultsAndEvacuations(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(simConfig{failureDomains: 3, entryHosts: 3, minions: 6, load: 0.35, faultPeriod: 24 * time.Second, recoveryPeriod: 14 * time.Second}, seed)
+			rng := rand.New(rand.NewPCG(seed, 78)) // of the orders only
+			version := uint64(1)
+			order := func(domains ...string) {
+				version++
+				sim.trace("evacuated are now %v", domains)
+				sim.orderEvacuations(version, 2, domains...)
+			}
+			for at := 5 * time.Second; at < sim.faultsEnd(); at += time.Duration(500+rng.IntN(6000)) * time.Millisecond {
+				domains := [][]string{nil, {"z0"}, {"z1"}, {"z2"}, {"z0", "z1"}}[rng.IntN(5)]
+				sim.after(at, func() { order(domains...) })
+			}
+			sim.after(sim.faultsEnd()+time.Second, func() { order("z1") })
+			sim.run()
+			must.SliceEmpty(t, sim.checker.finish())
+		})
+	}
+}
+
+// A job whose first step outlasts the grace must be continued in another failure domain
+// without a second run of that step, so that its caller gets its answer.
+func TestJobIsContinuedOutsideTheEvacuatedDomain(t *testing.T) {
+	const submitted = 8 * time.Second
+	cfg := evacuationConfig()
+	cfg.load = 0.05
+	sim := newSimulation(cfg, 1)
+	sim.keepCallers = true
+	var c *simCaller
+	sim.after(submitted, func() {
+		c = sim.newCaller()
+		c.domain = "z1"
+		c.offer.Steps = []peer.TaskStep{{Count: 2, CPU: simTaskCPU, MemoryMB: 64, EstimateMS: 6000}, {Count: 2, CPU: simTaskCPU, MemoryMB: 64, EstimateMS: 100, After: []int{0}}}
+		c.work = []time.Duration{6 * time.Second, 100 * time.Millisecond}
+		c.try()
+	})
+	sim.after(submitted+500*time.Millisecond, func() { sim.orderEvacuations(2, 2, "z1") })
+	sim.run()
+	must.Eq(t, 4, sim.checker.starts[c.offer.Job])
+	must.SliceEmpty(t, sim.checker.finish())
+	must.Eq(t, peer.JobComplete, c.outcome)
+	must.Eq(t, 1, c.tries)
+	must.Less(t, submitted+7*time.Second, c.finishedAt)
+}
+
+// A process that knows of a version, but has not applied any, must not claim minions: its
+// failure domain may be evacuated. It must claim them as soon as it has one. A host that is
+// only behind must not wait for long: its failure domain would be without a dispatcher.
+func TestClaimsWaitForTheFirstVersion(t *testing.T) {
+	sim := newSimulation(evacuationConfig(), 1)
+	sim.noFetchIn = "z1"
+	claims := func() (n int) {
+		for _, h := range sim.hosts {
+			if h.rec.FailureDomain == "z1" {
+				n += len(h.core.shards)
+			}
+		}
+		return n
+	}
+	var without, with, behind int
+	sim.after(4*time.Second, func() { without, sim.noFetchIn = claims(), "" })
+	sim.after(5*time.Second, func() {
+		with, sim.noFetchIn = claims(), "z1"
+		sim.orderEvacuations(2, 2)
+	})
+	sim.after(8*time.Second, func() {
+		for _, h := range sim.hosts {
+			if h.rec.FailureDomain == "z1" {
+				for _, x := range h.core.sortedShards() {
+					h.core.releaseShard(h.clock(), x, "test")
+				}
+			}
+		}
+	})
+	sim.after(9*time.Second, func() { behind = claims() })
+	sim.stopAt = 10 * time.Second
+	sim.run()
+	must.Zero(t, without)
+	must.Eq(t, 1, with)
+	must.Eq(t, 1, behind)
+}
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -76,6 +76,7 @@
 	onAnswer    func(job string, outcome peer.JobOutcome, reason string) // called with each answer to a caller; may be nil
 	keepCallers bool                                                     // after they have finished
 	stopAt      time.Duration                                            // when run ends; 0: when no more jobs are open
+	noFetchIn   string                                                   // failure domain whose hosts get no new versions; empty: none
 }
 
 func newSimulation(cfg simConfig, seed uint64) *simulation {
