pool: three steps of probability, none of them a preference for slow minions

The capacity and the free part of a service are computed once for all waiting jobs that are examined at a tick.

--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -103,13 +103,13 @@
 			ahead += o.waitingWork()
 		}
 	}
-	return p.delayBehind(own, ahead, capacity)
+	return p.delayBehind(own, ahead, capacity, p.freeCPU(j.offer.Service))
 }
 
 // delayBehind returns the expected delay of a job behind the given work, which is in
-// the unit of waitingWork.
-func (p *Pool) delayBehind(own rank, ahead, capacity int64) time.Duration {
-	ahead += own.job.waitingWork() - p.freeCPU(own.job.offer.Service)*own.job.criticalPath().Milliseconds()
+// the unit of waitingWork. free is the result of freeCPU.
+func (p *Pool) delayBehind(own rank, ahead, capacity, free int64) time.Duration {
+	ahead += own.job.waitingWork() - free*own.job.criticalPath().Milliseconds()
 	if ahead <= 0 {
 		return 0
 	}
@@ -120,21 +120,29 @@
 // refuseLateJobs refuses the jobs that have not started and that, behind the current
 // backlog, would end after job.usefulUntil, so that their callers need not wait.
 func (p *Pool) refuseLateJobs(now time.Time) {
-	ahead := make(map[string]int64)
+	byService := make(map[string]*backlog)
 	for _, r := range p.waitingJobs(now) {
-		service := r.job.offer.Service
-		if capacity := p.serviceCapacity(service); !r.job.mayHaveStarted && capacity > 0 {
-			if wait := p.delayBehind(r, ahead[service], capacity); now.Add(wait + r.job.criticalPath() + resultDelay).After(r.job.usefulUntil()) {
+		b := byService[r.job.offer.Service]
+		if b == nil {
+			b = &backlog{capacity: p.serviceCapacity(r.job.offer.Service), free: p.freeCPU(r.job.offer.Service)}
+			byService[r.job.offer.Service] = b
+		}
+		if !r.job.mayHaveStarted && b.capacity > 0 {
+			if wait := p.delayBehind(r, b.ahead, b.capacity, b.free); now.Add(wait + r.job.criticalPath() + resultDelay).After(r.job.usefulUntil()) {
 				p.finish(now, r.job, peer.JobResult{
 					Outcome: peer.JobRefused, RetryMS: max(minRetry, wait).Milliseconds(), Reason: "the backlog has become longer than an answer is of use",
 				})
 				continue
 			}
 		}
-		ahead[service] += r.job.waitingWork()
+		b.ahead += r.job.waitingWork()
 	}
 }
 
+// backlog is the work that waits for the minions of a service, in the unit of waitingWork,
+// and their processors.
+type backlog struct{ ahead, capacity, free int64 }
+
 // minCapacityShare is the smallest share of the capacity that a job is assumed to
 // get, however many jobs overtake it: the load may fall again.
 const minCapacityShare = 0.1
--- a/internal/pool/fit.go
+++ b/internal/pool/fit.go
@@ -12,11 +12,7 @@
 
 // fitSteps is the number of steps by which minions are compared. Minions of one step count
 // as equally suitable: estimates are too inaccurate for finer ones.
-const fitSteps = 5
-
-// keepFast is the advantage, in thousandths of a processor, of a minion on which tasks
-// take e times as long, where it serves as well as a faster one.
-const keepFast = 4_000
+const fitSteps = 3
 
 // taskFit is what decides in how much time a task has to end.
 type taskFit struct {
--- a/internal/pool/load_sites_test.go
+++ b/internal/pool/load_sites_test.go
@@ -98,18 +98,20 @@
 		site  *loadSite
 		least []float64 // earned share at each of siteLoads
 	}{
-		{"uneven", unevenSite(), []float64{0.92, 0.82, 0.70}},
+		{"uneven", unevenSite(), []float64{0.95, 0.87, 0.73}},
 		{"competing", competingSite(), []float64{0.97, 0.92, 0.82}},
 	} {
-		for i, factor := range []float64{0.7, 1, 1.4} {
-			l := workload{factor: factor, seconds: *siteSeconds, site: x.site}
-			sums, shares, mean, deviation := simulateSite(t, l)
-			t.Logf("%s load %.1f: earned %.3f (standard error %.4f) %.3f", x.name, factor, mean, deviation, shares)
-			for _, q := range x.site.queues {
-				t.Logf("  %-7s %v", q.name, sums[q.name])
+		t.Run(x.name, func(t *testing.T) {
+			for i, factor := range []float64{0.7, 1, 1.4} {
+				l := workload{factor: factor, seconds: *siteSeconds, site: x.site}
+				sums, shares, mean, deviation := simulateSite(t, l)
+				t.Logf("%s load %.1f: earned %.3f (standard error %.4f) %.3f", x.name, factor, mean, deviation, shares)
+				for _, q := range x.site.queues {
+					t.Logf("  %-7s %v", q.name, sums[q.name])
+				}
+				must.GreaterEq(t, x.least[i], mean, must.Sprintf("%s load %.1f", x.name, factor))
 			}
-			must.GreaterEq(t, x.least[i], mean, must.Sprintf("%s load %.1f", x.name, factor))
-		}
+		})
 	}
 }
 
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -121,7 +121,6 @@
 		score, step := m.CPU-m.usedCPU-t.step.CPU+int64(slowdownPenalty*(m.health.slowdown()-1)), 0
 		if kinds && m.speed != nil {
 			step = m.speed.step
-			score -= int64(keepFast * m.speed.logSlowdown)
 		}
 		if t.step.Rack != "" && !slices.Contains(m.Labels, t.step.Rack) {
 			score += remoteDataPenalty
