peer, platform: one set of bounds for documents, jobs and messages

A queue's attempts, stretch and objective and the numbers of a job were accepted beyond the bounds of the offers that carry them. Hosts refused each other's offers, and each refusal closed a connection with everything on it.

The bounds are in internal/peer/bounds.go and checked where a value is accepted (400) and in messages. Sums and products within them saturate. A job that no minion can be large enough for fails at its entry host; jobs that can never run are left out of the averages, which made all minions look full.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -30,8 +30,8 @@
 		*s = sentLoad{loadAt: d.LoadAt}
 	}
 	cpu, work := demand(&j.offer)
-	s.cpu += cpu
-	s.work += work
+	s.cpu = peer.AddWork(s.cpu, cpu)
+	s.work = peer.AddWork(s.work, work)
 }
 
 // demand returns the most CPU that a step of the job uses at once, in thousandths
@@ -41,7 +41,7 @@
 	for i := range o.Steps {
 		s := &o.Steps[i]
 		cpu = max(cpu, int64(s.Count)*s.CPU)
-		work += int64(s.Count) * s.CPU * s.EstimateMS
+		work = peer.AddWork(work, peer.Work(int64(s.Count)*s.CPU, s.EstimateMS))
 	}
 	return cpu, work
 }
@@ -106,7 +106,7 @@
 	free, queued := d.Load.Free, d.Load.Queued
 	if s := t.sent[d.id()]; s != nil && s.loadAt.Equal(d.LoadAt) {
 		free -= s.cpu
-		queued += max(0, s.work*max(0, -free)/max(1, s.cpu))
+		queued = peer.AddWork(queued, scale(s.work, max(0, -free), max(1, s.cpu)))
 	}
 	cpu, work := demand(&j.offer)
 	if queued == 0 && free >= cpu {
@@ -115,5 +115,12 @@
 	// The tasks that exceed the free CPU wait for the queued work and for each
 	// other.
 	missing := max(0, cpu-max(0, free))
-	return time.Duration((queued+work*missing/max(1, cpu))/d.Load.Capacity) * time.Millisecond
+	ms := peer.AddWork(queued, scale(work, missing, max(1, cpu))) / d.Load.Capacity
+	return time.Duration(min(ms, peer.MaxTimeMS)) * time.Millisecond
+}
+
+// scale returns work*part/whole, at most peer.MaxWork. The product alone can exceed the
+// range of an int64.
+func scale(work, part, whole int64) int64 {
+	return int64(min(peer.MaxWork, float64(work)*float64(part)/float64(whole)))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,7 +189,8 @@
 }
 
 // Submit adds a caller's job and offers it to a dispatcher. If the job is open
-// already, the caller is added to its waiters.
+// already, the caller is added to its waiters. A job that no minion can be large enough for
+// fails at once.
 func (t *Table) Submit(now time.Time, o peer.JobOffer, deadline time.Time, waiter uint64) {
 	if j := t.jobs[o.Job]; j != nil {
 		j.waiters = append(j.waiters, waiter)
@@ -197,6 +198,10 @@
 	}
 	j := &openJob{offer: o, arrived: now, deadline: deadline, waiters: []uint64{waiter}}
 	t.jobs[o.Job] = j
+	if slices.ContainsFunc(o.Steps, func(s peer.TaskStep) bool { return s.ExceedsEveryMinion() }) {
+		t.answer(now, j, Outcome{Outcome: peer.JobFailed, Reason: "no minion can be large enough"})
+		return
+	}
 	t.assign(now, j)
 }
 
@@ -425,7 +430,7 @@
 // answers have almost no value to the caller.
 func (j *openJob) latestStart() time.Time {
 	criticalPath := peer.CriticalPath(j.offer.Steps, (*peer.TaskStep).DeclaredRunTime)
-	objective := criticalPath*time.Duration(j.offer.StretchPct)/100 + time.Duration(j.offer.AddMS)*time.Millisecond
+	objective := peer.Objective(criticalPath, j.offer.StretchPct, j.offer.AddMS)
 	if objective <= 0 {
 		return j.deadline // no objective
 	}
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -8,12 +8,7 @@
 const (
 	maxShards     = 1 << 12
 	maxCells      = 1 << 12
-	maxSteps      = 1 << 8
-	maxTasks      = 1 << 16
-	maxLoad       = 1 << 50 // thousandths of a processor, also times milliseconds
 	maxDurationMS = 1 << 40
-	maxPercent    = 1 << 20
-	maxAttempts   = 1 << 20
 )
 
 // checkedBody is a message whose numbers Decode checks.
@@ -75,9 +70,9 @@
 
 func (l *PoolLoad) check() error {
 	return firstInvalid(
-		numberCheck{"capacity", l.Capacity, 0, maxLoad},
-		numberCheck{"free capacity", l.Free, -maxLoad, maxLoad},
-		numberCheck{"queued work", l.Queued, 0, maxLoad},
+		numberCheck{"capacity", l.Capacity, 0, MaxWork},
+		numberCheck{"free capacity", l.Free, -MaxWork, MaxWork},
+		numberCheck{"queued work", l.Queued, 0, MaxWork},
 	)
 }
 
@@ -91,41 +86,15 @@
 	if err := checkShard(o.Shard, o.ShardCount); err != nil {
 		return err
 	}
-	if err := firstInvalid(
-		numberCheck{"number of steps", int64(len(o.Steps)), 0, maxSteps},
-		numberCheck{"attempts", int64(o.Attempts), 0, maxAttempts},
-		numberCheck{"stretch", o.StretchPct, 0, maxPercent},
-		numberCheck{"constant part of the objective", o.AddMS, 0, maxDurationMS},
-		numberCheck{"age", o.AgeMS, -maxDurationMS, maxDurationMS},
-		numberCheck{"remaining time", o.RemainingMS, -maxDurationMS, maxDurationMS},
-		numberCheck{"time of prior runs", o.PriorRunsMS, 0, maxDurationMS},
-	); err != nil {
+	if err := CheckTerms(o.Attempts, o.StretchPct, o.AddMS); err != nil {
 		return err
 	}
-	tasks := int64(0)
-	for i := range o.Steps {
-		s := &o.Steps[i]
-		if err := s.check(i); err != nil {
-			return err
-		}
-		tasks += int64(s.Count)
-	}
-	return firstInvalid(numberCheck{"number of tasks", tasks, 0, maxTasks})
-}
-
-// check checks the step with the given index.
-func (s *TaskStep) check(index int) error {
-	for _, a := range s.After {
-		if err := firstInvalid(numberCheck{"step that must end first", int64(a), 0, int64(index) - 1}); err != nil {
-			return err
-		}
+	if err := CheckSteps(o.Steps); err != nil {
+		return err
 	}
 	return firstInvalid(
-		numberCheck{"number of tasks", int64(s.Count), 0, maxTasks},
-		numberCheck{"processors", s.CPU, 0, maxMinionCPU},
-		numberCheck{"memory", s.MemoryMB, 0, maxMinionMemoryMB},
-		numberCheck{"accelerators", s.Accelerators, 0, maxMinionAccelerators},
-		numberCheck{"estimate", s.EstimateMS, 0, maxDurationMS},
-		numberCheck{"tasks on one minion", int64(s.MaxPerMinion), 0, maxTasks},
+		numberCheck{"age", o.AgeMS, -maxDurationMS, maxDurationMS},
+		numberCheck{"remaining time", o.RemainingMS, -maxDurationMS, maxDurationMS},
+		numberCheck{"time of prior runs", o.PriorRunsMS, 0, maxDurationMS},
 	)
 }
--- a/internal/pool/admit.go
+++ b/internal/pool/admit.go
@@ -66,6 +66,14 @@
 	return ""
 }
 
+// countsAsLoad reports whether a new job says something about the load to come. One that
+// no minion can run, or that can't end by its deadline however soon it starts, takes no
+// capacity, and its numbers may be arbitrarily large: in the averages it would delay the
+// jobs that can run.
+func (p *Pool) countsAsLoad(j *job) bool {
+	return p.unplaceableReason(j) == "" && !j.arrived.Add(j.criticalPath()).After(j.deadline)
+}
+
 // countsAsCapacity reports whether queue delays and load reports count on the minion: it
 // accepts work or, just after a claim, it has not had the time to answer. The load that
 // the second part answers is that of a takeover: the jobs that waited for it arrive before
@@ -100,7 +108,7 @@
 	var ahead int64
 	for _, o := range p.jobs {
 		if o != j && o.offer.Service == j.offer.Service && o.hasWaitingTasks() && p.compare(p.rankOf(now, o), own) < 0 {
-			ahead += o.waitingWork()
+			ahead = peer.AddWork(ahead, o.waitingWork())
 		}
 	}
 	return p.delayBehind(own, ahead, capacity)
@@ -109,12 +117,12 @@
 // delayBehind returns the expected delay of a job behind the given work, which is in
 // the unit of waitingWork.
 func (p *Pool) delayBehind(own rank, ahead, capacity int64) time.Duration {
-	ahead += own.job.waitingWork() - p.freeCPU(own.job.offer.Service)*own.job.criticalPath().Milliseconds()
+	ahead += own.job.waitingWork() - peer.Work(p.freeCPU(own.job.offer.Service), own.job.criticalPath().Milliseconds())
 	if ahead <= 0 {
 		return 0
 	}
 	share := max(minCapacityShare, 1-p.overtakingShare(own, capacity))
-	return time.Duration(float64(ahead)/(share*float64(capacity))) * time.Millisecond
+	return time.Duration(min(float64(ahead)/(share*float64(capacity)), peer.MaxTimeMS)) * time.Millisecond
 }
 
 // refuseLateJobs refuses the jobs that have not started and that, behind the current
@@ -131,7 +139,7 @@
 				continue
 			}
 		}
-		ahead[service] += r.job.waitingWork()
+		ahead[service] = peer.AddWork(ahead[service], r.job.waitingWork())
 	}
 }
 
@@ -180,7 +188,7 @@
 		}
 	}
 	for _, j := range p.jobs {
-		l.Queued += j.waitingWork()
+		l.Queued = peer.AddWork(l.Queued, j.waitingWork())
 	}
 	return l
 }
--- /dev/null
+++ b/internal/pool/bounds_test.go
@@ -0,0 +1,44 @@
+package pool
+
+import (
+	"testing"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/peer"
+	"github.com/shoenig/test/must"
+)
+
+// A job that can never run is not counted as load: the mean task would become larger than
+// every minion, and jobs that can run would be refused for lack of free capacity. Its
+// numbers may be at their bounds.
+func TestImpossibleJobsDelayNobody(t *testing.T) {
+	for name, step := range map[string]peer.TaskStep{
+		"large":        {Count: peer.MaxTasks, CPU: 1 << 30, EstimateMS: 100},
+		"long":         {Count: 1, CPU: 500, EstimateMS: peer.MaxTimeMS},
+		"both":         {Count: peer.MaxTasks, CPU: 1 << 30, EstimateMS: peer.MaxTimeMS},
+		"accelerators": {Count: 1, CPU: 500, EstimateMS: 100, Accelerators: 1 << 20},
+	} {
+		s := newHarness(t)
+		s.addMinion("m", 1000)
+		s.p.Offer(s.now, "e", &peer.JobOffer{Job: "first", Offer: 1, Queue: "q", Service: "s", StretchPct: 160, AddMS: 60, RemainingMS: 1500,
+			Steps: []peer.TaskStep{{Count: 1, CPU: 500, EstimateMS: 100}}})
+		before, stats := s.p.Load(), *s.p.queueStats["q"]
+		for i := range uint64(5) {
+			s.p.Offer(s.now, "e", &peer.JobOffer{Job: "impossible", Offer: 2 + i, Queue: "q", Service: "s", StretchPct: 160, AddMS: 60, RemainingMS: 1500, Steps: []peer.TaskStep{step}})
+		}
+		must.Eq(t, 1, s.p.JobCount(), must.Sprint(name))
+		must.Eq(t, before, s.p.Load(), must.Sprint(name))
+		must.Eq(t, stats, *s.p.queueStats["q"], must.Sprint(name))
+	}
+}
+
+// The reported backlog stays within its bound, which other hosts check: they refuse a
+// heartbeat beyond it.
+func TestBacklogOfHugeJobsSaturates(t *testing.T) {
+	s := newHarness(t)
+	for _, id := range []string{"j1", "j2", "j3"} {
+		s.p.Offer(s.now, "e", &peer.JobOffer{Job: id, Offer: 1, Service: "s", MayHaveRun: true, StretchPct: peer.MaxStretchPct, AddMS: peer.MaxTimeMS, RemainingMS: 1500,
+			Steps: []peer.TaskStep{{Count: peer.MaxTasks, CPU: 1 << 30, EstimateMS: peer.MaxTimeMS}}})
+	}
+	must.Eq(t, 3, s.p.JobCount())
+	must.Eq(t, peer.MaxWork, s.p.Load().Queued)
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -57,7 +57,7 @@
 }
 
 // newJob returns a job with the offered tasks, all of them waiting, and counts it in
-// its queue's averages.
+// its queue's averages, unless it can never run.
 func (p *Pool) newJob(now time.Time, o *peer.JobOffer) *job {
 	j := &job{
 		id: o.Job, offer: o, stats: p.statsFor(o.Queue), mayHaveStarted: o.MayHaveRun,
@@ -74,17 +74,18 @@
 	j.openTasks = len(j.tasks)
 	j.runTimeFactor = j.stats.runTimeFactor(o.Steps)
 	j.totalWork = j.waitingWork()
-	j.stats.observeArrival(now, j.totalWork)
-	p.learnTaskCPU(j)
-	stretched := float64(j.criticalPath()) * float64(o.StretchPct) / 100
-	j.objective = j.arrived.Add(time.Duration(stretched) + time.Duration(o.AddMS)*time.Millisecond)
+	j.objective = j.arrived.Add(peer.Objective(j.criticalPath(), o.StretchPct, o.AddMS))
+	if p.countsAsLoad(j) {
+		j.stats.observeArrival(now, j.totalWork)
+		p.learnTaskCPU(j)
+	}
 	return j
 }
 
 // expected returns the expected run time of a task of the step on a minion of average
 // speed.
 func (j *job) expected(s *peer.TaskStep) time.Duration {
-	return time.Duration(float64(s.EstimateMS) * j.runTimeFactor * float64(time.Millisecond))
+	return time.Duration(min(float64(s.EstimateMS)*j.runTimeFactor, peer.MaxTimeMS) * float64(time.Millisecond))
 }
 
 // criticalPath returns the expected time of the longest chain of dependent steps.
@@ -122,7 +123,7 @@
 	var sum int64
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.state == taskWaiting || t.state == taskUncertain {
-			sum += t.step.CPU * j.expected(t.step).Milliseconds()
+			sum = peer.AddWork(sum, peer.Work(t.step.CPU, j.expected(t.step).Milliseconds()))
 		}
 	}
 	return sum
--- a/internal/pool/queuestats.go
+++ b/internal/pool/queuestats.go
@@ -26,7 +26,7 @@
 func (p *Pool) statsFor(queue string) *queueStats {
 	q := p.queueStats[queue]
 	if q == nil {
-		q = &queueStats{}
+		q = &queueStats{jobsPerSecond: initialJobsPerSecond}
 		p.queueStats[queue] = q
 	}
 	return q
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"path"
 	"strings"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/control"
@@ -39,6 +40,30 @@
 	GuardsCapacity bool   `json:"guards_capacity"` // its minions refuse tasks that exceed their free capacity
 }
 
+// Check reports why a document can't have this queue, or nil.
+func (q *Queue) Check() error {
+	if err := peer.CheckTerms(q.Attempts, q.StretchPct, q.AddMS); err != nil {
+		return err
+	}
+	if q.TimeoutMS <= 0 || q.TimeoutMS > peer.MaxTimeMS {
+		return errors.Errorf("timeout is %d, want 1 to %d", q.TimeoutMS, peer.MaxTimeMS)
+	}
+	return checkPrefix(q.Prefix)
+}
+
+// checkPrefix reports why no request's path can begin with the prefix, or nil. Paths are
+// compared after escapes are decoded, and empty, "." and ".." elements are removed.
+func checkPrefix(prefix string) error {
+	clean := path.Clean(prefix)
+	if strings.HasSuffix(prefix, "/") && clean != "/" {
+		clean += "/"
+	}
+	if !strings.HasPrefix(prefix, "/") || prefix != clean || strings.Contains(prefix, "%") {
+		return errors.Errorf("prefix %.100q: want a path that begins with /, without escapes and without empty, \".\" or \"..\" elements", prefix)
+	}
+	return nil
+}
+
 // Encode returns the document as JSON, the form in which control hosts store it.
 func (d *Document) Encode() ([]byte, error) {
 	b, err := json.Marshal(d)
