control: tolerate the loss of disks while the group forms

Version 1 was acknowledged while the group had only its bootstrap hosts, fewer than 2n+1 members, and a bootstrap host that lost its disk before version 1 kept it from ever being chosen.

Prepare messages for version 1 name the bootstrap hosts. Version 1 lists spare hosts with disks as members, needs n+1 acceptances, and is proposed again with replaced disks.

--- a/internal/control/acceptor.go
+++ b/internal/control/acceptor.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/laburnumwalk/laburnumwalk/internal/invariant"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
@@ -26,7 +28,8 @@
 	m.send(to, &peer.ControlReport{Disk: m.state.Disk, Version: m.Version(), StoreFailed: m.storeFailed})
 }
 
-func (m *Machine) onPrepare(from string, p *peer.ControlPrepare) {
+func (m *Machine) onPrepare(now time.Time, from string, p *peer.ControlPrepare) {
+	m.learnBootstrap(p)
 	m.highestRound = max(m.highestRound, p.Ballot.Round)
 	if !m.checkMayVote(from, p.Version) {
 		return
@@ -42,6 +45,9 @@
 		m.stateChanged = true
 	}
 	r.Accepted, r.Value = m.state.Accepted, m.state.Value
+	if p.Version == 1 {
+		r.Spares = m.liveSpares(now)
+	}
 	m.send(from, r)
 }
 
@@ -69,16 +75,17 @@
 }
 
 // isValidFirstGroup reports whether a group proposed with version 1 consists of
-// the bootstrap hosts and lists this host's disk. No earlier version lists the
-// disks, so a host votes only for a value that lists its own disk.
+// the bootstrap hosts and, up to Config.GroupSize, of spare hosts, and lists this host's
+// disk. No earlier version lists the disks, so a host votes only for a value that lists
+// its own disk.
 func (m *Machine) isValidFirstGroup(group []peer.ControlMember) bool {
-	if len(group) != len(m.cfg.Bootstrap) {
-		return false
-	}
-	for _, g := range group {
-		if !contains(m.cfg.Bootstrap, g.Host) {
+	for _, host := range m.bootstrap() {
+		if diskOf(group, host) == "" {
 			return false
 		}
 	}
+	if len(group) > max(len(m.bootstrap()), m.cfg.GroupSize) {
+		return false
+	}
 	return isMember(group, m.cfg.Self.Name, m.state.Disk)
 }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
@@ -63,9 +64,9 @@
 // the others alone must be a majority: the new disk may be lost before the change is
 // chosen, and the change may still be completed then. A replaced member that is gone
 // makes no difference to this; one that is only out of reach of the proposer stays.
-func (m *Machine) nextGroup(a *attempt) (group []peer.ControlMember, reason string) {
+func (m *Machine) nextGroup(now time.Time, a *attempt) (group []peer.ControlMember, reason string) {
 	if m.state.Chosen == nil {
-		return a.firstGroup()
+		return m.firstGroup(now, a)
 	}
 	p := a.proposal
 	if p.Group == nil {
@@ -94,12 +95,10 @@
 }
 
 // firstGroup returns the group of version 1: the bootstrap hosts with the disks
-// that sent promises. If the proposal names a different group, firstGroup returns
-// the reason why it can't be chosen.
-func (a *attempt) firstGroup() (group []peer.ControlMember, reason string) {
-	for _, host := range a.acceptors {
-		group = append(group, peer.ControlMember{Host: host, Disk: a.promises[host].Disk})
-	}
+// that sent promises, and spare hosts up to Config.GroupSize. If the proposal names a
+// different group, firstGroup returns the reason why it can't be chosen.
+func (m *Machine) firstGroup(now time.Time, a *attempt) (group []peer.ControlMember, reason string) {
+	group = m.withSpares(now, a.bootstrapGroup())
 	want := a.proposal.Group
 	if want != nil && (len(want) != len(group) || len(membersNotIn(want, group)) > 0) {
 		return nil, fmt.Sprintf("version 1 is chosen by, and must name, the control hosts %v", group)
--- a/internal/control/learner.go
+++ b/internal/control/learner.go
@@ -67,6 +67,7 @@
 	if m.attempt != nil {
 		m.attempt.reports[from] = r
 	}
+	m.observeSpare(now, from, r)
 	if r.Version > m.Version() {
 		m.ObserveVersion(now, from, r.Version)
 		return
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -117,6 +117,7 @@
 	lastNonce     uint64          // nonce of the most recent query
 	reads         []*pendingRead
 	admission     admission
+	formation     formation
 	ready         Ready
 }
 
@@ -152,7 +153,7 @@
 		return false
 	}
 	if m.state.Chosen == nil {
-		return contains(m.cfg.Bootstrap, m.cfg.Self.Name)
+		return contains(m.bootstrap(), m.cfg.Self.Name)
 	}
 	return isMember(m.state.Chosen.Group, m.cfg.Self.Name, m.state.Disk)
 }
@@ -201,7 +202,7 @@
 func (m *Machine) Receive(now time.Time, from string, b peer.Body) {
 	switch msg := b.(type) {
 	case *peer.ControlPrepare:
-		m.onPrepare(from, msg)
+		m.onPrepare(now, from, msg)
 	case *peer.ControlAccept:
 		m.onAccept(from, msg)
 	case *peer.ControlPromise:
@@ -230,6 +231,7 @@
 	m.tickAttempt(now)
 	m.tickReads(now)
 	m.tickAdmission(now)
+	m.tickFormation(now)
 	m.advance(now)
 }
 
@@ -253,6 +255,7 @@
 	if r.Version <= m.Version() {
 		return
 	}
+	m.observeGroup(now, r)
 	m.state.setChosen(r)
 	m.stateChanged = true
 	m.attempt = nil
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -137,7 +137,8 @@
 
 // tryDecideChosen decides a proposal whose command was chosen, and reports
 // whether it did. If the command is in the latest version, the outcome is OK
-// only once a majority of the new group has that version on disk. For an older
+// only once a majority of the new group has that version on disk, and the group has
+// settled. For an older
 // version no such check is needed: the hosts that voted on the next version had
 // it on disk.
 func (m *Machine) tryDecideChosen(now time.Time, p *pendingProposal, c peer.CommandRecord) bool {
@@ -145,7 +146,7 @@
 	case c.Digest != p.digest:
 		m.refuse(p, result.PlanRefused, fmt.Sprintf("the command identity was used for version %d", c.Version))
 		return true
-	case c.Version < m.Version() || m.syncedByMajority():
+	case (c.Version < m.Version() || m.syncedByMajority()) && m.Settled(now):
 		m.decideWithVersion(p, result.OK, c.Version, "", "")
 		return true
 	case !now.Before(p.deadline):
@@ -254,7 +255,7 @@
 // acceptors returns the names of the hosts that choose the next version.
 func (m *Machine) acceptors() []string {
 	if m.state.Chosen == nil {
-		return m.cfg.Bootstrap
+		return m.bootstrap()
 	}
 	hosts := make([]string, len(m.state.Chosen.Group))
 	for i, g := range m.state.Chosen.Group {
@@ -271,7 +272,7 @@
 	for _, host := range a.acceptors {
 		switch {
 		case a.value == nil && a.promises[host] == nil:
-			m.send(host, &peer.ControlPrepare{Version: a.version, Ballot: a.ballot})
+			m.send(host, m.prepareOf(a))
 		case a.value != nil && !a.accepts[host]:
 			m.send(host, &peer.ControlAccept{Version: a.version, Ballot: a.ballot, Value: a.value})
 		}
@@ -279,12 +280,21 @@
 	if a.value == nil && a.proposal != nil {
 		for _, g := range m.addedMembers(a.proposal) {
 			if !contains(a.acceptors, g.Host) {
-				m.send(g.Host, &peer.ControlPrepare{Version: a.version, Ballot: a.ballot})
+				m.send(g.Host, m.prepareOf(a))
 			}
 		}
 	}
 }
 
+// prepareOf returns the message of the attempt's phase one.
+func (m *Machine) prepareOf(a *attempt) *peer.ControlPrepare {
+	p := &peer.ControlPrepare{Version: a.version, Ballot: a.ballot}
+	if a.version == 1 {
+		p.Bootstrap = a.acceptors
+	}
+	return p
+}
+
 func (m *Machine) tickAttempt(now time.Time) {
 	a := m.attempt
 	if a == nil {
@@ -334,6 +344,9 @@
 		return
 	}
 	a.promises[from] = p
+	for _, s := range p.Spares {
+		m.observeSpare(now, s.Host, &peer.ControlReport{Disk: s.Disk})
+	}
 	m.maybeStartPhaseTwo(now, a)
 }
 
@@ -356,6 +369,9 @@
 		return
 	}
 	value := a.highestAccepted()
+	if value != nil && a.version == 1 {
+		value = a.renewDisks(value)
+	}
 	if value == nil && a.proposal == nil {
 		m.attempt = nil // no acceptor has an undecided value to complete
 		m.recoveryStart = time.Time{}
@@ -390,7 +406,7 @@
 // not yet sent to acceptors.
 func (m *Machine) proposedValue(now time.Time, a *attempt) *peer.ConfigRecord {
 	p := a.proposal
-	group, reason := m.nextGroup(a)
+	group, reason := m.nextGroup(now, a)
 	if reason != "" {
 		if !p.valueSent && now.Sub(a.startedAt) >= m.cfg.Timing.GroupChangeTimeout {
 			m.refuse(p, result.PlanRefused, reason)
@@ -422,11 +438,11 @@
 	if m.state.Chosen != nil {
 		group = m.state.Chosen.Group
 	}
-	if !isMember(group, from, r.Disk) {
+	if !contains(a.acceptors, from) || !isMember(group, from, r.Disk) {
 		return
 	}
 	a.accepts[from] = true
-	if len(a.accepts) < majority(len(group)) {
+	if len(a.accepts) < m.acceptQuorum(a) {
 		return
 	}
 	m.learn(now, a.value)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -14,6 +14,8 @@
 	Promised peer.Ballot        `msgpack:"p"` // highest ballot promised
 	Accepted peer.Ballot        `msgpack:"a"` // ballot under which Value was accepted
 	Value    *peer.ConfigRecord `msgpack:"v"` // last accepted value; nil: none
+	// Bootstrap lists the hosts that choose version 1, if another host named them.
+	Bootstrap []string `msgpack:"b,omitempty"`
 }
 
 // Version returns the latest known version, or 0.
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -152,8 +152,7 @@
 				return err
 			}
 			if known.Version >= d.Version {
-				_, err := h.NewestDocument(ctx)
-				return err
+				return h.confirmDeclared(ctx)
 			}
 		}
 		o := h.control.Propose(ctx, control.Proposal{Command: uuid.NewString(), Operator: h.self.Name, Base: v.Version, Document: encoded})
@@ -169,6 +168,24 @@
 	return ErrNoMajority
 }
 
+// settledPollInterval is the interval at which confirmDeclared looks whether the control
+// group has settled.
+const settledPollInterval = 20 * time.Millisecond
+
+// confirmDeclared returns nil once a document that is known here certainly stays readable:
+// the control group has settled, and then a majority confirms a read.
+func (h *Host) confirmDeclared(ctx context.Context) error {
+	for !h.control.View().Settled {
+		select {
+		case <-ctx.Done():
+			return ErrNoMajority
+		case <-time.After(settledPollInterval):
+		}
+	}
+	_, err := h.NewestDocument(ctx)
+	return err
+}
+
 // BeginShutdown begins the shutdown: another host takes over the minions, and Ready becomes
 // false, so that callers connect to other hosts. New jobs get a deadline of at most
 // bound from now, so that longer ones are refused.
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -67,19 +67,21 @@
 // ControlPrepare starts an attempt to choose a version (phase one). The receiver
 // answers with a ControlPromise.
 type ControlPrepare struct {
-	Version uint64 `msgpack:"v"`
-	Ballot  Ballot `msgpack:"b"`
+	Version   uint64   `msgpack:"v"`
+	Ballot    Ballot   `msgpack:"b"`
+	Bootstrap []string `msgpack:"o,omitempty"` // for version 1: the hosts that choose it
 }
 
 // ControlPromise is the answer to a ControlPrepare.
 type ControlPromise struct {
-	Version  uint64        `msgpack:"v"`
-	Ballot   Ballot        `msgpack:"b"` // of the ControlPrepare
-	Disk     string        `msgpack:"d"`
-	Refused  bool          `msgpack:"f"`           // the sender has promised a higher ballot
-	Promised Ballot        `msgpack:"p"`           // that higher ballot, if refused
-	Accepted Ballot        `msgpack:"a"`           // ballot of Value
-	Value    *ConfigRecord `msgpack:"w,omitempty"` // value that the sender has accepted; nil: none
+	Version  uint64          `msgpack:"v"`
+	Ballot   Ballot          `msgpack:"b"` // of the ControlPrepare
+	Disk     string          `msgpack:"d"`
+	Refused  bool            `msgpack:"f"`           // the sender has promised a higher ballot
+	Promised Ballot          `msgpack:"p"`           // that higher ballot, if refused
+	Accepted Ballot          `msgpack:"a"`           // ballot of Value
+	Value    *ConfigRecord   `msgpack:"w,omitempty"` // value that the sender has accepted; nil: none
+	Spares   []ControlMember `msgpack:"s,omitempty"` // for version 1: other hosts with a disk that can become members
 }
 
 // ControlAccept asks the receiver to accept a value (phase two). The receiver answers
--- a/internal/register/controller.go
+++ b/internal/register/controller.go
@@ -119,6 +119,7 @@
 	Voting    bool               // the host is an acceptor for the next version
 	LearnedAt time.Time          // when this host learned Version
 	Record    *peer.ConfigRecord // record of Version, nil at version 0; must not be modified
+	Settled   bool               // see control.Machine.Settled
 }
 
 // View returns the snapshot taken after the last input.
@@ -316,7 +317,7 @@
 }
 
 func (c *Controller) publishView() {
-	v := View{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), LearnedAt: time.Now(), Record: c.machine.Record()}
+	v := View{Version: c.machine.Version(), Disk: c.machine.Disk(), Voting: c.machine.Voting(), LearnedAt: time.Now(), Record: c.machine.Record(), Settled: c.machine.Settled(time.Now())}
 	old := c.view.Load()
 	if old != nil && old.Version == v.Version {
 		v.LearnedAt = old.LearnedAt
