pool, fleet: leases end before a silent entry host's callers come again

A dispatcher renewed the leases of a silent entry host's jobs for 0.6 s, each time for 0.8 s: runs on minions that were then cut off went on for up to 1.43 s, beside the runs of the same jobs, which callers send again after 1.3 s.

Dispatchers know when the newest heartbeat or offer of an entry host was sent, and grant no lease beyond 1.22 s after that, on the slowest clock. Tasks are started only if a whole lease fits. The random faults draw an entry host's death with cuts of 0.1 to 1 s after it.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -256,7 +256,7 @@
 	if c.shardLayoutVersion == 0 {
 		c.shardLayoutVersion = c.highestToken
 	}
-	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent})}
+	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent, LastSign: c.lastSign})}
 	c.shards[number] = x
 	x.pool.Claim(now, c.highestToken)
 	n := 0
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -66,6 +66,7 @@
 	unackedResults     map[offerKey]*pendingResult
 	endedOffers        offerMemory             // offers that have ended or were cancelled
 	sentLogIndex       map[string]uint64       // by subscribed host: index up to which the roster log was sent
+	signs              map[string]*sign        // by host, as long as it is in lastMessageAt
 	lastMessageAt      map[string]time.Time    // by host: when its newest message arrived
 	incarnations       map[string]incarnations // by host, as long as it is in lastMessageAt
 
@@ -114,7 +115,7 @@
 		roster: roster.New(self), jobTable: entry.New(now, self.Name, self.FailureDomain, lastOffer, out.logEvent),
 		shards: make(map[int]*shard), shardCount: 1, minionsPerShard: claim.MinionsPerShard(0), cellLayout: peer.CellLayout{Cells: 1},
 		waiters: make(map[uint64]chan entry.Outcome), unackedResults: make(map[offerKey]*pendingResult),
-		sentLogIndex: make(map[string]uint64), promised: make(map[string]bool), lastMessageAt: make(map[string]time.Time), incarnations: make(map[string]incarnations), startedAt: now,
+		sentLogIndex: make(map[string]uint64), promised: make(map[string]bool), signs: make(map[string]*sign), lastMessageAt: make(map[string]time.Time), incarnations: make(map[string]incarnations), startedAt: now,
 	}
 }
 
@@ -154,6 +155,7 @@
 		if now.Sub(at) > roster.UnreachableAfter {
 			delete(c.lastMessageAt, name)
 			delete(c.incarnations, name)
+			delete(c.signs, name)
 		}
 	}
 }
@@ -178,6 +180,7 @@
 	c.lastMessageAt[from] = now
 	switch m := b.(type) {
 	case *peer.FleetHeartbeat:
+		c.recordSign(now, m)
 		c.handleHeartbeat(now, m)
 	case *peer.RosterUpdate:
 		c.mergeRoster(now, from, m)
--- a/internal/fleet/offer_age.go
+++ b/internal/fleet/offer_age.go
@@ -43,8 +43,9 @@
 	offerAgeUnknown                 // the offer has no clock reading of this process
 )
 
-// ageOf returns how long an offer was in flight, and logs an offer that is not fresh.
-func (c *core) ageOf(from string, o *peer.JobOffer) offerAge {
+// ageOf returns how long an offer was in flight, and logs an offer that is not fresh. A
+// fresh one is a sign of its sender.
+func (c *core) ageOf(now time.Time, from string, o *peer.JobOffer) offerAge {
 	if from == c.self.Name {
 		return offerFresh
 	}
@@ -55,6 +56,7 @@
 	case flight > maxOfferAge:
 		age = offerLate
 	default:
+		c.signOf(from).observe(now.Add(-max(0, flight)))
 		return offerFresh
 	}
 	c.logEvent(event.OfferStale, slog.String("job", o.Job), slog.String("from", from), slog.Int64("flight_ms", flight.Milliseconds()))
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -39,7 +39,7 @@
 		return
 	}
 	x := c.shards[o.Shard]
-	switch c.ageOf(from, o) {
+	switch c.ageOf(now, from, o) {
 	case offerAgeUnknown:
 		return // an earlier process of this host may have accepted a copy of it
 	case offerLate:
--- a/internal/fleet/sim_faults_test.go
+++ b/internal/fleet/sim_faults_test.go
@@ -14,7 +14,7 @@
 	faults := []func(time.Duration){
 		sim.killHost, sim.killHost, sim.powerOffHost, sim.suspendHost, sim.suspendHost, sim.shutDownHost, sim.cutHost, sim.cutDomain,
 		sim.cutOneWay, sim.crashMinion, sim.crashMinion, sim.cutMinion, sim.slowMinion, sim.hangMinion, sim.failRuns, sim.delayOrders, sim.delayOrders,
-		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts, sim.overloadHosts, sim.overloadHosts,
+		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts, sim.overloadHosts, sim.overloadHosts, sim.killEntryHostThenCut,
 	}
 	faults[sim.rng.IntN(len(faults))](duration)
 }
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -22,7 +22,9 @@
 	// An unreachable minion's lease is not renewed: it has to expire before the
 	// minion's tasks are started elsewhere.
 	if m.reachable && m.clock > 0 && len(m.runs) > 0 && m.mayRenewLease() {
-		poll.LeaseEndMS = m.leaseEnd(now, p.cfg.Timing.Lease)
+		if period := p.leasePeriod(now, m); period > 0 {
+			poll.LeaseEndMS = m.leaseEnd(now, period)
+		}
 	}
 	m.polls[poll.Serial] = &pendingPoll{token: m.token, sentAt: now, lostAfter: now.Add(wait + pollGrace), urgent: urgent}
 	p.ready.Polls = append(p.ready.Polls, poll)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -43,6 +43,9 @@
 		return
 	}
 	for _, r := range p.waitingJobs(now) {
+		if !p.maySendStarts(now, r.job) {
+			continue
+		}
 		for i := range r.job.tasks {
 			t := &r.job.tasks[i]
 			if !r.job.startable(t) || p.mayBeRunning(t.ref) {
@@ -145,7 +148,7 @@
 		slog.Int64("used_cpu", m.usedCPU), slog.Int64("cpu", m.CPU), slog.Int64("born", m.Incarnation), slog.Int64("record_born", m.recordIncarnation))
 	p.ready.Starts = append(p.ready.Starts, Start{
 		Minion: m.ID, Address: m.Address, Task: t.ref, Run: x.number, Payload: j.offer.Payload,
-		Token: m.token, LeaseEndMS: m.leaseEnd(now, p.cfg.Timing.Lease), Incarnation: m.Incarnation,
+		Token: m.token, LeaseEndMS: m.leaseEnd(now, p.leasePeriod(now, m)), Incarnation: m.Incarnation,
 	})
 }
 
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -139,6 +139,9 @@
 type Config struct {
 	Timing Timing
 	Log    LogFunc
+	// LastSign returns when the process of an entry host was last known to run; nil: always
+	// now.
+	LastSign func(now time.Time, host string) time.Time
 }
 
 // Timing holds the intervals of a Pool.
