platform: send start orders to the incarnation that they were made for

A start order reached a new incarnation of its minion before an announcement or a listing showed the restart. A smaller incarnation was overfilled.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,8 +52,10 @@
 
 // Minions sends orders to minions. Each call returns in bounded time.
 type Minions interface {
-	// Start returns the minion's answer and the minion's clock in milliseconds, 0 if
-	// the answer has none.
+	// Start sends the order to the incarnation of the minion that it names and to no
+	// other: its capacity counted. It returns the minion's answer, pool.AnswerOtherProcess
+	// if a later incarnation is there, and the minion's clock in milliseconds, 0 if the
+	// answer has none.
 	Start(ctx context.Context, s *pool.Start) (pool.Answer, int64)
 	// Stop returns the minion's answer.
 	Stop(ctx context.Context, s *pool.Stop) pool.Answer
--- a/internal/fleet/sim_faults_test.go
+++ b/internal/fleet/sim_faults_test.go
@@ -15,6 +15,7 @@
 		sim.killHost, sim.killHost, sim.powerOffHost, sim.suspendHost, sim.suspendHost, sim.shutDownHost, sim.cutHost, sim.cutDomain,
 		sim.cutOneWay, sim.crashMinion, sim.crashMinion, sim.cutMinion, sim.slowMinion, sim.hangMinion, sim.failRuns, sim.delayOrders, sim.delayOrders,
 		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts, sim.overloadHosts, sim.overloadHosts, sim.killEntryHostThenCut,
+		sim.restartMinion,
 	}
 	faults[sim.rng.IntN(len(faults))](duration)
 }
@@ -153,6 +154,14 @@
 	sim.after(duration, m.launch)
 }
 
+// restartMinion stops a minion and starts it again under its name within a poll. The new
+// incarnation may be larger or smaller.
+func (sim *simulation) restartMinion(time.Duration) {
+	m := sim.anyMinion()
+	m.crash()
+	sim.after(sim.durationBetween(0, 500*time.Millisecond), m.launch)
+}
+
 // cutMinion cuts a minion off from all hosts. The minion may restart meanwhile.
 func (sim *simulation) cutMinion(duration time.Duration) {
 	m := sim.anyMinion()
--- a/internal/fleet/sim_order_test.go
+++ b/internal/fleet/sim_order_test.go
@@ -24,7 +24,14 @@
 }
 
 func (o startOrder) execute(m *simMinion, answer func(pool.Answer, int64, *pool.Listing)) {
-	answer(m.handleStart(&o.start), m.clock(), nil)
+	switch { // a connection belongs to one incarnation
+	case m.startedMS > o.start.Incarnation:
+		answer(pool.AnswerOtherProcess, 0, nil)
+	case m.startedMS < o.start.Incarnation:
+		answer(pool.AnswerUnsent, 0, nil)
+	default:
+		answer(m.handleStart(&o.start), m.clock(), nil)
+	}
 }
 
 func (o startOrder) answered(now time.Time, a pool.Answer, clock int64, _ *pool.Listing) {
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -24,8 +24,8 @@
 	Payload    string
 	Token      uint64
 	LeaseEndMS int64 // end of the lease, in milliseconds of the minion's clock
-	// Incarnation is the minion's newest known incarnation when the order was made. A
-	// later one may receive the order all the same.
+	// Incarnation is the incarnation whose capacity the task was placed on. No other one
+	// may receive the order.
 	Incarnation int64
 }
 
@@ -37,7 +37,7 @@
 	Task        TaskRef
 	Run         int
 	Token       uint64
-	Incarnation int64 // as in Start
+	Incarnation int64 // the minion's newest known incarnation when the order was made; a later one may receive it
 }
 
 // Poll asks a minion for a listing of its current and ended runs, and renews its
