--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -134,9 +134,21 @@
 	return ErrNoMajority
 }
 
-// confirmUnchanged reports whether the newest version, as confirmed by a majority, needs no
-// change either.
+// settledPollInterval is the interval at which confirmUnchanged looks whether the control
+// group has settled.
+const settledPollInterval = 20 * time.Millisecond
+
+// confirmUnchanged reports whether the newest version needs no change either. The control
+// group has settled before a majority confirms that version, so that it certainly stays
+// readable.
 func confirmUnchanged(ctx context.Context, versions versions, change func(known *queue.Document) *queue.Document) (bool, error) {
+	for !versions.View().Settled {
+		select {
+		case <-ctx.Done():
+			return false, ErrNoMajority
+		case <-time.After(settledPollInterval):
+		}
+	}
 	v, ok := versions.ReadNewest(ctx)
 	if !ok {
 		return false, ErrNoMajority
