fleet, entry: refuse work that an overloaded host cannot handle

A host at the limit of its processors queued every message, and its callers and the other hosts waited for answers that came too late.

Inputs report how long they waited in the ring. While they wait too long, offers that are worth least for each task are refused as not run, and requests of own callers at twice that share, with a retry time that grows with the overload.

A job that is returned because it was not acknowledged counts as refused by that dispatcher, so that it is not offered to one slow host after the other.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -52,7 +52,8 @@
 // whole, so that all its tasks stay with one dispatcher. Among several dispatchers
 // without delay one is drawn at random, weighted by free CPU: if all hosts chose
 // the best one, they would overload it. A dispatcher that does not acknowledge offers in
-// time gets no further ones (see flow.go).
+// time gets no further ones (see flow.go). An overloaded one is chosen only if all are; it
+// refuses what it can't handle, and others like it are not tried after that.
 func (t *Table) chooseDispatcher(now time.Time, j *openJob) *Dispatcher {
 	unacked := t.unacked()
 	var best *Dispatcher
@@ -75,6 +76,10 @@
 			delay += crossDomainPenalty
 		}
 		switch free := t.freeCPU(d); {
+		case best != nil && best.Load.Overloaded != d.Load.Overloaded:
+			if best.Load.Overloaded {
+				best, bestDelay, totalFree = d, delay, free
+			}
 		case delay == 0 && bestDelay == 0 && best != nil:
 			totalFree += free
 			if t.rng.Float64()*totalFree < free {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -172,6 +172,9 @@
 	return r
 }
 
+// HasJob reports whether the job is open.
+func (t *Table) HasJob(job string) bool { return t.jobs[job] != nil }
+
 // OpenJobs returns the number of open jobs.
 func (t *Table) OpenJobs() int { return len(t.jobs) }
 
@@ -365,9 +368,11 @@
 		j.boundToShard = !r.NotStarted && j.mayHaveStarted()
 		j.dispatcher = dispatcherID{}
 		t.flight = nil
-		j.unassignedAt = now
-		t.handedOver[dispatcherID{from, j.offer.Shard}] = true
-		t.assignOrRefuse(now, j)
+		if j.boundToShard || !t.refuseReturned(now, j, from) {
+			j.unassignedAt = now
+			t.handedOver[dispatcherID{from, j.offer.Shard}] = true
+			t.assignOrRefuse(now, j)
+		}
 	default:
 		t.answer(now, j, Outcome{Outcome: r.Outcome, Reason: r.Reason})
 	}
@@ -382,7 +387,7 @@
 	}
 	j.dispatcher = dispatcherID{}
 	if len(j.refusedBy) < maxOffers {
-		if d := t.chooseDispatcher(now, j); d != nil {
+		if d := t.chooseDispatcher(now, j); d != nil && !d.Load.Overloaded {
 			t.offer(now, j, d)
 			return
 		}
--- a/internal/entry/withdraw.go
+++ b/internal/entry/withdraw.go
@@ -141,3 +141,15 @@
 	}
 	t.assign(now, j)
 }
+
+// refuseReturned counts a job's return, if its offer was withdrawn for lack of an
+// acknowledgement, like a refusal by that dispatcher, and reports whether it did. Otherwise a
+// job would be offered to one slow dispatcher after the other, and fill more links.
+func (t *Table) refuseReturned(now time.Time, j *openJob, from string) bool {
+	if j.withdrawal.sentAt.IsZero() || !j.ackedAt.IsZero() {
+		return false
+	}
+	j.dispatcher = dispatcherID{from, j.offer.Shard}
+	t.handleRefusal(now, j, &peer.JobResult{RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher acknowledged the job in time"})
+	return true
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -75,6 +75,8 @@
 	PeerRejected  ID = 4003
 	HostsChanged  ID = 4004
 	HostSuspended ID = 4005
+	OverloadBegan ID = 4140
+	OverloadEnded ID = 4141
 
 	ConfigApplied    ID = 5001
 	StoreCorrupt     ID = 5002
@@ -166,6 +168,8 @@
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
 	{HostsChanged, slog.LevelInfo, "list of hosts changed", "None."},
 	{HostSuspended, slog.LevelWarn, "host was suspended or got no processor time", "Check the machine; the host's open jobs were abandoned and its shards released."},
+	{OverloadBegan, slog.LevelWarn, "this host is overloaded and refuses work", "If it lasts, look at the host's processor share and link, and at the minions per shard."},
+	{OverloadEnded, slog.LevelInfo, "this host is no longer overloaded", "None."},
 	{ConfigApplied, slog.LevelInfo, "configuration version applied", "None."},
 	{StoreCorrupt, slog.LevelError, "durable file corrupt", "Replace the disk or clear the data folder, then admit the control host again."},
 	{StoreWriteError, slog.LevelError, "durable write failed", "Check the disk's space and health."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -79,7 +79,7 @@
 func (c *core) ownCandidate() claim.Candidate {
 	own := claim.Candidate{Host: c.self.Name, ShuttingDown: c.shuttingDown}
 	for _, x := range c.sortedShards() {
-		own.Claims = append(own.Claims, peer.Claim{Shard: x.number, ShardCount: x.shardCount, LayoutVersion: c.shardLayoutVersion, Token: x.pool.Token(), Load: x.pool.Load()})
+		own.Claims = append(own.Claims, peer.Claim{Shard: x.number, ShardCount: x.shardCount, LayoutVersion: c.shardLayoutVersion, Token: x.pool.Token(), Load: c.load(x)})
 	}
 	return own
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -8,6 +8,7 @@
 	"github.com/laburnumwalk/laburnumwalk/internal/entry"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/membership"
+	"github.com/laburnumwalk/laburnumwalk/internal/overload"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 	"github.com/laburnumwalk/laburnumwalk/internal/pool"
 	"github.com/laburnumwalk/laburnumwalk/internal/roster"
@@ -64,6 +65,7 @@
 	waiters            map[uint64]chan entry.Outcome // callers that wait for an outcome, by number
 	lastWaiter         uint64                        // newest number in waiters
 	unackedResults     map[offerKey]*pendingResult
+	overload           overload.Controller     // of this host
 	endedOffers        offerMemory             // offers that have ended or were cancelled
 	sentLogIndex       map[string]uint64       // by subscribed host: index up to which the roster log was sent
 	lastMessageAt      map[string]time.Time    // by host: when its newest message arrived
@@ -135,6 +137,7 @@
 		c.tickRoster(now)
 	}
 	if c.self.Entry {
+		c.tickOverload(now)
 		c.tickClaims(now)
 		c.detachTimedOutHosts(now)
 		c.jobTable.Tick(now)
@@ -167,6 +170,7 @@
 		c.releaseShard(now, x, "the host was suspended")
 	}
 	c.claimLostAt, c.resumedAt = now, now
+	c.overload.Reset() // the inputs waited for the host to resume
 }
 
 // receive handles a message from another host or from this host itself. Messages of
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -289,11 +289,11 @@
 
 // enqueue queues f for the core's goroutine. It returns false if the input ring is
 // full.
-func (h *Host) enqueue(f func(now time.Time)) bool { return h.inputs.TryPush(f) }
+func (h *Host) enqueue(f func(now time.Time)) bool { return h.inputs.TryPush(h.timed(f)) }
 
 // enqueueWaiting queues f for the core's goroutine, for inputs that nobody repeats. While
 // the input ring is full, it waits, unless the host has stopped.
-func (h *Host) enqueueWaiting(f func(now time.Time)) { h.inputs.Push(f, h.done) }
+func (h *Host) enqueueWaiting(f func(now time.Time)) { h.inputs.Push(h.timed(f), h.done) }
 
 // receive passes a message from another host to the controller or the core.
 func (h *Host) receive(from string, inc membership.Incarnation, b peer.Body) {
--- a/internal/fleet/inputs.go
+++ b/internal/fleet/inputs.go
@@ -19,10 +19,16 @@
 
 // submit accepts or refuses a caller's job. It sends the outcome to out, which must
 // have a buffer of one. The result identifies the caller for callerDisconnected; it
-// is 0 if the job is refused because of a suspension.
+// is 0 if the job is refused because of a suspension or of overload.
 func (c *core) submit(now time.Time, o peer.JobOffer, deadline time.Time, out chan entry.Outcome) (waiter uint64) {
-	if !c.resumedAt.IsZero() && now.Sub(c.resumedAt) < staleRequestWindow {
-		refusal := entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetryAfter.Milliseconds(), Reason: "the request may have waited while the host was suspended"}
+	var refusal entry.Outcome
+	switch {
+	case !c.resumedAt.IsZero() && now.Sub(c.resumedAt) < staleRequestWindow:
+		refusal = entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetryAfter.Milliseconds(), Reason: "the request may have waited while the host was suspended"}
+	case !c.jobTable.HasJob(o.Job) && c.overload.RefuseRequest():
+		refusal = entry.Outcome{Outcome: peer.JobRefused, RetryMS: c.overloadRetryMS(now), Reason: overloadedReason}
+	}
+	if refusal.Outcome != 0 {
 		c.logEvent(event.EntryJobUnsuccessful, slog.String("job", o.Job), slog.String("queue", o.Queue), slog.Int("outcome", int(refusal.Outcome)),
 			slog.String("reason", refusal.Reason), slog.Int64("retry_ms", refusal.RetryMS))
 		out <- refusal
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -64,6 +64,15 @@
 	f(now)
 }
 
+// timed returns an input that also tells the core how long it has waited.
+func (h *Host) timed(f func(now time.Time)) func(now time.Time) {
+	queuedAt := time.Now()
+	return func(now time.Time) {
+		h.core.inputWaited(now.Sub(queuedAt))
+		f(now)
+	}
+}
+
 // maxBootTimeAge is the longest time since bootTime was last read after which an input is
 // handled without reading it again.
 const maxBootTimeAge = suspensionThreshold / 5
@@ -117,6 +126,8 @@
 	m.claimedShards.Set(int64(len(c.shards)))
 	m.cpuCapacity.Set(capacity)
 	m.cpuFree.Set(free)
+	m.refusedShare.Set(c.overload.Share())
+	m.overloadedMS.Set(c.overloadedFor(h.gaugesAt).Milliseconds())
 	m.listedHosts.Set(int64(len(c.roster.Hosts())))
 }
 
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -15,14 +15,16 @@
 // metrics holds the counters, gauges and histograms of one host. docs/OPERATIONS.md
 // lists them with their units.
 type metrics struct {
-	answeredJobs   expvar.Map // answers to callers, by queue, outcome and reason
-	openJobs       expvar.Int // open jobs of callers connected to this host
-	dispatchedJobs expvar.Int // open jobs that this host dispatches
-	queuedJobs     expvar.Int // those of dispatchedJobs without a started task
-	claimedShards  expvar.Int // shards that this host has claimed
-	cpuCapacity    expvar.Int // thousandths of a processor, of the claimed minions that accept work
-	cpuFree        expvar.Int // the part of cpuCapacity that is not in use
-	listedHosts    expvar.Int // other hosts in the roster
+	answeredJobs   expvar.Map   // answers to callers, by queue, outcome and reason
+	openJobs       expvar.Int   // open jobs of callers connected to this host
+	dispatchedJobs expvar.Int   // open jobs that this host dispatches
+	queuedJobs     expvar.Int   // those of dispatchedJobs without a started task
+	claimedShards  expvar.Int   // shards that this host has claimed
+	cpuCapacity    expvar.Int   // thousandths of a processor, of the claimed minions that accept work
+	cpuFree        expvar.Int   // the part of cpuCapacity that is not in use
+	listedHosts    expvar.Int   // other hosts in the roster
+	refusedShare   expvar.Float // share of offers that this host refuses because of overload
+	overloadedMS   expvar.Int   // for how long this host has been overloaded; 0: it is not
 
 	orders expvar.Map // orders to minions, by kind and answer
 
@@ -135,6 +137,8 @@
 	v.Set("minion_cpu_milli", &m.cpuCapacity)
 	v.Set("minion_cpu_free_milli", &m.cpuFree)
 	v.Set("hosts_listed", &m.listedHosts)
+	v.Set("overload_refused_share", &m.refusedShare)
+	v.Set("overloaded_ms", &m.overloadedMS)
 	v.Set("document_version", expvar.Func(func() any { return h.control.View().Version }))
 	v.Set("document_age_ms", expvar.Func(func() any { return time.Since(h.control.View().LearnedAt).Milliseconds() }))
 	v.Set("link_traffic_by_kind", expvar.Func(func() any { return h.mesh.Traffic() }))
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -50,11 +50,15 @@
 		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, NotStartedHere: true, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"})
 		return
 	}
+	if c.refusesOffer(from, x, o) {
+		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobRefused, RetryMS: c.overloadRetryMS(now), Reason: overloadedReason})
+		return
+	}
 	x.pool.Offer(now, from, o)
 	if from != c.self.Name {
-		c.sendTo(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
+		c.sendTo(from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: c.load(x)})
 	} else {
-		load := x.pool.Load()
+		load := c.load(x)
 		c.jobTable.HandleAck(now, from, &peer.JobAck{Job: o.Job, Offer: o.Offer, Load: load})
 		c.jobTable.UpdateLoad(now, from, o.Shard, load)
 	}
@@ -66,7 +70,7 @@
 func (c *core) handleLateOffer(now time.Time, key offerKey, x *shard, o *peer.JobOffer) {
 	switch {
 	case x != nil && x.pool.HasOffer(key.sender, o.Job, o.Offer):
-		c.sendTo(key.sender, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
+		c.sendTo(key.sender, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: c.load(x)})
 	case o.MayHaveRun:
 		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStartedHere: true, MinionsDigest: o.MinionsDigest, Reason: "the offer was late"})
 	default:
--- a/internal/fleet/sim_faults_test.go
+++ b/internal/fleet/sim_faults_test.go
@@ -16,6 +16,9 @@
 		sim.cutOneWay, sim.crashMinion, sim.crashMinion, sim.cutMinion, sim.slowMinion, sim.hangMinion, sim.failRuns, sim.delayOrders, sim.delayOrders,
 		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts, sim.overloadHosts, sim.overloadHosts,
 	}
+	if sim.config.processesLive {
+		faults = []func(time.Duration){sim.suspendHost, sim.cutHost, sim.cutDomain, sim.cutOneWay, sim.overloadHosts}
+	}
 	faults[sim.rng.IntN(len(faults))](duration)
 }
 
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -48,6 +48,7 @@
 	burst                               float64 // factor on the load from burstAt for burstPeriod
 	burstAt, burstPeriod                time.Duration
 	faultPeriod                         time.Duration // faults begin during this time
+	processesLive                       bool          // only faults of which no process or minion ends
 	recoveryPeriod                      time.Duration // time after faultPeriod in which callers still submit jobs
 }
 
--- a/internal/fleet/withdrawals.go
+++ b/internal/fleet/withdrawals.go
@@ -39,7 +39,7 @@
 	notStarted = notStarted && m.Process == c.self.Incarnation
 	if m.Withdraw && !notStarted {
 		if !ended && x != nil && x.pool.HasOffer(from, m.Job, m.Offer) {
-			c.sendTo(from, &peer.JobAck{Job: m.Job, Offer: m.Offer, Shard: m.Shard, Load: x.pool.Load(), Started: true})
+			c.sendTo(from, &peer.JobAck{Job: m.Job, Offer: m.Offer, Shard: m.Shard, Load: c.load(x), Started: true})
 		}
 		return
 	}
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -76,10 +76,11 @@
 
 // PoolLoad is the load of a shard: the state of its dispatcher's queue and minions.
 type PoolLoad struct {
-	Capacity      int64  `msgpack:"c"` // processor capacity of the minions that accept work, in thousandths of a processor
-	Free          int64  `msgpack:"f"` // part of Capacity that is free, in thousandths of a processor; for each minion, rounded down to a multiple of an average task's size
-	Queued        int64  `msgpack:"q"` // work of the waiting tasks, in thousandths of a processor times milliseconds
-	MinionsDigest uint64 `msgpack:"m"` // digest of the set of minions that may run tasks of the shard; the dispatcher that takes over compares it with its own
+	Capacity      int64  `msgpack:"c"`           // processor capacity of the minions that accept work, in thousandths of a processor
+	Free          int64  `msgpack:"f"`           // part of Capacity that is free, in thousandths of a processor; for each minion, rounded down to a multiple of an average task's size
+	Queued        int64  `msgpack:"q"`           // work of the waiting tasks, in thousandths of a processor times milliseconds
+	MinionsDigest uint64 `msgpack:"m"`           // digest of the set of minions that may run tasks of the shard; the dispatcher that takes over compares it with its own
+	Overloaded    bool   `msgpack:"o,omitempty"` // the dispatcher's host is the bottleneck: other dispatchers are preferred
 }
 
 // FleetHeartbeat is the heartbeat between hosts that discover each other; the packages
--- a/internal/peer/heartbeat_codec.go
+++ b/internal/peer/heartbeat_codec.go
@@ -99,11 +99,12 @@
 	w.uint("l", c.LayoutVersion)
 	w.uint("t", c.Token)
 	w.key("p")
-	w.mapLen(4)
+	w.mapLen(4 + count(c.Load.Overloaded))
 	w.int("c", c.Load.Capacity)
 	w.int("f", c.Load.Free)
 	w.int("q", c.Load.Queued)
 	w.uint("m", c.Load.MinionsDigest)
+	w.boolIfSet("o", c.Load.Overloaded)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -243,6 +244,8 @@
 			l.Queued, err = d.DecodeInt64()
 		case "m":
 			l.MinionsDigest, err = d.DecodeUint64()
+		case "o":
+			l.Overloaded, err = d.DecodeBool()
 		default:
 			err = d.Skip()
 		}
