pool: a start that was not carried out leaves its job untried

A job whose start a minion had refused, or that could not be sent, counted as one that may have run: it was never refused and was answered 504 at its deadline although nothing had reached a minion.

Starts that may have been carried out are counted. A refusing answer, or a listing of the same process under a newer token without the run, takes one off; at none the job counts as not started again.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -41,8 +41,10 @@
 	waiters           []OfferRef  // offers to send the result to
 	tasks             []task
 	openTasks         int       // tasks that are not done
-	mayHaveStarted    bool      // a start was sent, here or possibly by an earlier owner
-	startedHere       bool      // a start was sent here, or a run of an earlier owner was found
+	mayHaveStarted    bool      // a task may have been started, here or by an earlier owner
+	startedHere       bool      // a task may have been started here, or a run of an earlier owner was found
+	possibleStarts    int       // starts sent here that may have been carried out
+	foundRuns         bool      // a run of an earlier owner was found
 	offeredAt         time.Time // when it was offered to this owner
 	earlierOwnerUntil time.Time // until then an earlier owner may run tasks on minions not listed here
 	arrived           time.Time // when the caller's request arrived at its entry host
@@ -171,7 +173,7 @@
 func (p *Pool) adopt(now time.Time, j *job) {
 	for _, i := range j.offer.Done {
 		if i >= 0 && i < len(j.tasks) {
-			j.startedHere = true
+			j.startedHere, j.foundRuns = true, true
 			p.taskDone(j, &j.tasks[i])
 		}
 	}
@@ -185,7 +187,7 @@
 			continue
 		}
 		if e, ok := p.earlyEnds[t.ref]; ok {
-			j.startedHere = true
+			j.startedHere, j.foundRuns = true, true
 			t.nextRun = max(t.nextRun, e.run+1)
 			if e.how == EndDone {
 				p.taskDone(j, t)
@@ -207,7 +209,7 @@
 		if x == nil || x.job != nil || x.stopping {
 			continue
 		}
-		j.startedHere = true
+		j.startedHere, j.foundRuns = true, true
 		x.job, x.step, x.expectedTime = j, t.step, j.expected(t.step)
 		t.run, t.state, t.nextRun, t.lastMinion = x, taskPlaced, x.number+1, m.ID
 		m.reserve(x)
--- a/internal/pool/listing.go
+++ b/internal/pool/listing.go
@@ -44,6 +44,9 @@
 	}
 	for _, x := range m.sortedRuns() {
 		if !listed[x.task] && x.provedAbsent(poll, l) {
+			if x.absenceDisproves(m, poll, l) {
+				p.startDisproved(x)
+			}
 			p.endRun(now, m, x, EndExpired)
 		}
 	}
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -26,6 +26,7 @@
 	job             *job           // nil: orphaned, no job of this pool wants it
 	step            *peer.TaskStep // nil: the resources that it uses are unknown
 	token           uint64         // fencing token of its start; 0: started by an earlier owner
+	incarnation     int64          // of the minion, when its start was sent
 	started         bool           // the minion has confirmed or listed it
 	sentAt          time.Time
 	ackAt           time.Time     // when the minion confirmed the start; if only a listing confirmed it: when the start was sent
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -132,7 +132,7 @@
 // start orders the minion to run the task, and reserves the capacity for it.
 func (p *Pool) start(now time.Time, m *minion, j *job, t *task) {
 	x := &run{
-		task: t.ref, number: t.nextRun, job: j, step: t.step, token: m.token, sentAt: now,
+		task: t.ref, number: t.nextRun, job: j, step: t.step, token: m.token, incarnation: m.Incarnation, sentAt: now,
 		expectedTime: time.Duration(float64(j.expected(t.step)) * m.health.slowdown()),
 	}
 	m.runs[t.ref] = x
@@ -140,6 +140,7 @@
 	t.run, t.state, t.lastMinion = x, taskPlaced, m.ID
 	t.nextRun++
 	j.mayHaveStarted, j.startedHere = true, true
+	j.possibleStarts++
 	p.cfg.Log(event.PoolTaskStarted, slog.String("job", j.id), slog.Int("task", t.ref.Index), slog.Int("run", x.number), slog.String("minion", m.ID),
 		slog.Uint64("token", m.token), slog.Uint64("listed_token", m.listedToken), slog.Int64("age_ms", now.Sub(j.arrived).Milliseconds()),
 		slog.Int64("used_cpu", m.usedCPU), slog.Int64("cpu", m.CPU), slog.Int64("born", m.Incarnation), slog.Int64("record_born", m.recordIncarnation))
@@ -191,6 +192,9 @@
 	if a != AnswerFenced && a != AnswerStaleRun {
 		p.cfg.Log(event.PoolStartRefused, slog.String("minion", m.ID), slog.String("job", s.Task.Job), slog.Int("answer", int(a)))
 	}
+	if a.isDisproof() {
+		p.startDisproved(x)
+	}
 	p.endRun(now, m, x, EndStopped)
 	p.dispatch(now)
 }
