--- a/internal/entry/withdraw.go
+++ b/internal/entry/withdraw.go
@@ -17,8 +17,9 @@
 const (
 	// withdrawDelay is how long an offer may be unacknowledged before it is withdrawn.
 	withdrawDelay = maxAckDelay
-	// runTimeError is the part of a declared run time by which it may be too long. A job is
-	// not withdrawn while a dispatcher that has learned the run times may count on it.
+	// runTimeErrorPct is the part of a declared run time, in percent, by which it may be too
+	// long. A job is not withdrawn while a dispatcher that has learned the run times may
+	// count on it.
 	runTimeErrorPct = 40
 )
 
