--- a/internal/entry/withdraw.go
+++ b/internal/entry/withdraw.go
@@ -17,8 +17,9 @@
 const (
 	// withdrawDelay is how long an offer may be unacknowledged before it is withdrawn.
 	withdrawDelay = maxAckDelay
-	// runTimeError is the part of a declared run time by which it may be too long. A job is
-	// not withdrawn while a dispatcher that has learned the run times may count on it.
+	// runTimeErrorPct is the part of a declared run time, in percent, by which it may be too
+	// long. A job is not withdrawn while a dispatcher that has learned the run times may
+	// count on it.
 	runTimeErrorPct = 40
 )
 
@@ -141,3 +142,15 @@
 	}
 	t.assign(now, j)
 }
+
+// refuseReturned counts a job's return, if its offer was withdrawn for lack of an
+// acknowledgement, like a refusal by that dispatcher, and reports whether it did. Otherwise a
+// job would be offered to one slow dispatcher after the other, and fill more links.
+func (t *Table) refuseReturned(now time.Time, j *openJob, from string) bool {
+	if j.withdrawal.sentAt.IsZero() || !j.ackedAt.IsZero() {
+		return false
+	}
+	j.dispatcher = dispatcherID{from, j.offer.Shard}
+	t.handleRefusal(now, j, &peer.JobResult{RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher acknowledged the job in time"})
+	return true
+}
--- a/internal/fleet/sim_faults_test.go
+++ b/internal/fleet/sim_faults_test.go
@@ -17,6 +17,9 @@
 		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts, sim.overloadHosts, sim.overloadHosts, sim.killEntryHostThenCut,
 		sim.restartMinion,
 	}
+	if sim.config.processesLive {
+		faults = []func(time.Duration){sim.suspendHost, sim.cutHost, sim.cutDomain, sim.cutOneWay, sim.overloadHosts}
+	}
 	faults[sim.rng.IntN(len(faults))](duration)
 }
 
