fleet: hand over shards that are too large, and finish jobs before a new shard layout

A weak host kept the shard of a strong one that it had taken over, and a new shard layout cost all jobs in progress: they waited for the end of their leases and ran again. Claims now have a phase. A shard that is handed over is claimed by a host that then has less in proportion to what it carries. A job that is handed over names the minions where its tasks may still run; its entry host offers it to the dispatcher of most of them, and only tasks that run elsewhere wait for their leases. The end of a run that is listed while its task is uncertain counts now; such tasks ran again.

--- a/internal/claim/carry_test.go
+++ b/internal/claim/carry_test.go
@@ -118,7 +118,7 @@
 		for shard := range 50 {
 			held := map[string]int{"a": shard % 2, "b": shard % 3, "c": 1}
 			plain := []Candidate{{Host: "a"}, {Host: "b"}, {Host: "c"}}
-			must.Eq(t, successor(plain, held, shard), successor(hosts, held, shard))
+			must.Eq(t, successor(plain, plain, held, shard).Host, successor(hosts, hosts, held, shard).Host)
 		}
 	}
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -131,7 +131,7 @@
 // Decisions.
 const (
 	Keep    Decision = iota // change nothing, whether or not the host is the shard's holder
-	Take                    // claim the shard: it has no holder, or the holder is shutting down
+	Take                    // claim the shard: it has no holder, or the holder is shutting down or handing over
 	Release                 // drop the claim: another host has a higher token
 )
 
@@ -142,7 +142,7 @@
 	all := append([]Candidate{self}, others...)
 	decisions, tokens := make([]Decision, shardCount), make([]uint64, shardCount)
 	held := make(map[string]int)
-	var free []int
+	var free, handedOver []int
 	for shard := range shardCount {
 		holder, c := Holder(all, shard, shardCount)
 		tokens[shard] = c.Token
@@ -154,18 +154,31 @@
 			if holder.Host != self.Host && holdsClaim(&self, shard, shardCount) {
 				decisions[shard] = Release
 			}
+			if c.Phase == peer.ClaimHandingOver {
+				handedOver = append(handedOver, shard)
+			}
 		}
 	}
 	for _, shard := range free {
-		next := successor(all, held, shard)
-		if next == "" {
+		next := successor(all, all, held, shard)
+		if next == nil {
 			continue
 		}
-		held[next]++
-		if next == self.Host {
+		held[next.Host]++
+		if next.Host == self.Host {
 			decisions[shard] = Take
 		}
 	}
+	for _, shard := range handedOver {
+		holder, _ := Holder(all, shard, shardCount)
+		if next := receiver(all, holder, held, shard); next != nil {
+			held[holder.Host]--
+			held[next.Host]++
+			if next.Host == self.Host {
+				decisions[shard] = Take
+			}
+		}
+	}
 	return decisions, tokens
 }
 
@@ -176,10 +189,10 @@
 
 // successor returns the host that should claim a free shard: among the hosts that are
 // not shutting down, the one that is then loaded least, chosen by rendezvous hashing among
-// several so that all hosts choose the same. The load is the number of shards; where hosts
-// are uneven, it is in proportion to what each carries. The result is an empty string if
-// every host is shutting down.
-func successor(candidates []Candidate, held map[string]int, shard int) string {
+// several so that all hosts choose the same. The load is the number of shards; where the
+// hosts of the cell are uneven, it is in proportion to what each carries. The result is nil
+// if every candidate is shutting down.
+func successor(cell, candidates []Candidate, held map[string]int, shard int) *Candidate {
 	var eligible []Candidate
 	for _, c := range candidates {
 		if !c.ShuttingDown {
@@ -187,12 +200,13 @@
 		}
 	}
 	if len(eligible) == 0 {
-		return ""
+		return nil
 	}
-	uneven := Uneven(reportedBy(candidates))
-	return slices.MinFunc(eligible, func(a, b Candidate) int {
+	uneven := Uneven(reportedBy(cell))
+	next := slices.MinFunc(eligible, func(a, b Candidate) int {
 		return cmp.Or(compareLoads(&a, &b, held, uneven), cmp.Compare(rendezvousHash(a.Host, shard), rendezvousHash(b.Host, shard)))
-	}).Host
+	})
+	return &next
 }
 
 // compareLoads compares the loads that two hosts would have with one more shard.
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -63,7 +63,7 @@
 		if slices.Contains(j.refusedBy, d.id()) || t.handedOver[d.id()] {
 			continue
 		}
-		if j.boundToShard && !d.servesShardOf(j) {
+		if !d.takes(j) {
 			continue
 		}
 		flight := unacked[d.id()]
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,7 @@
 	Shard         int
 	ShardCount    int // number of shards in the cell
 	Cell          peer.Cell
+	Phase         peer.ClaimPhase
 	Load          peer.PoolLoad
 	LoadAt        time.Time // when Load was received
 }
@@ -118,8 +119,10 @@
 	boundToShard   bool      // may still run on its shard's minions: offered only to that shard's dispatcher
 	mayHaveStarted bool      // may have run on any minion: never answered as refused
 	minionsDigest  uint64    // digest of the dispatcher's minions, as last reported
+	priorRuns      priorRuns // of the dispatcher that handed the job over
 	unassignedAt   time.Time // when its last dispatcher became unavailable or handed the job over
 	prevOffer      offerRef  // to an unavailable dispatcher; zero once cancelled there
+	lostOffer      offerRef  // to a dispatcher that became unavailable, while the job was offered to no other since
 }
 
 // offerRef identifies an offer that was sent to a dispatcher.
@@ -289,6 +292,7 @@
 	t.flight = nil
 	j.offer.MayHaveRun, j.offer.MinionsDigest = j.boundToShard, j.minionsDigest
 	j.minionsDigest = d.Load.MinionsDigest
+	j.stampPriorRuns()
 	t.recordSent(d, j)
 	t.logEvent(event.EntryJobOffered, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.String("dispatcher", d.Host),
 		slog.Int64("load_age_ms", now.Sub(d.LoadAt).Milliseconds()), slog.Int64("free_cpu", d.Load.Free), slog.Int64("queued", d.Load.Queued),
@@ -338,7 +342,7 @@
 		return c.to == from && c.body.Job == r.Job && c.body.Offer == r.Offer
 	})
 	j := t.jobs[r.Job]
-	if j == nil || j.dispatcher.host != from || j.offer.Offer != r.Offer {
+	if j == nil || !j.awaits(from, r) {
 		return
 	}
 	switch r.Outcome {
@@ -348,6 +352,8 @@
 	case peer.JobMoved:
 		j.offer.Done = r.Done
 		j.minionsDigest = r.MinionsDigest
+		j.priorRuns = priorRuns{r.Runs, r.RunsKnown}
+		j.lostOffer, j.prevOffer = offerRef{}, j.prevOffer.unless(from, r.Offer)
 		j.boundToShard = !r.NotStarted
 		j.mayHaveStarted = j.mayHaveStarted || j.boundToShard
 		j.dispatcher = dispatcherID{}
@@ -481,6 +487,7 @@
 	}
 	j.boundToShard, j.mayHaveStarted = true, true
 	j.prevOffer, j.dispatcher = offerRef{j.dispatcher, j.offer.Offer}, dispatcherID{}
+	j.lostOffer, j.priorRuns = j.prevOffer, priorRuns{}
 	t.flight = nil
 	j.unassignedAt = now
 	t.assign(now, j)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -68,6 +68,12 @@
 	OfferStale            ID = 3117
 	PoolMinionOverloaded  ID = 3118
 
+	ShardHandOver      ID = 4130
+	ShardHandOverEnded ID = 4131
+	ShardLayoutPlanned ID = 4132
+	ShardLayoutMade    ID = 4133
+	ShardFinishing     ID = 4134
+
 	PeerUp        ID = 4001
 	PeerDown      ID = 4002
 	PeerRejected  ID = 4003
@@ -157,6 +163,11 @@
 	{CellLayoutChanged, slog.LevelInfo, "cell layout of the failure domain changed", "None."},
 	{OfferStale, slog.LevelInfo, "stale job offer not accepted", "None; its sender is told that it has not run, if its age is known. Many at a time: a link or a processor on its way is full."},
 	{PoolMinionOverloaded, slog.LevelError, "runs exceed the minion's capacity", "Report it with the logs; OPERATIONS.md describes what its attributes tell."},
+	{ShardHandOver, slog.LevelInfo, "shard offered to another host", "None; minions and carries tell what this host held and can dispatch for."},
+	{ShardHandOverEnded, slog.LevelWarn, "no host has claimed the offered shard", "Check the host that should have: it was without a shard. The shard is offered again after 10 s."},
+	{ShardLayoutPlanned, slog.LevelInfo, "new shard layout announced", "None; carries has the number of minions that each host of the cell can dispatch for."},
+	{ShardLayoutMade, slog.LevelInfo, "new shard layout made", "Jobs that were in progress then (jobs) are adopted as far as their tasks run on minions of one new shard."},
+	{ShardFinishing, slog.LevelInfo, "shard takes no new jobs before a new layout", "None."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -23,6 +23,8 @@
 	number       int
 	shardCount   int   // number of shards in the layout that the shard belongs to
 	claimedClock int64 // heartbeatClock when this host claimed it
+	phase        peer.ClaimPhase
+	phaseAt      time.Time // when phase last changed
 	pool         *pool.Pool
 }
 
@@ -79,7 +81,7 @@
 func (c *core) ownCandidate() claim.Candidate {
 	own := claim.Candidate{Host: c.self.Name, ShuttingDown: c.shuttingDown, Carries: c.carries}
 	for _, x := range c.sortedShards() {
-		own.Claims = append(own.Claims, peer.Claim{Shard: x.number, ShardCount: x.shardCount, LayoutVersion: c.shardLayoutVersion, Token: x.pool.Token(), Load: x.pool.Load()})
+		own.Claims = append(own.Claims, peer.Claim{Shard: x.number, ShardCount: x.shardCount, LayoutVersion: c.shardLayoutVersion, Token: x.pool.Token(), Load: x.pool.Load(), Phase: x.phase})
 	}
 	return own
 }
@@ -90,7 +92,7 @@
 // tickClaims plans the claims again when another host may have become unavailable, when
 // claims have changed, and every claimsInterval.
 func (c *core) tickClaims(now time.Time) {
-	if c.claimsChanged || !now.Before(c.nextClaims) {
+	if c.claimsChanged || !now.Before(c.nextClaims) || c.hasFinished() {
 		c.planClaims(now)
 	}
 }
@@ -109,6 +111,7 @@
 	c.updateCellLayout(now)
 	self, others := c.ownCandidate(), c.otherCandidates(now)
 	c.updateShardLayout(now, self, others)
+	c.updatePhases(now, others)
 	self = c.ownCandidate()
 	decisions, tokens := claim.Plan(self, others, c.shardCount)
 	for number, decision := range decisions {
@@ -119,7 +122,7 @@
 				c.releaseShard(now, x, "another host has claimed them")
 			}
 		case claim.Take:
-			c.claimShard(now, number)
+			c.takeShard(now, number, others)
 		}
 	}
 	c.updateDispatchers(now, others)
@@ -182,33 +185,33 @@
 	return slices.ContainsFunc(c.roster.Hosts(), func(h *roster.Host) bool { return h.Control && now.Sub(h.HeartbeatAt) < 2*c.controlInterval(now) })
 }
 
-// cellCarries returns what each listed host of the cell, this one included, reports to
-// carry. Hosts that are unavailable for a short time count, too: a new layout interrupts
-// the service of its cell.
-func (c *core) cellCarries() []int {
+// cellCarries returns what each host of the cell, this one included, reports to carry.
+// Hosts that are unavailable for a short time count, too: a new layout interrupts the
+// service of its cell.
+func (c *core) cellCarries(now time.Time) []int {
 	out := []int{c.carries}
 	for _, h := range c.hosts().cell {
-		n := 0
-		if h.Heartbeat != nil {
-			n = h.Heartbeat.Carries
+		if h.Heartbeat != nil && now.Before(aliveUntil(h).Add(claim.LostHostDelay)) {
+			out = append(out, h.Heartbeat.Carries)
 		}
-		out = append(out, n)
 	}
 	return out
 }
 
 // wantedShards returns the number of shards that suits the cell's minions and hosts.
-func (c *core) wantedShards() int {
-	minions, carries := c.countCellMinions(), c.cellCarries()
-	return claim.WantedShards(minions, len(carries), claim.ShardSize(minions, carries, c.minionsPerShard))
+func (c *core) wantedShards(now time.Time) int {
+	minions := c.countCellMinions()
+	return claim.WantedShards(minions, len(c.hosts().cell)+1, claim.ShardSize(minions, c.cellCarries(now), c.minionsPerShard))
 }
 
 // updateShardLayout adopts the newest shard layout of the cell; while no host claims a
 // shard, that is the wanted number of shards. When the number of shards has been far
 // from the wanted one (claim.NeedsRelayout) during claim.RelayoutDelay, the holder of
-// the first shard makes a new layout.
+// the first shard makes a new layout, once the holders have finished (claim.FinishTime).
 func (c *core) updateShardLayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
-	wanted := c.wantedShards()
+	// Hosts that are unavailable for a short time count, too: a new layout interrupts the
+	// service of its cell.
+	wanted := c.wantedShards(now)
 	count, version := claim.NewestShardLayout(append([]claim.Candidate{self}, others...))
 	if version == 0 {
 		c.shardCount, c.shardLayoutVersion = wanted, 0
@@ -219,22 +222,37 @@
 		c.setShardCount(now, count, "another host laid them out")
 	}
 	first := c.shards[0]
-	keepJobs := first != nil && first.pool.JobCount() > 0 && c.minionsPerShard == claim.MinionsPerShard(0)
-	if first == nil || !claim.NeedsRelayout(c.shardCount, wanted, keepJobs) {
-		c.shardMismatchSince = time.Time{}
+	if first == nil || !claim.NeedsRelayout(c.shardCount, wanted, c.keepsLayout(now, first, wanted)) {
+		c.shardMismatchSince, c.relayoutAt = time.Time{}, time.Time{}
 		return
 	}
 	if c.shardMismatchSince.IsZero() {
 		c.shardMismatchSince = now
 	}
-	if now.Sub(c.shardMismatchSince) >= claim.RelayoutDelay {
-		c.shardMismatchSince = time.Time{}
-		c.shardLayoutVersion = claim.Token(now, c.shardLayoutVersion, c.tokenID)
-		c.setShardCount(now, wanted, "the number of minions has changed")
-		c.claimShard(now, 0)
+	if now.Sub(c.shardMismatchSince) >= claim.RelayoutDelay && c.holdersFinished(now, wanted, others) {
+		c.makeShardLayout(now, wanted, others)
 	}
 }
 
+// keepsLayout reports whether only a large difference from the wanted number of shards
+// calls for a new layout: it interrupts the service of the cell for a time. That is not so
+// for hosts that can't carry their shards, and where strong hosts could.
+func (c *core) keepsLayout(now time.Time, first *shard, wanted int) bool {
+	if first.pool.JobCount() == 0 || c.minionsPerShard != claim.MinionsPerShard(0) || claim.Uneven(c.cellCarries(now)) {
+		return false
+	}
+	return wanted < c.shardCount || !claim.Overloaded(c.heldMinions(), c.carries)
+}
+
+// heldMinions returns the number of minions in this host's shards.
+func (c *core) heldMinions() int {
+	n := 0
+	for _, x := range c.shards {
+		n += x.pool.MinionCount()
+	}
+	return n
+}
+
 // setShardCount switches to a layout of another number of shards and releases the
 // shards of the earlier layout.
 func (c *core) setShardCount(now time.Time, count int, reason string) {
@@ -285,7 +303,7 @@
 			n++
 		}
 	}
-	c.logEvent(event.ShardClaimed, slog.Int("shard", number), slog.Int("of", c.shardCount), slog.Uint64("token", c.highestToken), slog.Int("minions", n))
+	c.logEvent(event.ShardClaimed, slog.Int("shard", number), slog.Int("of", c.shardCount), slog.Uint64("token", c.highestToken), slog.Int("minions", n), slog.Int("carries", c.carries))
 	c.heartbeatDue = true
 }
 
@@ -333,7 +351,7 @@
 }
 
 func newDispatcher(host, domain string, cell peer.Cell, c peer.Claim, loadAt time.Time) entry.Dispatcher {
-	return entry.Dispatcher{Host: host, FailureDomain: domain, Cell: cell, Shard: c.Shard, ShardCount: c.ShardCount, Load: c.Load, LoadAt: loadAt}
+	return entry.Dispatcher{Host: host, FailureDomain: domain, Cell: cell, Shard: c.Shard, ShardCount: c.ShardCount, Phase: c.Phase, Load: c.Load, LoadAt: loadAt}
 }
 
 // minionChanged passes a changed minion record to the pool of its shard, if this
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -76,6 +76,10 @@
 	nextClaims         time.Time // when planClaims is due even if they have not
 	claimLostAt        time.Time // when a shard was lost to a newer token or to a suspension
 	shardMismatchSince time.Time // since when shardCount is far from the wanted number; zero: it is not
+	relayoutAt         time.Time // when this host, as holder of the first shard, announced a new shard layout; zero: it has not
+	finishingSince     time.Time // since when this host's shards finish for a new layout; zero: they do not
+	overloadedSince    time.Time // since when this host holds clearly more minions than it carries; zero: it does not
+	nextHandOverAt     time.Time // before this time no shard is handed over
 	cellMismatchSince  time.Time // since when the number of cells differs from the wanted one; zero: it does not
 	countedLogIndex    uint64    // index of the roster log at which minionsInCell was counted
 	minionsInCell      int
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -47,7 +47,11 @@
 		return
 	}
 	if x == nil || x.shardCount != o.ShardCount || o.Cell != c.cell || !x.knownTo(from, c.self.Name, o) {
-		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, MinionsDigest: o.MinionsDigest, Reason: "not the shard's dispatcher"})
+		c.endOffer(now, key, movedResult(o, "not the shard's dispatcher"))
+		return
+	}
+	if x.phase.IsFinishing() && !o.MayHaveRun && !x.pool.HasJob(o.Job) {
+		c.endOffer(now, key, movedResult(o, relayoutReason))
 		return
 	}
 	x.pool.Offer(now, from, o)
@@ -68,12 +72,21 @@
 	case x != nil && x.pool.HasOffer(key.sender, o):
 		c.sendTo(key.sender, &peer.JobAck{Job: o.Job, Offer: o.Offer, Shard: o.Shard, Load: x.pool.Load()})
 	case o.MayHaveRun:
-		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, MinionsDigest: o.MinionsDigest, Reason: "the offer was late"})
+		c.endOffer(now, key, movedResult(o, "the offer was late"))
 	default:
 		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobRefused, RetryMS: busyRetryAfter.Milliseconds(), Reason: "the offer was late"})
 	}
 }
 
+// movedResult answers an offer of which this host has started nothing and will start
+// nothing: what its sender knows of an earlier dispatcher's runs stays true.
+func movedResult(o *peer.JobOffer, reason string) peer.JobResult {
+	return peer.JobResult{
+		Job: o.Job, Offer: o.Offer, Outcome: peer.JobMoved, Done: o.Done, NotStarted: !o.MayHaveRun, MinionsDigest: o.MinionsDigest,
+		Runs: o.PriorRuns, RunsKnown: o.PriorRunsKnown, Reason: reason,
+	}
+}
+
 // knownTo reports whether the sender of an offer had received a heartbeat with the present
 // claim. An offer made to an earlier claim of this host may have been made to another
 // dispatcher of the shard since.
--- a/internal/fleet/sim_caller_test.go
+++ b/internal/fleet/sim_caller_test.go
@@ -33,6 +33,9 @@
 	submitted       bool
 	tries           int
 	refusals        int // tries that were answered as refused, which means that no task was started
+	unknowns        int // tries that were answered as unknown
+	started         map[simTask]bool
+	again           int // starts of tasks that had been started before
 	finished        bool
 	finishedAt      time.Duration
 	outcome         peer.JobOutcome // 0: the caller left without an answer
@@ -249,6 +252,7 @@
 	sim.trace("caller of %s gets outcome %d, %s", c.offer.Job, o.Outcome, o.Reason)
 	switch o.Outcome {
 	case peer.JobUnknown:
+		c.unknowns++
 		c.retryLater(c.out)
 		return
 	case peer.JobRefused:
--- a/internal/fleet/sim_checker_test.go
+++ b/internal/fleet/sim_checker_test.go
@@ -53,6 +53,13 @@
 		return nil
 	}
 	chk.starts[s.Task.Job]++
+	if c.started == nil {
+		c.started = make(map[simTask]bool)
+	}
+	if c.started[s.Task] {
+		c.again++
+	}
+	c.started[s.Task] = true
 	if c.finished && c.refusals == c.tries {
 		chk.reportViolation("%s starts %v of a job that was refused as not started", m, s.Task)
 	}
--- a/internal/fleet/sim_host_test.go
+++ b/internal/fleet/sim_host_test.go
@@ -31,6 +31,7 @@
 	sent          map[peer.Kind]simTraffic // to other hosts
 	disk          *roster.Snapshot         // of a control host
 	linkRate      int                      // bytes per second, each way; 0: not limited
+	carries       int                      // number of minions that it reports to carry
 	in, out       simQueue
 	callers       []*simCaller // of the current try; maybe some that have finished or left
 }
@@ -53,7 +54,7 @@
 	h.rec.Incarnation = membership.Incarnation(fmt.Sprintf("%s/%d", h.rec.Name, h.incarnation))
 	tokenID := xxhash.Sum64String(string(h.rec.Incarnation))
 	h.core = newCore(h.clock(), h.rec, tokenID, h.sim.rng.Uint64()>>8, h)
-	h.core.minionsPerShard = claim.MinionsPerShard(int64(h.sim.config.linkRate))
+	h.core.minionsPerShard, h.core.carries = claim.MinionsPerShard(int64(h.sim.config.linkRate)), h.carries
 	if h.disk != nil {
 		h.core.roster.Restore(h.disk)
 	}
@@ -215,6 +216,9 @@
 		fmt.Fprintf(&b, " %s", a)
 	}
 	h.sim.trace("%s event %d%s", h.rec.Name, id, b.String())
+	if h.sim.onEvent != nil {
+		h.sim.onEvent(h, id)
+	}
 }
 
 func (h *simHost) version() uint64                   { return 1 }
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
@@ -69,6 +70,7 @@
 	faultUntil  time.Duration // time until which the host and link faults so far last
 	lastJobID   int
 	onHeartbeat func(from, to string, h *peer.FleetHeartbeat) // called with each heartbeat that is sent; may be nil
+	onEvent     func(h *simHost, id event.ID)                 // called with each event that is logged; may be nil
 	keepCallers bool                                          // after they have finished
 	stopAt      time.Duration                                 // when run ends; 0: when no more jobs are open
 }
--- /dev/null
+++ b/internal/fleet/sim_uneven_test.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/claim"
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/shoenig/test/must"
+)
+
+// Numbers of minions that the hosts of the two sizes carry (see claim.HostSize).
+const (
+	simStrongCarries = 109
+	simWeakCarries   = 32
+)
+
+// newUnevenSimulation returns a simulation whose first strong entry hosts are large.
+func newUnevenSimulation(cfg simConfig, strong int, seed uint64) *simulation {
+	sim := newSimulation(cfg, seed)
+	entries := 0
+	for _, h := range sim.hosts {
+		if !h.rec.Entry {
+			continue
+		}
+		if h.carries = simWeakCarries; entries < strong {
+			h.carries = simStrongCarries
+		}
+		entries++
+	}
+	return sim
+}
+
+// shardsByHost returns the number of shards that each live host has claimed, and of how
+// many.
+func (sim *simulation) shardsByHost() (held map[string]int, shardCounts []int) {
+	held = make(map[string]int)
+	for _, h := range sim.hosts {
+		if !h.up || !h.rec.Entry {
+			continue
+		}
+		for _, x := range h.core.shards {
+			held[h.rec.Name]++
+			if !slices.Contains(shardCounts, x.shardCount) {
+				shardCounts = append(shardCounts, x.shardCount)
+			}
+		}
+	}
+	return held, shardCounts
+}
+
+// isStrong reports whether the named host is a large one.
+func (sim *simulation) isStrong(name string) bool {
+	return sim.hostByName[name].carries == simStrongCarries
+}
+
+// requireHolders checks that the cell has a number of shards, all of them on hosts of one
+// size.
+func (sim *simulation) requireHolders(t *testing.T, shards int, strong bool) {
+	t.Helper()
+	held, counts := sim.shardsByHost()
+	must.Eq(t, []int{shards}, counts, must.Sprint(sim.now))
+	total := 0
+	for name, n := range held {
+		must.Eq(t, strong, sim.isStrong(name), must.Sprint(sim.now, " ", name))
+		total += n
+	}
+	must.Eq(t, shards, total, must.Sprint(sim.now))
+}
+
+// layoutWatch records the jobs that are in progress when new shard layouts are announced.
+type layoutWatch struct {
+	jobs    [][]*simCaller // of each announcement, those of its failure domain
+	adopted int            // runs that were adopted
+}
+
+func (sim *simulation) watchLayouts() *layoutWatch {
+	w := &layoutWatch{}
+	sim.onEvent = func(h *simHost, id event.ID) {
+		switch id {
+		case event.PoolRunAdopted:
+			w.adopted++
+		case event.ShardLayoutPlanned:
+			var jobs []*simCaller
+			for _, c := range sim.callers {
+				running := slices.ContainsFunc(sim.minions, func(m *simMinion) bool { return m.domain == h.rec.FailureDomain && m.runsJob(c.offer.Job) })
+				if !c.finished && c.out != nil && running {
+					jobs = append(jobs, c)
+				}
+			}
+			w.jobs = append(w.jobs, jobs)
+		}
+	}
+	return w
+}
+
+// runsJob reports whether a task of the job runs on the minion.
+func (m *simMinion) runsJob(job string) bool {
+	for task := range m.running {
+		if task.Job == job {
+			return true
+		}
+	}
+	return false
+}
+
+// requireJobsKept checks that no job in progress was answered as one of unknown outcome,
+// and that few of them had to run a task again.
+func (w *layoutWatch) requireJobsKept(t *testing.T) {
+	t.Helper()
+	for _, jobs := range w.jobs {
+		again := 0
+		for _, c := range jobs {
+			must.Zero(t, c.unknowns, must.Sprint(c.offer.Job, " began at ", c.began, " ", c.outcome))
+			if c.again > 0 {
+				again++
+			}
+		}
+		t.Logf("%d jobs in progress, %d ran a task again", len(jobs), again)
+		must.LessEq(t, len(jobs)/10, again)
+	}
+}
+
+// The shards of a cell with hosts of two sizes are on the strong hosts, also after one of
+// them has died. When all of them are lost, the weak hosts get smaller shards, and the
+// strong ones get them back when they return. A strong host that is away for a moment
+// changes no layout. Under load no task runs twice at a time, and no new layout costs a job
+// in progress.
+func TestStrongHostsDispatchUnderLoad(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newUnevenSimulation(simConfig{failureDomains: 1, entryHosts: 13, minions: 80, load: 0.5, recoveryPeriod: 36 * time.Second}, 3, seed)
+			layouts := sim.watchLayouts()
+			stop := func(all bool) {
+				held, _ := sim.shardsByHost()
+				for _, h := range sim.hosts {
+					if h.carries == simStrongCarries && (all || held[h.rec.Name] > 0) {
+						h.endProcess(false)
+						if !all {
+							return
+						}
+					}
+				}
+			}
+			restart := func() {
+				for _, h := range sim.hosts {
+					h.launch()
+				}
+			}
+			sim.after(9*time.Second, func() { sim.requireHolders(t, 2, true); stop(false) })
+			sim.after(11*time.Second, func() { sim.requireHolders(t, 2, true); restart() })
+			sim.after(15*time.Second, func() { sim.requireHolders(t, 2, true); stop(true) })
+			sim.after(26*time.Second, func() { sim.requireHolders(t, 4, false); restart() })
+			sim.after(36*time.Second, func() { sim.requireHolders(t, 2, true) })
+			sim.run()
+			must.Eq(t, 3, len(layouts.jobs)) // at the start, without the strong hosts, and with them
+			layouts.requireJobsKept(t)
+			must.Eq(t, nil, sim.checker.finish())
+		})
+	}
+}
+
+// A new shard layout under load loses no job in progress: the holders finish, and what
+// still runs then is adopted. The failure it guards against is that all jobs of the
+// earlier layout wait for the end of their leases and run again.
+func TestNewLayoutKeepsJobsInProgress(t *testing.T) {
+	const added = 10 * time.Second
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(simConfig{failureDomains: 2, entryHosts: 6, minions: 20, load: 0.7, recoveryPeriod: 16 * time.Second}, seed)
+			layouts := sim.watchLayouts()
+			sim.after(added, func() {
+				for d := range 2 {
+					for i := range 70 {
+						sim.addMinion(fmt.Sprintf("new%d-%d", d, i), fmt.Sprintf("z%d", d)).launch()
+					}
+				}
+			})
+			sim.after(added+claim.RelayoutDelay+3*time.Second, func() {
+				_, counts := sim.shardsByHost()
+				must.Eq(t, []int{4}, counts)
+			})
+			sim.run()
+			must.Eq(t, 2, len(layouts.jobs))
+			layouts.requireJobsKept(t)
+			must.Positive(t, layouts.adopted)
+			must.Eq(t, nil, sim.checker.finish())
+		})
+	}
+}
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -47,6 +47,9 @@
 		if err := c.Load.check(); err != nil {
 			return err
 		}
+		if err := firstInvalid(numberCheck{"phase of a claim", int64(c.Phase), 0, int64(lastClaimPhase)}); err != nil {
+			return err
+		}
 	}
 	return firstInvalid(
 		numberCheck{"next heartbeat", h.NextMS, 0, maxDurationMS},
@@ -88,9 +91,22 @@
 func (a *JobAck) check() error { return a.Load.check() }
 
 func (r *JobResult) check() error {
+	if err := checkRuns(r.Runs); err != nil {
+		return err
+	}
 	return firstInvalid(numberCheck{"retry time", r.RetryMS, 0, maxDurationMS})
 }
 
+// checkRuns checks the tasks that an earlier dispatcher may have run.
+func checkRuns(runs []TaskRun) error {
+	for _, r := range runs {
+		if err := firstInvalid(numberCheck{"task of a run", int64(r.Task), 0, maxTasks - 1}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (o *JobOffer) check() error {
 	if err := checkShard(o.Shard, o.ShardCount); err != nil {
 		return err
@@ -106,6 +122,9 @@
 	); err != nil {
 		return err
 	}
+	if err := checkRuns(o.PriorRuns); err != nil {
+		return err
+	}
 	tasks := int64(0)
 	for i := range o.Steps {
 		s := &o.Steps[i]
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -72,8 +72,27 @@
 	LayoutVersion uint64   `msgpack:"l"` // version of the cell's shard layout: the highest one applies
 	Token         uint64   `msgpack:"t"` // fencing token of the claim
 	Load          PoolLoad `msgpack:"p"`
+
+	Phase ClaimPhase `msgpack:"w,omitempty"`
 }
 
+// ClaimPhase says whether the holder of a shard goes on dispatching on it.
+type ClaimPhase uint8
+
+// Phases of a claim. The holder of the first shard that is finishing is going to make a new
+// shard layout; the others finish because of it.
+const (
+	ClaimServing     ClaimPhase = iota
+	ClaimHandingOver            // another host should claim the shard
+	ClaimFinishing              // the holder takes no new jobs
+	ClaimFinished               // the same, and it has no job left
+	lastClaimPhase   = ClaimFinished
+)
+
+// IsFinishing reports whether the shard's holder takes no new jobs because of a new shard
+// layout.
+func (p ClaimPhase) IsFinishing() bool { return p == ClaimFinishing || p == ClaimFinished }
+
 // PoolLoad is the load of a shard: the state of its dispatcher's queue and minions.
 type PoolLoad struct {
 	Capacity      int64  `msgpack:"c"` // processor capacity of the minions that accept work, in thousandths of a processor
@@ -176,6 +195,14 @@
 	ReceiverClock      int64      `msgpack:"e,omitempty"` // newest Clock in the receiver's heartbeats; 0: none received
 	ReceiverClockAgeMS int64      `msgpack:"i,omitempty"` // time since that heartbeat arrived; with ReceiverClock, the receiver computes how long the offer was in flight
 	Done               []int      `msgpack:"d,omitempty"` // tasks that are known to have ended, numbered across all steps
+	PriorRuns          []TaskRun  `msgpack:"y,omitempty"` // with PriorRunsKnown: as JobResult.Runs
+	PriorRunsKnown     bool       `msgpack:"z,omitempty"` // with MayHaveRun: as JobResult.RunsKnown
+}
+
+// TaskRun names a task that may run on a minion.
+type TaskRun struct {
+	Task   int    `msgpack:"t"` // number across all steps
+	Minion string `msgpack:"m"`
 }
 
 // JobAck acknowledges that the dispatcher accepted an offer.
@@ -207,6 +234,8 @@
 	Done          []int      `msgpack:"d,omitempty"` // of JobMoved: tasks that are known to have ended, as in JobOffer
 	NotStarted    bool       `msgpack:"c,omitempty"` // of JobMoved: no task has started
 	MinionsDigest uint64     `msgpack:"m,omitempty"` // of JobMoved: digest of the minions that may run tasks of the job; 0: not known
+	Runs          []TaskRun  `msgpack:"u,omitempty"` // of JobMoved with RunsKnown: all runs of the job that may not have ended
+	RunsKnown     bool       `msgpack:"k,omitempty"` // of JobMoved: Runs is complete
 	Reason        string     `msgpack:"n,omitempty"`
 }
 
--- a/internal/peer/heartbeat_codec.go
+++ b/internal/peer/heartbeat_codec.go
@@ -96,7 +96,7 @@
 }
 
 func (w *fieldWriter) claim(c *Claim) {
-	w.mapLen(5)
+	w.mapLen(5 + count(c.Phase != 0))
 	w.int("s", int64(c.Shard))
 	w.int("o", int64(c.ShardCount))
 	w.uint("l", c.LayoutVersion)
@@ -107,6 +107,9 @@
 	w.int("f", c.Load.Free)
 	w.int("q", c.Load.Queued)
 	w.uint("m", c.Load.MinionsDigest)
+	if c.Phase != 0 {
+		w.uint("w", uint64(c.Phase))
+	}
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -230,6 +233,10 @@
 			c.Token, err = d.DecodeUint64()
 		case "p":
 			return c.Load.decodeFields(d)
+		case "w":
+			var p uint8
+			p, err = d.DecodeUint8()
+			c.Phase = ClaimPhase(p)
 		default:
 			err = d.Skip()
 		}
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -59,7 +59,7 @@
 	full := FleetHeartbeat{
 		From:          HostRecord{Name: "n", FailureDomain: "d", Region: "r", Incarnation: "i", Entry: true, Control: true, Tombstone: true},
 		ConfigVersion: 1 << 40, ShuttingDown: true, ReadIndex: 7, ReadIncarnation: "o", Carries: 109, CellLayout: CellLayout{Cells: 2, Version: 1 << 50}, NextMS: 400, Clock: -5,
-		Claims: []Claim{{Shard: 1, ShardCount: 3, LayoutVersion: 9, Token: 1 << 52, Load: PoolLoad{Capacity: 64_000, Free: -3, Queued: 1 << 33, MinionsDigest: 1 << 63}}, {ShardCount: 1}},
+		Claims: []Claim{{Shard: 1, ShardCount: 3, LayoutVersion: 9, Token: 1 << 52, Load: PoolLoad{Capacity: 64_000, Free: -3, Queued: 1 << 33, MinionsDigest: 1 << 63}, Phase: ClaimFinished}, {ShardCount: 1}},
 	}
 	for _, h := range []FleetHeartbeat{{}, full} {
 		tagged := taggedHeartbeat(h)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -176,20 +176,12 @@
 	if !j.offer.MayHaveRun {
 		return
 	}
-	known := p.earlierRunsKnown(now, j)
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.state == taskDone || p.adoptRun(now, j, t) {
+		if t.state == taskDone || p.adoptRun(now, j, t) || p.adoptEarlyEnd(j, t) {
 			continue
 		}
-		if e, ok := p.earlyEnds[t.ref]; ok {
-			t.nextRun = max(t.nextRun, e.run+1)
-			if e.how == EndDone {
-				p.taskDone(j, t)
-				continue
-			}
-		}
-		if !known {
+		if !p.earlierRunKnown(now, j, i) {
 			t.state = taskUncertain
 		}
 	}
@@ -229,7 +221,7 @@
 // was sent at t or later with a listing under its present token.
 func (p *Pool) allListedSince(t time.Time) bool {
 	for _, m := range p.ordered {
-		if !m.listed || !m.runsKnown() || m.listedPollAt.Before(t) {
+		if !m.listedSince(t) {
 			return false
 		}
 	}
@@ -304,19 +296,21 @@
 	t.state = taskWaiting
 }
 
-// resolveUncertainTasks resolves the uncertain tasks of each job whose runs by earlier
-// owners are known: it adopts a task's run if there is one, and otherwise lets the task
-// be started again.
+// resolveUncertainTasks resolves the uncertain tasks whose runs by earlier owners are
+// known: it adopts a task's run or its end if there is one, and otherwise lets the task be
+// started again.
 func (p *Pool) resolveUncertainTasks(now time.Time) {
 	for _, j := range p.sortedJobs() {
-		if !j.offer.MayHaveRun || !p.earlierRunsKnown(now, j) {
+		if !j.offer.MayHaveRun {
 			continue
 		}
 		for i := range j.tasks {
-			if t := &j.tasks[i]; t.state == taskUncertain && !p.adoptRun(now, j, t) {
+			t := &j.tasks[i]
+			if t.state == taskUncertain && p.earlierRunKnown(now, j, i) && !p.adoptRun(now, j, t) && !p.adoptEarlyEnd(j, t) {
 				t.state = taskWaiting
 			}
 		}
+		p.completeIfDone(now, j)
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -92,6 +92,7 @@
 		if j.hasUncertainTasks() {
 			r.MinionsDigest = 0 // an earlier owner may have run tasks on minions unknown here
 		}
+		r.Runs, r.RunsKnown = p.possibleRuns(j)
 		p.finish(now, j, r)
 	}
 	clear(p.minions)
@@ -254,6 +255,9 @@
 // JobCount returns the number of jobs that are queued or running.
 func (p *Pool) JobCount() int { return len(p.jobs) }
 
+// MinionCount returns the number of minions.
+func (p *Pool) MinionCount() int { return len(p.ordered) }
+
 // CountWaiting adds the number of jobs that wait for their first start to
 // byQueue, by queue name.
 func (p *Pool) CountWaiting(byQueue map[string]int) {
