--- a/internal/fleet/sim_uneven_test.go
+++ b/internal/fleet/sim_uneven_test.go
@@ -70,23 +70,22 @@
 	must.Eq(t, shards, total, must.Sprint(sim.now))
 }
 
-// layoutWatch records the jobs that are in progress when new shard layouts are announced.
-type layoutWatch struct {
-	jobs    [][]*simCaller // of each announcement, those of its failure domain
+// jobWatch records the jobs that are in progress at each event of a kind.
+type jobWatch struct {
+	jobs    [][]*simCaller // at each event, those of the failure domain of its host
 	adopted int            // runs that were adopted
 }
 
-func (sim *simulation) watchLayouts() *layoutWatch {
-	w := &layoutWatch{}
+func (sim *simulation) watchJobs(at event.ID) *jobWatch {
+	w := &jobWatch{}
 	sim.onEvent = func(h *simHost, id event.ID) {
 		switch id {
 		case event.PoolRunAdopted:
 			w.adopted++
-		case event.ShardLayoutPlanned:
+		case at:
 			var jobs []*simCaller
-			for _, c := range sim.callers {
-				running := slices.ContainsFunc(sim.minions, func(m *simMinion) bool { return m.domain == h.rec.FailureDomain && m.runsJob(c.offer.Job) })
-				if !c.finished && c.out != nil && running {
+			for _, c := range sim.openCallers() {
+				if slices.ContainsFunc(sim.minions, func(m *simMinion) bool { return m.domain == h.rec.FailureDomain && m.runsJob(c.offer.Job) }) {
 					jobs = append(jobs, c)
 				}
 			}
@@ -108,7 +107,7 @@
 
 // requireJobsKept checks that no job in progress was answered as one of unknown outcome,
 // and that few of them had to run a task again.
-func (w *layoutWatch) requireJobsKept(t *testing.T) {
+func (w *jobWatch) requireJobsKept(t *testing.T) {
 	t.Helper()
 	for _, jobs := range w.jobs {
 		again := 0
@@ -133,7 +132,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			sim := newUnevenSimulation(simConfig{failureDomains: 1, entryHosts: 13, minions: 80, load: 0.5, recoveryPeriod: 36 * time.Second}, 3, seed)
-			layouts := sim.watchLayouts()
+			layouts := sim.watchJobs(event.ShardLayoutPlanned)
 			stop := func(all bool) {
 				held, _ := sim.shardsByHost()
 				for _, h := range sim.hosts {
@@ -163,6 +162,34 @@
 	}
 }
 
+// A weak host that has taken the only shard over while the strong host was away for a
+// moment hands it over when that host is back, without a new layout. The failure it
+// guards against is a weak host that keeps more minions than it carries.
+func TestWeakHostHandsOver(t *testing.T) {
+	const killed, away = 9 * time.Second, 2 * time.Second
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newUnevenSimulation(simConfig{failureDomains: 1, entryHosts: 7, minions: 50, load: 0.5, recoveryPeriod: 16 * time.Second}, 1, seed)
+			strong := sim.hostByName["e0-0"]
+			sim.after(killed, func() { sim.requireHolders(t, 1, true); strong.endProcess(false) })
+			sim.after(killed+away, func() { sim.requireHolders(t, 1, false); strong.launch() })
+			watch := sim.watchJobs(event.ShardHandOver)
+			sim.after(killed+away+6*time.Second, func() { sim.requireHolders(t, 1, true) })
+			sim.run()
+			must.Eq(t, 1, len(watch.jobs))
+			watch.requireJobsKept(t)
+			must.Positive(t, watch.adopted)
+			must.Eq(t, nil, sim.checker.finish())
+		})
+	}
+}
+
+// openCallers returns the callers that wait for an answer.
+func (sim *simulation) openCallers() []*simCaller {
+	return slices.DeleteFunc(slices.Clone(sim.callers), func(c *simCaller) bool { return c.finished || c.out == nil })
+}
+
 // A new shard layout under load loses no job in progress: the holders finish, and what
 // still runs then is adopted. The failure it guards against is that all jobs of the
 // earlier layout wait for the end of their leases and run again.
@@ -172,7 +199,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			sim := newSimulation(simConfig{failureDomains: 2, entryHosts: 6, minions: 20, load: 0.7, recoveryPeriod: 16 * time.Second}, seed)
-			layouts := sim.watchLayouts()
+			layouts := sim.watchJobs(event.ShardLayoutPlanned)
 			sim.after(added, func() {
 				for d := range 2 {
 					for i := range 70 {
