fleet: metrics of shard sizes; random faults of uneven hosts; mutants

Gauges show what each host of the cell carries and holds and how many shards the cell has and wants. The simulation plays random faults while strong hosts are away (TestRandomFaultsOfUnevenHosts).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -487,7 +487,7 @@
 	}
 	j.boundToShard, j.mayHaveStarted = true, true
 	j.prevOffer, j.dispatcher = offerRef{j.dispatcher, j.offer.Offer}, dispatcherID{}
-	j.lostOffer, j.priorRuns = j.prevOffer, priorRuns{}
+	j.lostOffer = j.prevOffer
 	t.flight = nil
 	j.unassignedAt = now
 	t.assign(now, j)
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -102,6 +102,25 @@
 	}
 }
 
+// publishShardGauges updates the gauges that show the sizes of shards and hosts.
+func (h *Host) publishShardGauges() {
+	c, m := h.core, h.metrics
+	if !c.self.Entry {
+		return
+	}
+	m.minionsCarried.Set(int64(c.carries))
+	m.minionsClaimed.Set(int64(c.heldMinions()))
+	m.cellShards.Set(int64(c.shardCount))
+	m.shardsWanted.Set(int64(c.wantedShards(time.Now())))
+	carries := map[string]int{c.self.Name: c.carries}
+	for _, x := range c.hosts().cell {
+		if x.Heartbeat != nil {
+			carries[x.Name] = x.Heartbeat.Carries
+		}
+	}
+	m.cellCarries.Store(&carries)
+}
+
 // handOverIfOverloaded hands a shard over when this host has held clearly more minions than
 // it carries for claim.HandOverDelay, and a strong host has none.
 func (c *core) handOverIfOverloaded(now time.Time, others []claim.Candidate) {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -115,6 +115,7 @@
 	m.dispatchedJobs.Set(int64(jobs))
 	m.queuedJobs.Set(int64(queued))
 	m.claimedShards.Set(int64(len(c.shards)))
+	h.publishShardGauges()
 	m.cpuCapacity.Set(capacity)
 	m.cpuFree.Set(free)
 	m.listedHosts.Set(int64(len(c.roster.Hosts())))
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -20,10 +21,16 @@
 	dispatchedJobs expvar.Int // open jobs that this host dispatches
 	queuedJobs     expvar.Int // those of dispatchedJobs without a started task
 	claimedShards  expvar.Int // shards that this host has claimed
+	minionsCarried expvar.Int // minions that this host can dispatch for; 0: not known
+	minionsClaimed expvar.Int // minions of claimedShards
+	cellShards     expvar.Int // number of shards in the cell
+	shardsWanted   expvar.Int // number of shards that suits the cell's minions and hosts
 	cpuCapacity    expvar.Int // thousandths of a processor, of the claimed minions that accept work
 	cpuFree        expvar.Int // the part of cpuCapacity that is not in use
 	listedHosts    expvar.Int // other hosts in the roster
 
+	cellCarries atomic.Pointer[map[string]int] // by host of the cell: minions that it reports to carry
+
 	orders expvar.Map // orders to minions, by kind and answer
 
 	answerTimes     durations // from submission to answer, by outcome
@@ -132,6 +139,11 @@
 	v.Set("dispatched_jobs", &m.dispatchedJobs)
 	v.Set("queued_jobs", &m.queuedJobs)
 	v.Set("claimed_shards", &m.claimedShards)
+	v.Set("minions_carried", &m.minionsCarried)
+	v.Set("minions_claimed", &m.minionsClaimed)
+	v.Set("cell_shards", &m.cellShards)
+	v.Set("cell_shards_wanted", &m.shardsWanted)
+	v.Set("cell_minions_carried_by_host", expvar.Func(func() any { return m.cellCarries.Load() }))
 	v.Set("minion_cpu_milli", &m.cpuCapacity)
 	v.Set("minion_cpu_free_milli", &m.cpuFree)
 	v.Set("hosts_listed", &m.listedHosts)
--- a/internal/fleet/sim_uneven_test.go
+++ b/internal/fleet/sim_uneven_test.go
@@ -219,3 +219,39 @@
 		})
 	}
 }
+
+// unevenFaultsConfig has so many minions that the strong hosts get one shard and the weak
+// ones several.
+var unevenFaultsConfig = simConfig{failureDomains: 2, entryHosts: 4, minions: 50, load: 0.4, faultPeriod: 24 * time.Second, recoveryPeriod: 14 * time.Second}
+
+// runUnevenFaults runs random faults while the strong hosts of both failure domains are away
+// for longer than shards of their size last, so that shards are handed over and layouts
+// change meanwhile. It returns the number of new layouts and the violations.
+func runUnevenFaults(seed uint64) (layouts int, violations []string) {
+	sim := newUnevenSimulation(unevenFaultsConfig, 0, seed)
+	for _, name := range []string{"e0-0", "e1-0"} {
+		h := sim.hostByName[name]
+		h.carries = simStrongCarries
+		sim.after(8*time.Second, func() { h.endProcess(sim.chance(0.5)); sim.faultLasts(9 * time.Second) })
+		sim.after(17*time.Second, h.powerOn)
+	}
+	sim.onEvent = func(_ *simHost, id event.ID) {
+		if id == event.ShardLayoutMade {
+			layouts++
+		}
+	}
+	sim.run()
+	return layouts, sim.checker.finish()
+}
+
+// The guarantees to callers and minions hold while hosts of two sizes fail and shards change.
+func TestRandomFaultsOfUnevenHosts(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			layouts, violations := runUnevenFaults(seed)
+			must.Positive(t, layouts)
+			must.SliceEmpty(t, violations, must.Sprint(violations))
+		})
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -134,7 +134,13 @@
 mutant 'leased: unwanted acknowledgements are left' internal/entry/entry.go 's/	if j == nil || j.prevOffer.host != from || j.prevOffer.number != a.Offer {/	if false {/' ./internal/entry Unwanted
 mutant 'leased: starts under a token without a listing' internal/pool/place.go 's/!m.runsKnown() || //' ./internal/pool NoStart
 mutant 'leased: capacity of an earlier incarnation counts' internal/pool/place.go 's/ || !m.capacityKnown() {/ {/' ./internal/pool NoStartByCapacity
-mutant 'leased: an old listing settles jobs of other owners' internal/pool/job.go 's/ || m.listedPollAt.Before(t)//' ./internal/pool OldListing
+mutant 'leased: an old listing settles jobs of other owners' internal/pool/prior.go 's/ \&\& !m.listedPollAt.Before(t)$//' ./internal/pool OldListing
+mutant 'leased: runs on minions of other shards are not waited for' internal/pool/prior.go 's/(m == nil || !m.listedSince/(m != nil \&\& !m.listedSince/' ./internal/pool MovedJobWaits
+mutant 'leased: ends of uncertain runs do not count' internal/pool/job.go 's/ \&\& !p.adoptEarlyEnd(j, t) {/ {/' ./internal/pool MovedTask
+mutant 'leased: a list of runs holds for later offers' internal/entry/moved.go 's/j.priorRuns, j.lostOffer = priorRuns{}, offerRef{}/j.lostOffer = offerRef{}/' ./internal/entry FollowsItsRuns
+mutant 'leased: late hand-overs count' internal/entry/moved.go 's/if j.dispatcher.host == "" {/if j.lostOffer.host == "" || true {/; s/j.priorRuns, j.lostOffer = priorRuns{}, offerRef{}/j.priorRuns = priorRuns{}/' ./internal/entry LateHandOver
+mutant 'leased: shards go back and forth' internal/claim/handover.go 's/if next == nil || .* {$/if next == nil {/' ./internal/claim HandedOver
+mutant 'leased: strong hosts get no more shards' internal/claim/claim.go 's/^	if uneven {$/	if false {/' ./internal/claim StrongHosts
 mutant 'leased: answers of an earlier incarnation count' internal/pool/place.go 's/ || s.Incarnation != m.Incarnation//' ./internal/pool LateOrder
 mutant 'leased: stops of an earlier incarnation count' internal/pool/minion.go 's/^		x.stopSentAt, x.stopConfirmedAt = .*$//' ./internal/pool StopIsRepeated
 mutant 'leased: the lease of an overtaken owner is forgotten' internal/pool/listing.go 's/if poll.token == m.token \&\& m.listedToken < m.token {/if !m.listed {/' ./internal/pool OvertakenOwner
@@ -160,6 +166,9 @@
 mutant 'simulated: shards ignore the link' internal/claim/claim.go 's/return int(min(minionsPerShard, max(/return int(max(minionsPerShard, min(/' ./internal/fleet FullLinks
 mutant 'simulated: heartbeats outside go at the full rate' internal/fleet/heartbeats.go 's/loadReportInterval       = 750/loadReportInterval       = 100/; s/reportDue := c.heartbeatDue || /reportDue := true || c.heartbeatDue || /' ./internal/fleet Budget
 mutant 'simulated: layouts change under load' internal/claim/claim.go 's/	if keepJobs {/	if false {/' ./internal/fleet AddedMinions
+mutant 'simulated: holders do not finish before a new layout' internal/claim/handover.go 's/FinishTime = time.Second/FinishTime = 0/' ./internal/fleet NewLayout
+mutant 'simulated: runs are not adopted in a new layout' internal/entry/moved.go 's/if !j.priorRuns.known || /if true || /' ./internal/fleet NewLayout
+mutant 'simulated: weak hosts keep their shards' internal/claim/handover.go 's/HandOverDelay = 3 . time.Second/HandOverDelay = time.Hour/' ./internal/fleet WeakHost
 # Mutants that the simulation of whole failure domains must detect.
 readonly fleet='./internal/fleet RandomFaults$'
 mutant 'simulated: capacity is not counted' internal/pool/place.go 's/return m.usedCPU+s.CPU <= m.CPU \&\& /return /' $fleet
