claim: the holder of the first shard decides by itself whether it finishes

Two hosts that both claimed the first shard for a moment could have taken each other's finishing for an announcement, until its bound of 2 s. internal/claim passes.

--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -74,11 +74,11 @@
 	return slices.ContainsFunc(c.Claims, func(x peer.Claim) bool { return x.ShardCount == shardCount })
 }
 
-// RelayoutAnnounced reports whether the holder of the first shard is about to make a new
-// shard layout.
-func RelayoutAnnounced(candidates []Candidate, shardCount int) bool {
-	holder, c := Holder(candidates, 0, shardCount)
-	return holder != nil && c.Phase.IsFinishing()
+// RelayoutAnnounced reports whether another host holds the first shard and is about to make
+// a new shard layout.
+func RelayoutAnnounced(self Candidate, others []Candidate, shardCount int) bool {
+	holder, c := Holder(append([]Candidate{self}, others...), 0, shardCount)
+	return holder != nil && holder.Host != self.Host && c.Phase.IsFinishing()
 }
 
 // AllFinished reports whether no holder of a shard has a job left.
--- a/internal/claim/handover_test.go
+++ b/internal/claim/handover_test.go
@@ -79,8 +79,9 @@
 func TestLayoutWaitsForHolders(t *testing.T) {
 	first := Candidate{Host: "a", Claims: claims(2, peer.ClaimFinished, 0)}
 	second := Candidate{Host: "b", Claims: claims(2, peer.ClaimFinishing, 1)}
-	must.True(t, RelayoutAnnounced([]Candidate{first, second}, 2))
-	must.False(t, RelayoutAnnounced([]Candidate{second}, 2))
+	must.True(t, RelayoutAnnounced(second, []Candidate{first}, 2))
+	must.False(t, RelayoutAnnounced(second, nil, 2))
+	must.False(t, RelayoutAnnounced(first, []Candidate{second}, 2), must.Sprint("it decides by itself"))
 	must.False(t, AllFinished([]Candidate{first, second}, 2))
 	second.Claims[0].Phase = peer.ClaimFinished
 	must.True(t, AllFinished([]Candidate{first, second}, 2))
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -111,7 +111,7 @@
 	c.updateCellLayout(now)
 	self, others := c.ownCandidate(), c.otherCandidates(now)
 	c.updateShardLayout(now, self, others)
-	c.updatePhases(now, others)
+	c.updatePhases(now, self, others)
 	self = c.ownCandidate()
 	decisions, tokens := claim.Plan(self, others, c.shardCount)
 	for number, decision := range decisions {
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -16,8 +16,8 @@
 func (x *shard) setPhase(now time.Time, p peer.ClaimPhase) { x.phase, x.phaseAt = p, now }
 
 // updatePhases begins and ends the finishing and the hand-overs of this host's shards.
-func (c *core) updatePhases(now time.Time, others []claim.Candidate) {
-	c.followRelayout(now, others)
+func (c *core) updatePhases(now time.Time, self claim.Candidate, others []claim.Candidate) {
+	c.followRelayout(now, self, others)
 	for _, x := range c.sortedShards() {
 		if x.phase == peer.ClaimHandingOver && now.Sub(x.phaseAt) > claim.HandOverTimeout {
 			x.setPhase(now, peer.ClaimServing)
@@ -26,14 +26,14 @@
 			c.heartbeatDue = true
 		}
 	}
-	c.handOverIfOverloaded(now, others)
+	c.handOverIfOverloaded(now, self, others)
 }
 
 // followRelayout makes this host's shards finish while a new shard layout is announced,
 // by this host or another one, but for at most twice claim.FinishTime: then its maker has
 // got no further, and dispatching goes on.
-func (c *core) followRelayout(now time.Time, others []claim.Candidate) {
-	announced := !c.relayoutAt.IsZero() || claim.RelayoutAnnounced(others, c.shardCount)
+func (c *core) followRelayout(now time.Time, self claim.Candidate, others []claim.Candidate) {
+	announced := !c.relayoutAt.IsZero() || claim.RelayoutAnnounced(self, others, c.shardCount)
 	if !announced {
 		c.finishingSince = time.Time{}
 	} else if c.finishingSince.IsZero() {
@@ -123,7 +123,7 @@
 
 // handOverIfOverloaded hands a shard over when this host has held clearly more minions than
 // it carries for claim.HandOverDelay, and a strong host has none.
-func (c *core) handOverIfOverloaded(now time.Time, others []claim.Candidate) {
+func (c *core) handOverIfOverloaded(now time.Time, self claim.Candidate, others []claim.Candidate) {
 	minions := make(map[int]int)
 	for number, x := range c.shards {
 		if x.phase != peer.ClaimServing {
@@ -131,7 +131,7 @@
 		}
 		minions[number] = x.pool.MinionCount()
 	}
-	number, ok := claim.ShardToHandOver(c.ownCandidate(), others, minions, c.shardCount)
+	number, ok := claim.ShardToHandOver(self, others, minions, c.shardCount)
 	if !ok {
 		c.overloadedSince = time.Time{}
 		return
