--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,7 @@
 	Shard         int
 	ShardCount    int // number of shards in the cell
 	Cell          peer.Cell
+	Phase         peer.ClaimPhase
 	Load          peer.PoolLoad
 	LoadAt        time.Time              // when Load was received
 	Process       membership.Incarnation // of the host
@@ -123,8 +124,10 @@
 	process         membership.Incarnation // of the dispatcher's host
 	withdrawal      withdrawal             // of the current offer
 	minionsDigest   uint64                 // digest of the dispatcher's minions, as last reported
+	priorRuns       priorRuns              // of the dispatcher that handed the job over
 	unassignedAt    time.Time              // when its last dispatcher became unavailable or handed the job over
 	prevOffer       offerRef               // to an unavailable dispatcher; zero once cancelled there
+	lostOffer       offerRef               // to a dispatcher that became unavailable, while the job was offered to no other since
 	prevWithdrawnAt time.Time              // when the withdrawal of prevOffer was last sent
 }
 
@@ -306,6 +309,7 @@
 	t.flight = nil
 	j.offer.MayHaveRun, j.offer.MinionsDigest = j.boundToShard, j.minionsDigest
 	j.minionsDigest = d.Load.MinionsDigest
+	j.stampPriorRuns()
 	t.recordSent(d, j)
 	t.logEvent(event.EntryJobOffered, slog.String("job", j.offer.Job), slog.String("queue", j.offer.Queue), slog.String("dispatcher", d.Host),
 		slog.Int64("load_age_ms", now.Sub(d.LoadAt).Milliseconds()), slog.Int64("free_cpu", d.Load.Free), slog.Int64("queued", d.Load.Queued),
@@ -361,7 +365,7 @@
 		t.clearDoubt(now, j, from, r.Offer)
 		return
 	}
-	if j.dispatcher.host != from || j.offer.Offer != r.Offer {
+	if !j.awaits(from, r) {
 		return
 	}
 	switch outcome := r.Outcome; {
@@ -372,6 +376,9 @@
 		j.offer.Done = r.Done
 		j.minionsDigest = r.MinionsDigest
 		j.started = j.started || !notStarted
+		j.doubts = withoutOffer(j.doubts, from, r.Offer)
+		j.priorRuns = priorRuns{r.Runs, r.RunsKnown}
+		j.lostOffer, j.prevOffer = offerRef{}, j.prevOffer.unless(from, r.Offer)
 		j.boundToShard = !r.NotStarted && !r.RunsEnded && j.mayHaveStarted()
 		j.dispatcher = dispatcherID{}
 		t.flight = nil
@@ -511,6 +518,7 @@
 	j.prevOffer, j.dispatcher = j.currentOffer(), dispatcherID{}
 	j.doubts = append(j.doubts, j.prevOffer)
 	j.prevWithdrawnAt = now // a planned hand-over returns the job by itself within that time
+	j.lostOffer = j.prevOffer
 	t.flight = nil
 	j.unassignedAt = now
 	t.assign(now, j)
--- a/internal/entry/withdraw.go
+++ b/internal/entry/withdraw.go
@@ -114,13 +114,17 @@
 	return j.latestStart().Add(criticalPath * runTimeErrorPct / 100)
 }
 
+// withoutOffer removes one offer from a list.
+func withoutOffer(offers []offerRef, host string, number uint64) []offerRef {
+	return slices.DeleteFunc(offers, func(r offerRef) bool { return r.host == host && r.number == number })
+}
+
 // clearDoubt notes that a dispatcher's process has started nothing of an earlier offer. If
 // no doubt is left, the job has not started, and may run anywhere.
 func (t *Table) clearDoubt(now time.Time, j *openJob, host string, number uint64) {
-	j.doubts = slices.DeleteFunc(j.doubts, func(r offerRef) bool { return r.host == host && r.number == number })
-	if j.prevOffer.host == host && j.prevOffer.number == number {
-		j.prevOffer = offerRef{} // it remembers the offer as ended
-	}
+	j.doubts = withoutOffer(j.doubts, host, number)
+	j.prevOffer = j.prevOffer.unless(host, number) // it remembers the offer as ended
+	j.lostOffer = j.lostOffer.unless(host, number)
 	if j.mayHaveStarted() {
 		return
 	}
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -27,6 +27,7 @@
 
 func (f *fakeVersions) View() *register.View {
 	v := f.newest
+	v.Settled = true
 	return &v
 }
 
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -125,6 +125,7 @@
 	m.dispatchedJobs.Set(int64(jobs))
 	m.queuedJobs.Set(int64(queued))
 	m.claimedShards.Set(int64(len(c.shards)))
+	h.publishShardGauges()
 	m.cpuCapacity.Set(capacity)
 	m.cpuFree.Set(free)
 	m.refusedShare.Set(c.overload.Share())
--- a/internal/fleet/sim_caller_test.go
+++ b/internal/fleet/sim_caller_test.go
@@ -33,6 +33,9 @@
 	submitted       bool
 	tries           int
 	refusals        int // tries that were answered as refused, which means that no task was started
+	unknowns        int // tries that were answered as unknown
+	started         map[simTask]bool
+	again           int // starts of tasks that had been started before
 	finished        bool
 	finishedAt      time.Duration
 	outcome         peer.JobOutcome // 0: the caller left without an answer
@@ -252,6 +255,7 @@
 	}
 	switch o.Outcome {
 	case peer.JobUnknown:
+		c.unknowns++
 		c.retryLater(c.out)
 		return
 	case peer.JobRefused:
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -42,6 +42,9 @@
 		if err := c.Load.check(); err != nil {
 			return err
 		}
+		if err := firstInvalid(numberCheck{"phase of a claim", int64(c.Phase), 0, int64(lastClaimPhase)}); err != nil {
+			return err
+		}
 	}
 	return firstInvalid(
 		numberCheck{"next heartbeat", h.NextMS, 0, maxDurationMS},
@@ -83,9 +86,22 @@
 func (a *JobAck) check() error { return a.Load.check() }
 
 func (r *JobResult) check() error {
+	if err := checkRuns(r.Runs); err != nil {
+		return err
+	}
 	return firstInvalid(numberCheck{"retry time", r.RetryMS, 0, maxDurationMS})
 }
 
+// checkRuns checks the tasks that an earlier dispatcher may have run.
+func checkRuns(runs []TaskRun) error {
+	for _, r := range runs {
+		if err := firstInvalid(numberCheck{"task of a run", int64(r.Task), 0, MaxTasks - 1}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (o *JobOffer) check() error {
 	if err := checkShard(o.Shard, o.ShardCount); err != nil {
 		return err
@@ -96,9 +112,12 @@
 	if err := CheckSteps(o.Steps); err != nil {
 		return err
 	}
-	return firstInvalid(
+	if err := firstInvalid(
 		numberCheck{"age", o.AgeMS, -maxDurationMS, maxDurationMS},
 		numberCheck{"remaining time", o.RemainingMS, -maxDurationMS, maxDurationMS},
 		numberCheck{"time of prior runs", o.PriorRunsMS, 0, maxDurationMS},
-	)
+	); err != nil {
+		return err
+	}
+	return checkRuns(o.PriorRuns)
 }
