--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,8 @@
 	CellLayoutChanged     ID = 3116
 	OfferStale            ID = 3117
 	PoolMinionOverloaded  ID = 3118
+	InterferenceBegan     ID = 3130
+	InterferenceEnded     ID = 3131
 
 	PeerUp        ID = 4001
 	PeerDown      ID = 4002
@@ -157,6 +159,8 @@
 	{CellLayoutChanged, slog.LevelInfo, "cell layout of the failure domain changed", "None."},
 	{OfferStale, slog.LevelInfo, "stale job offer not accepted", "None; its sender is told that it has not run, if its age is known. Many at a time: a link or a processor on its way is full."},
 	{PoolMinionOverloaded, slog.LevelError, "runs exceed the minion's capacity", "Report it with the logs; OPERATIONS.md describes what its attributes tell."},
+	{InterferenceBegan, slog.LevelInfo, "tasks of a queue take longer beside those of another", "None; they are kept apart where that costs nothing. OPERATIONS.md says what follows for the minions' capacity."},
+	{InterferenceEnded, slog.LevelInfo, "tasks of a queue no longer take longer beside those of another", "None."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -256,7 +256,7 @@
 	if c.shardLayoutVersion == 0 {
 		c.shardLayoutVersion = c.highestToken
 	}
-	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent})}
+	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(c.poolConfig())}
 	c.shards[number] = x
 	x.pool.Claim(now, c.highestToken)
 	n := 0
@@ -270,6 +270,11 @@
 	c.heartbeatDue = true
 }
 
+// poolConfig returns the configuration of the pool of a shard.
+func (c *core) poolConfig() pool.Config {
+	return pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent, SeparateInterfering: c.separateInterfering}
+}
+
 // releaseShard stops dispatching on a shard and sends the pending orders and results
 // of its pool.
 func (c *core) releaseShard(now time.Time, x *shard, reason string) {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -90,6 +90,8 @@
 	resumedAt          time.Time       // when a suspension was last detected
 	heartbeatDue       bool            // send heartbeats with the next output, without waiting for the interval
 	loopback           []peer.Body     // messages from this host to itself
+
+	separateInterfering bool // the setting of that name
 }
 
 // offerKey identifies a job offer by its sending entry host, job and number.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,6 +148,7 @@
 	// Offer numbers begin at a random value, so that messages about offers of an
 	// earlier process on this host match none of this one's.
 	h.core = newCore(time.Now(), h.self, h.tokenID(), rand.Uint64()>>8, h)
+	h.core.separateInterfering = s.SeparateInterfering
 	h.core.minionsPerShard = claim.MinionsPerShard(s.LinkBytesPerSecond())
 	if h.rosterStore != nil {
 		h.restoreRoster(h.rosterStore)
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -59,7 +59,7 @@
 		if t := x.job.task(x.task); t != nil {
 			t.runTime = took
 		}
-		p.learnRunTime(m, x, took)
+		p.learnRunTime(now, m, x, took)
 	case EndFailed:
 		m.health.eject(now)
 		p.cfg.Log(event.MinionEjected, slog.String("minion", m.ID), slog.String("reason", "a run failed"), slog.String("job", x.task.Job))
@@ -68,7 +68,7 @@
 
 // learnRunTime adds a successful run to the run times of its queue, its minion and its
 // minion's kind.
-func (p *Pool) learnRunTime(m *minion, x *run, took time.Duration) {
+func (p *Pool) learnRunTime(now time.Time, m *minion, x *run, took time.Duration) {
 	j := x.job
 	kind := p.speeds.logSlowdownOf(m.speed, j.stats)
 	ratio := math.Log(math.Max(1, float64(took)) / math.Max(1, float64(j.expected(x.step))))
@@ -78,6 +78,7 @@
 	j.logRatio.observe(rest)
 	p.speeds.observe(m.speed, j.stats, ratio-m.health.meanLogSlowdown)
 	m.health.meanLogSlowdown += slowdownWeight * rest
+	p.learnInterference(now, m, x, rest)
 }
 
 // checkProgress stops a run, to start it elsewhere, if it makes no progress or if it
--- a/internal/pool/load_sites_test.go
+++ b/internal/pool/load_sites_test.go
@@ -1,14 +1,50 @@
 package pool
 
 import (
+	"cmp"
 	"flag"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
 
+// loadSite is what one pool serves: its minions and queues.
+type loadSite struct {
+	minions []loadMinionKind // minion i is of kind i modulo their number
+	count   int              // number of minions
+	queues  []loadQueue
+	taskCPU float64
+	share   float64 // share of the queues' arrival rates that the pool gets
+	// uneven: run times have a tail and vary within a job, and the objective is
+	// computed from the job's work without this variation.
+	uneven bool
+	// interfering are two queues whose tasks take interferenceFactor times as long while
+	// one of the other queue is beside them.
+	interfering [2]string
+	separate    bool // Config.SeparateInterfering
+}
+
+// loadMinionKind is a kind of minions.
+type loadMinionKind struct {
+	label    string
+	cpu      int64
+	slowdown float64
+}
+
+// defaultSite is one failure domain with loadQueues.
+func defaultSite() *loadSite {
+	even := loadMinionKind{cpu: 64_000, slowdown: 1}
+	return &loadSite{
+		minions: []loadMinionKind{even, even, {cpu: 96_000, slowdown: 1.3}}, count: simMinions,
+		queues: loadQueues, taskCPU: baseTaskCPU, share: domainLoadShare,
+	}
+}
+
 // packing is the share of the minions' processors that tasks of about half a minion can
 // use: half of all pairs do not fit on one.
 const packing = 0.75
@@ -115,6 +151,45 @@
 	}
 }
 
+// interfere prolongs a new run and the runs on its minion that slow each other down.
+func (y *loadSim) interfere(m *loadMinion, x *loadRun) {
+	pair := y.site.interfering
+	for _, task := range slices.SortedFunc(maps.Keys(m.runs), func(a, b TaskRef) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) }) {
+		o := m.runs[task]
+		a, b := y.jobs[x.start.Task.Job].queue.name, y.jobs[task.Job].queue.name
+		if pair != [2]string{a, b} && pair != [2]string{b, a} || a == b {
+			continue
+		}
+		for _, r := range []*loadRun{x, o} {
+			if !r.slowed {
+				r.slowed = true
+				rest := time.Duration(float64(r.endAt.Sub(y.now)) * interferenceFactor)
+				r.work += rest - r.endAt.Sub(y.now)
+				y.scheduleEnd(m, r, rest)
+			}
+		}
+	}
+}
+
+// Where two queues' tasks slow each other down by 30%, callers earn no less when the tasks
+// are kept apart than when they are not. (go test -v prints both.)
+func TestInterferingQueues(t *testing.T) {
+	for _, factor := range []float64{0.5, 0.8} {
+		var earned [2]float64
+		for i, separate := range []bool{false, true} {
+			site := competingSite()
+			site.interfering, site.separate = [2]string{"export", "small"}, separate
+			sums, shares, mean, deviation := simulateSite(t, workload{factor: factor, seconds: 3 * *siteSeconds, site: site})
+			t.Logf("load %.1f apart %v: earned %.3f (standard error %.4f) %.3f", factor, separate, mean, deviation, shares)
+			for _, q := range site.queues {
+				t.Logf("  %-7s %v", q.name, sums[q.name])
+			}
+			earned[i] = mean
+		}
+		must.GreaterEq(t, earned[0], earned[1])
+	}
+}
+
 // BenchmarkSite measures the processor time of a pool with uneven minions for one second
 // of load, with the simulation of the minions.
 func BenchmarkSite(b *testing.B) {
--- a/internal/pool/load_test.go
+++ b/internal/pool/load_test.go
@@ -27,34 +27,6 @@
 	site    *loadSite           // nil: defaultSite
 }
 
-// loadSite is what one pool serves: its minions and queues.
-type loadSite struct {
-	minions []loadMinionKind // minion i is of kind i modulo their number
-	count   int              // number of minions
-	queues  []loadQueue
-	taskCPU float64
-	share   float64 // share of the queues' arrival rates that the pool gets
-	// uneven: run times have a tail and vary within a job, and the objective is
-	// computed from the job's work without this variation.
-	uneven bool
-}
-
-// loadMinionKind is a kind of minions.
-type loadMinionKind struct {
-	label    string
-	cpu      int64
-	slowdown float64
-}
-
-// defaultSite is one failure domain with loadQueues.
-func defaultSite() *loadSite {
-	even := loadMinionKind{cpu: 64_000, slowdown: 1}
-	return &loadSite{
-		minions: []loadMinionKind{even, even, {cpu: 96_000, slowdown: 1.3}}, count: simMinions,
-		queues: loadQueues, taskCPU: baseTaskCPU, share: domainLoadShare,
-	}
-}
-
 // loadQueue is one queue of a workload.
 type loadQueue struct {
 	name          string
@@ -72,14 +44,15 @@
 }
 
 const (
-	simMinions      = 16
-	workSpread      = 0.4 // standard deviation of the logarithm of work, width and declared times
-	baseTaskCPU     = 27_000
-	domainLoadShare = 0.33 // share of the load that one failure domain gets
-	networkDelay    = 400 * time.Microsecond
-	tailShare       = 0.03 // share of the jobs of an uneven site that take tailFactor times as long
-	tailFactor      = 7
-	minDeadline     = 1500 * time.Millisecond // of a job of an uneven site
+	simMinions         = 16
+	workSpread         = 0.4 // standard deviation of the logarithm of work, width and declared times
+	baseTaskCPU        = 27_000
+	domainLoadShare    = 0.33 // share of the load that one failure domain gets
+	networkDelay       = 400 * time.Microsecond
+	tailShare          = 0.03 // share of the jobs of an uneven site that take tailFactor times as long
+	tailFactor         = 7
+	interferenceFactor = 1.3
+	minDeadline        = 1500 * time.Millisecond // of a job of an uneven site
 )
 
 // callerStats counts the results that the callers of one queue received.
@@ -106,6 +79,8 @@
 	startedAt time.Time
 	work      time.Duration
 	ended     bool
+	endAt     time.Time
+	slowed    bool // by a run of an interfering queue
 }
 
 type loadMinion struct {
@@ -162,7 +137,7 @@
 	y := &loadSim{
 		t: t, site: l.site, rng: rand.New(rand.NewPCG(l.seed, 1)), now: startTime, minions: make(map[string]*loadMinion),
 		jobs: make(map[string]*loadJob), stats: make(map[string]*callerStats),
-		p: New(Config{Timing: DefaultTiming(), Log: func(event.ID, ...slog.Attr) {}}),
+		p: New(Config{Timing: DefaultTiming(), Log: func(event.ID, ...slog.Attr) {}, SeparateInterfering: l.site.separate}),
 	}
 	if l.compare != nil {
 		y.p.compare = l.compare
@@ -304,10 +279,21 @@
 	m.used += need
 	x := &loadRun{start: s, startedAt: y.now, work: time.Duration(float64(j.work[s.Task.Index]) * m.slowdown)}
 	m.runs[s.Task] = x
-	y.after(x.work, func() { y.endRun(m, x, EndDone) })
+	y.scheduleEnd(m, x, x.work)
+	y.interfere(m, x)
 	y.after(networkDelay, func() { y.p.HandleStartAnswer(y.now, s, AnswerOK, y.clock()) })
 }
 
+// scheduleEnd ends the run after d, unless its end is scheduled anew.
+func (y *loadSim) scheduleEnd(m *loadMinion, x *loadRun, d time.Duration) {
+	x.endAt = y.now.Add(d)
+	y.after(d, func() {
+		if x.endAt.Equal(y.now) {
+			y.endRun(m, x, EndDone)
+		}
+	})
+}
+
 func (y *loadSim) clock() int64 { return 1 + y.now.Sub(startTime).Milliseconds() }
 
 func (y *loadSim) endRun(m *loadMinion, x *loadRun, how End) {
--- a/internal/pool/minion.go
+++ b/internal/pool/minion.go
@@ -39,6 +39,9 @@
 	stopSentAt      time.Time // when a stop was last sent
 	stopConfirmedAt time.Time // when the minion confirmed a stop; zero: not yet
 	moving          bool      // stopped in order to run elsewhere
+
+	neighbourQueue    string      // the queue that it is counted for in neighboursAtStart
+	neighboursAtStart *neighbours // the minion's when it started here; nil: not counted
 }
 
 // remaining returns the expected time until the run ends.
@@ -96,7 +99,8 @@
 	failedPolls       int                     // in a row
 	nextPollAt        time.Time
 	health            health
-	speed             *kindSpeed // of its kind, since the last tick; nil: unknown
+	neighbours        *neighbours // nil: no run has been counted
+	speed             *kindSpeed  // of its kind, since the last tick; nil: unknown
 }
 
 // UpdateMinion adds a minion that the pool owns, or updates its record.
@@ -257,6 +261,7 @@
 func (p *Pool) endRun(now time.Time, m *minion, x *run, how End) {
 	delete(m.runs, x.task)
 	m.release(x)
+	p.leaveNeighbours(now, m, x)
 	j := x.job
 	if j == nil || p.jobs[j.id] != j {
 		return
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -106,7 +106,7 @@
 func (p *Pool) pickMinion(now time.Time, j *job, t *task) *minion {
 	var best *minion
 	var bestScore int64
-	bestStep := 0
+	bestStep, bestInterferes := 0, false
 	kinds := false
 	for _, m := range p.ordered {
 		if m.Service != j.offer.Service || !m.hasCapacity(t.step) || !m.fitsWhenEmpty(t.step) || !p.acceptsStart(now, m, t) {
@@ -129,8 +129,9 @@
 			score += retryPenalty
 			step = -1
 		}
-		if best == nil || step > bestStep || step == bestStep && score < bestScore {
-			best, bestScore, bestStep = m, score, step
+		interferes := p.interferes(m, j.offer.Queue)
+		if best == nil || step > bestStep || step == bestStep && (!interferes && bestInterferes || interferes == bestInterferes && score < bestScore) {
+			best, bestScore, bestStep, bestInterferes = m, score, step, interferes
 		}
 	}
 	if best != nil && kinds && best.speed != nil && p.betterSoon(now, j, t, best) {
@@ -172,6 +173,7 @@
 	}
 	m.runs[t.ref] = x
 	m.reserve(x)
+	p.joinNeighbours(now, m, x)
 	t.run, t.state, t.lastMinion = x, taskPlaced, m.ID
 	t.nextRun++
 	j.mayHaveStarted = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/interference"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
@@ -20,6 +21,7 @@
 	queueStats    map[string]*queueStats // by queue name
 	compare       func(a, b rank) int    // order of service: compareRanks, unless a test replaces it
 	speeds        speeds
+	interference  interference.Learner
 	meanTaskCPU   float64   // moving average of a task's demand, in thousandths of a processor; 0: unknown
 	noStartsUntil time.Time // no new starts before this time: the owner hands over
 
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -137,8 +137,9 @@
 
 // Config configures a Pool.
 type Config struct {
-	Timing Timing
-	Log    LogFunc
+	Timing              Timing
+	Log                 LogFunc
+	SeparateInterfering bool // place tasks of queues that slow each other down on different minions, where that costs nothing
 }
 
 // Timing holds the intervals of a Pool.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -29,7 +29,9 @@
 	StopGraceS      float64  `json:"stop_grace_s" validate:"min=1,max=60"`    // seconds from the stop signal until the process is killed
 	ToleratedLosses int      `json:"tolerated_losses" validate:"min=0,max=3"` // control hosts that may fail at the same time
 	LinkMbps        float64  `json:"link_mbps" validate:"min=0,max=1000000"`  // rate of the host's network link in megabits per second; 0: not limited
-	Log             FleetLog `json:"log"`
+	// SeparateInterfering: tasks of queues that slow each other down go to different minions.
+	SeparateInterfering bool     `json:"separate_interfering"`
+	Log                 FleetLog `json:"log"`
 }
 
 // LinkBytesPerSecond returns the rate of the host's network link; 0: not limited.
