--- a/internal/pool/fit_test.go
+++ b/internal/pool/fit_test.go
@@ -68,3 +68,42 @@
 	must.InDelta(t, 0.14, within, 0.01)
 	must.InDelta(t, 0.38, between, 0.02)
 }
+
+// addKind adds three minions with the label, each with room for one task of 10,000.
+func (s *harness) addKind(label string) {
+	for i := range 3 {
+		s.p.UpdateMinion(s.now, peer.MinionRecord{ID: label + string(rune('0'+i)), Service: "s", FailureDomain: "z", CPU: 10_000, MemoryMB: 1000, Seq: 1, Labels: []string{label}})
+		s.collect()
+		s.answerPoll(label+string(rune('0'+i)), &Listing{})
+	}
+}
+
+// A task that would be late on a slow minion waits for a fast one that is about to be free.
+// When the fast minions become unreachable it must not go on waiting for them.
+func TestTaskWaitsForAFastMinionOnlyWhileItIsReachable(t *testing.T) {
+	s := newHarness(t)
+	s.addKind("fast")
+	s.addKind("slow")
+	s.advance(ms)
+	q := s.p.statsFor("q")
+	for range 100 {
+		s.p.speeds.observe(s.p.minions["fast0"].speed, q, math.Log(0.7))
+		s.p.speeds.observe(s.p.minions["slow0"].speed, q, math.Log(1.6))
+		q.spread.observe(0.15, 0, 0)
+	}
+	s.offerJob("first", 3, 10_000, 300)
+	must.Len(t, 3, s.out.Starts)
+	for _, x := range s.out.Starts {
+		must.StrHasPrefix(t, "fast", x.Minion)
+	}
+	s.answerStarts(AnswerOK)
+	s.offerJob("second", 1, 10_000, 1000)
+	s.advance(20 * ms)
+	must.Len(t, 0, s.out.Starts, must.Sprint("it waits for the end of a run of 210 ms"))
+	for _, id := range []string{"fast0", "fast1", "fast2"} {
+		s.p.HandlePollAnswer(s.now, id, s.lastPoll(id).Serial, AnswerUnknown, nil)
+	}
+	s.collect()
+	must.Len(t, 1, s.out.Starts)
+	must.StrHasPrefix(t, "slow", s.out.Starts[0].Minion)
+}
