pool: an event for the speeds of kinds of minions, a metric for waits

Operators could not see why tasks wait beside free minions. Event 3132 says how long tasks of a queue take on a kind of minions when that is known or has changed by a quarter; steps_held_back counts the steps that wait for a faster minion.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,6 +69,7 @@
 	PoolMinionOverloaded  ID = 3118
 	InterferenceBegan     ID = 3130
 	InterferenceEnded     ID = 3131
+	KindSpeedChanged      ID = 3132
 
 	PeerUp        ID = 4001
 	PeerDown      ID = 4002
@@ -161,6 +162,7 @@
 	{PoolMinionOverloaded, slog.LevelError, "runs exceed the minion's capacity", "Report it with the logs; OPERATIONS.md describes what its attributes tell."},
 	{InterferenceBegan, slog.LevelInfo, "tasks of a queue take longer beside those of another", "None; they are kept apart where that costs nothing. OPERATIONS.md says what follows for the minions' capacity."},
 	{InterferenceEnded, slog.LevelInfo, "tasks of a queue no longer take longer beside those of another", "None."},
+	{KindSpeedChanged, slog.LevelInfo, "tasks of a queue take another time on a kind of minions", "None; time_pct is the time in percent of that on all minions, and placement follows it. If it is unexpected, look at these minions."},
 	{PeerUp, slog.LevelInfo, "peer host reachable", "None."},
 	{PeerDown, slog.LevelWarn, "peer host unreachable", "Check the host and the network between the two."},
 	{PeerRejected, slog.LevelWarn, "peer connection rejected", "Check the peer's settings: name, failure domain and protocol version."},
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -99,11 +99,12 @@
 	c, m := h.core, h.metrics
 	var jobs int
 	waiting := make(map[string]int)
-	var capacity, free, interfering int64
+	var capacity, free, interfering, heldBack int64
 	for _, x := range c.shards {
 		load := x.pool.Load()
 		jobs += x.pool.JobCount()
 		x.pool.CountWaiting(waiting)
+		heldBack += int64(x.pool.HeldBack())
 		interfering += int64(x.pool.InterferingPairs())
 		capacity, free = capacity+load.Capacity, free+load.Free
 	}
@@ -118,6 +119,7 @@
 	m.claimedShards.Set(int64(len(c.shards)))
 	m.cpuCapacity.Set(capacity)
 	m.cpuFree.Set(free)
+	m.heldBack.Set(heldBack)
 	m.interfering.Set(interfering)
 	m.listedHosts.Set(int64(len(c.roster.Hosts())))
 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -21,6 +21,7 @@
 	queuedJobs     expvar.Int // those of dispatchedJobs without a started task
 	claimedShards  expvar.Int // shards that this host has claimed
 	cpuCapacity    expvar.Int // thousandths of a processor, of the claimed minions that accept work
+	heldBack       expvar.Int // steps of jobs that wait for a faster minion than the best free one
 	interfering    expvar.Int // ordered pairs of queues that interfere, over all claimed shards
 	cpuFree        expvar.Int // the part of cpuCapacity that is not in use
 	listedHosts    expvar.Int // other hosts in the roster
@@ -135,6 +136,7 @@
 	v.Set("claimed_shards", &m.claimedShards)
 	v.Set("minion_cpu_milli", &m.cpuCapacity)
 	v.Set("minion_cpu_free_milli", &m.cpuFree)
+	v.Set("steps_held_back", &m.heldBack)
 	v.Set("interfering_pairs", &m.interfering)
 	v.Set("hosts_listed", &m.listedHosts)
 	v.Set("document_version", expvar.Func(func() any { return h.control.View().Version }))
--- a/internal/pool/fit.go
+++ b/internal/pool/fit.go
@@ -105,6 +105,10 @@
 	return false
 }
 
+// HeldBack returns the number of jobs' steps that waited, when tasks were last started, for a
+// faster minion than the best free one.
+func (p *Pool) HeldBack() int { return p.heldBack }
+
 // expectedOn returns the expected run time of the task on the minion.
 func (p *Pool) expectedOn(m *minion, j *job, t *task) time.Duration {
 	return time.Duration(float64(j.expected(t.step)) * math.Exp(p.logSlowdown(m, j.stats)))
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -77,6 +77,7 @@
 	j.stats.spread.observe(rest, j.logRatio.mean, j.logRatio.runs)
 	j.logRatio.observe(rest)
 	p.speeds.observe(m.speed, j.stats, ratio-m.health.meanLogSlowdown)
+	p.logSpeed(m.speed, j)
 	m.health.meanLogSlowdown += slowdownWeight * rest
 	p.learnInterference(now, m, x, rest)
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -42,6 +42,7 @@
 	if now.Before(p.noStartsUntil) {
 		return
 	}
+	p.heldBack = 0
 	free := p.largestFreeCPU()
 	if free <= 0 {
 		return
@@ -135,6 +136,7 @@
 		}
 	}
 	if best != nil && kinds && best.speed != nil && p.betterSoon(now, j, t, best) {
+		p.heldBack++
 		return nil
 	}
 	return best
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,6 +21,7 @@
 	queueStats    map[string]*queueStats // by queue name
 	compare       func(a, b rank) int    // order of service: compareRanks, unless a test replaces it
 	speeds        speeds
+	heldBack      int // steps that waited for a faster minion than the best free one, at the last dispatch
 	interference  interference.Learner
 	meanTaskCPU   float64   // moving average of a task's demand, in thousandths of a processor; 0: unknown
 	noStartsUntil time.Time // no new starts before this time: the owner hands over
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -1,6 +1,11 @@
 package pool
 
-import "math"
+import (
+	"log/slog"
+	"math"
+
+	"github.com/laburnumwalk/laburnumwalk/internal/event"
+)
 
 // This file learns how fast minions run tasks. The load that it answers is that of minions
 // of several kinds, some of which take twice as long as others, and not for all queues
@@ -16,8 +21,9 @@
 
 // logMean is a moving mean of logarithms.
 type logMean struct {
-	runs int
-	mean float64
+	runs   int
+	mean   float64
+	logged float64 // the figure that was last logged
 }
 
 // observe adds a value. The first values have equal weights.
@@ -32,6 +38,7 @@
 // kindSpeed holds the run times on the minions of one kind, as logarithms of the ratio of
 // actual to expected run times.
 type kindSpeed struct {
+	name    string // the label; empty: none
 	minions int
 	all     logMean
 	byQueue map[*queueStats]*logMean
@@ -72,7 +79,7 @@
 	for _, m := range minions {
 		k := s.byLabel[s.kindOf(m)]
 		if k == nil {
-			k = &kindSpeed{byQueue: make(map[*queueStats]*logMean)}
+			k = &kindSpeed{name: s.kindOf(m), byQueue: make(map[*queueStats]*logMean)}
 			s.byLabel[s.kindOf(m)] = k
 		}
 		if k.minions == 0 {
@@ -142,6 +149,24 @@
 	}
 }
 
+// logChange is the change of the logarithm of a slowdown that is logged, about a quarter.
+const logChange = 0.22
+
+// logSpeed logs the slowdown of a queue on a kind of minions when it has become known, or has
+// changed by logChange.
+func (p *Pool) logSpeed(k *kindSpeed, j *job) {
+	if k == nil || k.byQueue[j.stats] == nil || !k.byQueue[j.stats].known() {
+		return
+	}
+	now, l := p.speeds.logSlowdownOf(k, j.stats), k.byQueue[j.stats]
+	if math.Abs(now-l.logged) < logChange {
+		return
+	}
+	l.logged = now
+	p.cfg.Log(event.KindSpeedChanged, slog.String("kind", k.name), slog.String("queue", j.offer.Queue),
+		slog.Int("time_pct", int(math.Round(100*math.Exp(now)))), slog.Int("minions", k.minions))
+}
+
 // logSlowdown returns the logarithm of the ratio of the expected run time on the minion to
 // the expected one on an average minion.
 func (p *Pool) logSlowdown(m *minion, q *queueStats) float64 {
