--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,6 +73,9 @@
 	CellLayoutChanged     ID = 3116
 	OfferStale            ID = 3117
 	PoolMinionOverloaded  ID = 3118
+	InterferenceBegan     ID = 3130
+	InterferenceEnded     ID = 3131
+	KindSpeedChanged      ID = 3132
 
 	ShardHandOver      ID = 4130
 	ShardHandOverEnded ID = 4131
@@ -181,6 +184,9 @@
 	{CellLayoutChanged, slog.LevelInfo, "cell layout of the failure domain changed", "None."},
 	{OfferStale, slog.LevelInfo, "stale job offer not accepted", "None; its sender is told that it has not run, if its age is known. Many at a time: a link or a processor on its way is full."},
 	{PoolMinionOverloaded, slog.LevelError, "runs exceed the minion's capacity", "Report it with the logs; OPERATIONS.md describes what its attributes tell."},
+	{InterferenceBegan, slog.LevelInfo, "tasks of a queue take longer beside those of another", "None; they are kept apart where that costs nothing. OPERATIONS.md says what follows for the minions' capacity."},
+	{InterferenceEnded, slog.LevelInfo, "tasks of a queue no longer take longer beside those of another", "None."},
+	{KindSpeedChanged, slog.LevelInfo, "tasks of a queue take another time on a kind of minions", "None; time_pct is the time in percent of that on all minions, and placement follows it. If it is unexpected, look at these minions."},
 	{ShardHandOver, slog.LevelInfo, "shard offered to another host", "None; minions and carries tell what this host held and can dispatch for."},
 	{ShardHandOverEnded, slog.LevelWarn, "no host has claimed the offered shard", "Check the host that should have: it was without a shard. The shard is offered again after 10 s."},
 	{ShardLayoutPlanned, slog.LevelInfo, "new shard layout announced", "None; carries has the number of minions that each host of the cell can dispatch for."},
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -294,7 +294,7 @@
 	if c.shardLayoutVersion == 0 {
 		c.shardLayoutVersion = c.highestToken
 	}
-	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent, LastSign: c.lastSign})}
+	x := &shard{number: number, shardCount: c.shardCount, claimedClock: c.heartbeatClock(), pool: pool.New(c.poolConfig())}
 	c.shards[number] = x
 	x.pool.Claim(now, c.highestToken)
 	x.pool.SetEvacuated(now, c.evacuated.own, c.evacuated.startsUntil)
@@ -310,6 +310,11 @@
 	c.heartbeatDue = true
 }
 
+// poolConfig returns the configuration of the pool of a shard.
+func (c *core) poolConfig() pool.Config {
+	return pool.Config{Timing: pool.DefaultTiming(), Log: c.logEvent, SeparateInterfering: c.separateInterfering, LastSign: c.lastSign}
+}
+
 // releaseShard stops dispatching on a shard and sends the pending orders and results
 // of its pool.
 func (c *core) releaseShard(now time.Time, x *shard, reason string) {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -100,6 +100,8 @@
 	heartbeatDue       bool            // send heartbeats with the next output, without waiting for the interval
 	loopback           []peer.Body     // messages from this host to itself
 	evacuated          evacuatedState
+
+	separateInterfering bool // the setting of that name
 }
 
 // offerKey identifies a job offer by its sending entry host, job and number.
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -108,12 +108,14 @@
 	c, m := h.core, h.metrics
 	var jobs, cold int
 	waiting := make(map[string]int)
-	var capacity, free int64
+	var capacity, free, interfering, heldBack int64
 	for _, x := range c.shards {
 		load := x.pool.Load()
 		jobs += x.pool.JobCount()
 		cold += x.pool.ColdMinions()
 		x.pool.CountWaiting(waiting)
+		heldBack += int64(x.pool.HeldBack())
+		interfering += int64(x.pool.InterferingPairs())
 		capacity, free = capacity+load.Capacity, free+load.Free
 	}
 	h.unstartedJobs.Store(&waiting)
@@ -130,6 +132,8 @@
 	m.cpuFree.Set(free)
 	m.refusedShare.Set(c.overload.Share())
 	m.overloadedMS.Set(c.overloadedFor(h.gaugesAt).Milliseconds())
+	m.heldBack.Set(heldBack)
+	m.interfering.Set(interfering)
 	m.listedHosts.Set(int64(len(c.roster.Hosts())))
 	m.coldMinions.Set(int64(cold))
 	m.evacuatedDomains.Set(int64(len(c.evacuated.domains)))
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -26,6 +26,8 @@
 	cellShards     expvar.Int   // number of shards in the cell
 	shardsWanted   expvar.Int   // number of shards that suits the cell's minions and hosts
 	cpuCapacity    expvar.Int   // thousandths of a processor, of the claimed minions that accept work
+	heldBack       expvar.Int   // steps of jobs that wait for a faster minion than the best free one
+	interfering    expvar.Int   // ordered pairs of queues that interfere, over all claimed shards
 	cpuFree        expvar.Int   // the part of cpuCapacity that is not in use
 	listedHosts    expvar.Int   // other hosts in the roster
 	refusedShare   expvar.Float // share of offers that this host refuses because of overload
@@ -153,6 +155,8 @@
 	v.Set("cell_minions_carried_by_host", expvar.Func(func() any { return m.cellCarries.Load() }))
 	v.Set("minion_cpu_milli", &m.cpuCapacity)
 	v.Set("minion_cpu_free_milli", &m.cpuFree)
+	v.Set("steps_held_back", &m.heldBack)
+	v.Set("interfering_pairs", &m.interfering)
 	v.Set("hosts_listed", &m.listedHosts)
 	v.Set("evacuated_domains", &m.evacuatedDomains)
 	v.Set("evacuated_self", &m.evacuatedSelf)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -42,6 +42,7 @@
 	if now.Before(p.noStartsUntil) || p.evacuation.blocksStarts(now) {
 		return
 	}
+	p.heldBack = 0
 	free := p.largestFreeCPU()
 	if free <= 0 {
 		return
@@ -109,7 +110,7 @@
 func (p *Pool) pickMinion(now time.Time, j *job, t *task) *minion {
 	var best *minion
 	var bestScore int64
-	bestStep := 0
+	bestStep, bestInterferes := 0, false
 	kinds := false
 	for _, m := range p.ordered {
 		if m.Service != j.offer.Service || !m.hasCapacity(t.step) || !m.fitsWhenEmpty(t.step) || !p.acceptsStart(now, m, t) {
@@ -135,11 +136,13 @@
 			score += retryPenalty
 			step = -1
 		}
-		if best == nil || step > bestStep || step == bestStep && score < bestScore {
-			best, bestScore, bestStep = m, score, step
+		interferes := p.interferes(m, j.offer.Queue)
+		if best == nil || step > bestStep || step == bestStep && (!interferes && bestInterferes || interferes == bestInterferes && score < bestScore) {
+			best, bestScore, bestStep, bestInterferes = m, score, step, interferes
 		}
 	}
 	if best != nil && kinds && best.speed != nil && p.betterSoon(now, j, t, best) {
+		p.heldBack++
 		return nil
 	}
 	return best
@@ -178,6 +181,7 @@
 	}
 	m.runs[t.ref] = x
 	m.reserve(x)
+	p.joinNeighbours(now, m, x)
 	t.run, t.state, t.lastMinion = x, taskPlaced, m.ID
 	t.nextRun++
 	j.mayHaveStarted, j.startedHere = true, true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/event"
+	"github.com/laburnumwalk/laburnumwalk/internal/interference"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
 
@@ -23,6 +24,8 @@
 	noStartsUntil time.Time              // no new starts before this time: the owner hands over
 	evacuation    evacuation
 	speeds        speeds
+	heldBack      int // steps that waited for a faster minion than the best free one, at the last dispatch
+	interference  interference.Learner
 
 	meanStartLatency time.Duration // moving average of the time until a start is answered
 	pollLostAt       time.Time     // when a poll was last counted as lost
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -141,7 +141,8 @@
 	Log    LogFunc
 	// LastSign returns when the process of an entry host was last known to run; nil: always
 	// now.
-	LastSign func(now time.Time, host string) time.Time
+	LastSign            func(now time.Time, host string) time.Time
+	SeparateInterfering bool // place tasks of queues that slow each other down on different minions, where that costs nothing
 }
 
 // Timing holds the intervals of a Pool.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -33,7 +33,9 @@
 	ProcessorShare  float64  `json:"processor_share" validate:"min=0,max=1024"`  // share of processor_cores that the host may use; 0: not known
 	ProcessorCores  float64  `json:"processor_cores" validate:"min=0,max=65536"` // processors of the host's machine; 0: not known
 	MemoryMB        float64  `json:"memory_mb" validate:"min=0,max=1000000000"`  // memory that the host may use; 0: not known
-	Log             FleetLog `json:"log"`
+	// SeparateInterfering: tasks of queues that slow each other down go to different minions.
+	SeparateInterfering bool     `json:"separate_interfering"`
+	Log                 FleetLog `json:"log"`
 }
 
 // Processors returns how many processors the host may use; 0: not known. A factor that is
