entry: an overloaded dispatcher is better than one without minions

Dispatchers that are not overloaded came first even when none of their minions accepts work, so a job was refused that an overloaded one could have run. TestOverloadedDispatchersAreAvoided has the case.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -76,8 +76,8 @@
 			delay += crossDomainPenalty
 		}
 		switch free := t.freeCPU(d); {
-		case best != nil && best.Load.Overloaded != d.Load.Overloaded:
-			if best.Load.Overloaded {
+		case best != nil && best.isAvoided() != d.isAvoided():
+			if best.isAvoided() {
 				best, bestDelay, totalFree = d, delay, free
 			}
 		case delay == 0 && bestDelay == 0 && best != nil:
@@ -92,6 +92,10 @@
 	return best
 }
 
+// isAvoided reports whether the dispatcher is chosen only if there is no other: its host is
+// overloaded, or none of its minions accepts work.
+func (d *Dispatcher) isAvoided() bool { return d.Load.Overloaded || d.Load.Capacity <= 0 }
+
 // freeCPU returns the dispatcher's free CPU in thousandths of a processor, without
 // what was offered to it since its last load report; at least 1.
 func (t *Table) freeCPU(d *Dispatcher) float64 {
--- a/internal/entry/choose_test.go
+++ b/internal/entry/choose_test.go
@@ -31,4 +31,11 @@
 	x.SetDispatchers(begin, []Dispatcher{overloaded("near", "a"), overloaded("far", "b")})
 	submit(x, "j")
 	must.Eq(t, "near", offers(x.Ready())[0].To)
+
+	x = newTable()
+	empty := dispatcherOf("near", "a", 0, 0)
+	empty.Load.Capacity = 0
+	x.SetDispatchers(begin, []Dispatcher{empty, overloaded("far", "b")})
+	submit(x, "j")
+	must.Eq(t, "far", offers(x.Ready())[0].To, must.Sprint("one without minions is no better"))
 }
