peer: bound the time since an offer in cancellations

A time whose conversion to nanoseconds overflows would have counted as a recent offer, and the answer would have stated that nothing was started. TestMalformedMessagesAreRefused has the case.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -348,6 +348,7 @@
 		"negative step":            offer(func(o *peer.JobOffer) { o.Steps[1].After = []int{-1} }),
 		"too many tasks":           offer(func(o *peer.JobOffer) { o.Steps[0].Count = 1 << 40 }),
 		"huge task":                offer(func(o *peer.JobOffer) { o.Steps[0].CPU = math.MaxInt64 }),
+		"huge time since an offer": &peer.JobCancel{Job: "j", Offer: 1, Withdraw: true, SinceOfferMS: math.MaxInt64},
 		"huge estimate":            offer(func(o *peer.JobOffer) { o.Steps[0].EstimateMS = math.MaxInt64 }),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/withdrawals.go
+++ b/internal/fleet/withdrawals.go
@@ -18,7 +18,7 @@
 	}
 	flight := c.flight(m.ReceiverClock, m.ReceiverClockAgeMS)
 	since := time.Duration(m.SinceOfferMS) * time.Millisecond
-	return flight > -maxOfferAge && flight <= maxOfferAge && since+flight < offerMemoryPeriod-maxOfferAge
+	return flight > -maxOfferAge && flight <= maxOfferAge && since >= 0 && since+flight < offerMemoryPeriod-maxOfferAge
 }
 
 // handleCancel ends an offer, so that no copy of it is accepted later, and states in the
--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -87,6 +87,10 @@
 	return firstInvalid(numberCheck{"retry time", r.RetryMS, 0, maxDurationMS})
 }
 
+func (c *JobCancel) check() error {
+	return firstInvalid(numberCheck{"time since the offer", c.SinceOfferMS, -maxDurationMS, maxDurationMS})
+}
+
 func (o *JobOffer) check() error {
 	if err := checkShard(o.Shard, o.ShardCount); err != nil {
 		return err
