--- a/internal/peer/check.go
+++ b/internal/peer/check.go
@@ -102,6 +102,10 @@
 	return nil
 }
 
+func (c *JobCancel) check() error {
+	return firstInvalid(numberCheck{"time since the offer", c.SinceOfferMS, -maxDurationMS, maxDurationMS})
+}
+
 func (o *JobOffer) check() error {
 	if err := checkShard(o.Shard, o.ShardCount); err != nil {
 		return err
