platform, roster: another writer's announcement changes nothing

Fields of an announcement that are not used were not decoded, so one of another type went unnoticed, and the roster took over its sequence number. The minion's own announcements were ignored until they had caught up, also that it drains, and acknowledged all the same.

All fields are decoded. Hosts remember the slots and the version of the minions that announce themselves to them; within an incarnation they don't change. Draining is acknowledged once the record shows it.

Leases of a job whose entry host's last sign is old may be shorter than the usual one, rather than that nothing is started.

--- a/internal/fleet/inputs.go
+++ b/internal/fleet/inputs.go
@@ -47,13 +47,15 @@
 }
 
 // minionAnnounced records a minion's announcement if it is newer than the known one. A
-// changed record is passed on to the pool of the minion's shard.
-func (c *core) minionAnnounced(now time.Time, m peer.MinionRecord) {
+// changed record is passed on to the pool of the minion's shard. The result is false if the
+// announcement says that the minion is draining and has no effect.
+func (c *core) minionAnnounced(now time.Time, m peer.MinionRecord) bool {
 	if c.roster.ApplyAnnouncement(m) {
 		c.logEvent(event.AnnouncementChanged, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Left), slog.Uint64("seq", m.Seq),
 			slog.Int64("born", m.Incarnation), slog.Int64("cpu", m.CPU), slog.Int64("mem_mb", m.MemoryMB))
 		c.minionChanged(now, m)
 	}
+	return c.roster.ShowsDraining(m)
 }
 
 // minionLeft records that a minion has announced its stop. Minions that the roster
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -109,11 +109,26 @@
 // busyRetryAfter is the delay after which a refused caller may retry.
 const busyRetryAfter = 500 * time.Millisecond
 
-// Announce queues a minion's announcement. It returns false if the input ring is
-// full; the announcement must not be acknowledged then, because a draining minion
-// relies on the acknowledgement.
+// announceTimeout bounds how long Announce waits for the core.
+const announceTimeout = 500 * time.Millisecond
+
+// Announce passes on a minion's announcement. It returns false if it had no effect in time,
+// for example because the input ring is full; the announcement must not be acknowledged then,
+// because a draining minion relies on the acknowledgement.
 func (h *Host) Announce(m peer.MinionRecord) bool {
-	return h.enqueue(func(now time.Time) { h.core.minionAnnounced(now, m) })
+	out := make(chan bool, 1)
+	if !h.enqueue(func(now time.Time) { out <- h.core.minionAnnounced(now, m) }) {
+		return false
+	}
+	timer := time.NewTimer(announceTimeout)
+	defer timer.Stop()
+	select {
+	case ok := <-out:
+		return ok
+	case <-timer.C:
+	case <-h.done:
+	}
+	return false
 }
 
 // MinionLeft queues a minion's notice that it stops. It returns false if the input ring
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -43,6 +43,10 @@
 	MemoryMB      int64    `msgpack:"m"`
 	Accelerators  int64    `msgpack:"p,omitempty"`
 	Labels        []string `msgpack:"l,omitempty"`
+	// Version and Slots are known only to the hosts that the minion has announced itself to.
+	// They are not used, but are the same throughout an incarnation.
+	Version string `msgpack:"-"` // of the minion's program; empty: not known
+	Slots   int64  `msgpack:"-"` // 0: not known
 }
 
 // CellLayout is the cell layout of a failure domain: the number of cells among which
--- a/internal/peer/minion_record.go
+++ b/internal/peer/minion_record.go
@@ -34,6 +34,9 @@
 	if r.CPU < 1 || r.CPU > maxMinionCPU || r.MemoryMB < 1 || r.MemoryMB > maxMinionMemoryMB || r.Accelerators < 0 || r.Accelerators > maxMinionAccelerators {
 		return errors.Errorf("capacity %d, %d, %d is out of range", r.CPU, r.MemoryMB, r.Accelerators)
 	}
+	if r.Slots < 0 || r.Slots > maxExactInteger || r.Version != "" && !isPlainText(r.Version) {
+		return errors.Errorf("%d slots or version %.20q: out of range", r.Slots, r.Version)
+	}
 	if r.Seq > maxExactInteger || r.Incarnation < 0 || r.Incarnation > maxExactInteger {
 		return errors.Errorf("sequence number %d or start time %d is out of range", r.Seq, r.Incarnation)
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -43,9 +43,6 @@
 		return
 	}
 	for _, r := range p.waitingJobs(now) {
-		if !p.maySendStarts(now, r.job) {
-			continue
-		}
 		for i := range r.job.tasks {
 			t := &r.job.tasks[i]
 			if !r.job.startable(t) || p.mayBeRunning(t.ref) {
@@ -87,7 +84,7 @@
 	var best *minion
 	var bestScore int64
 	for _, m := range p.ordered {
-		if m.Service != j.offer.Service || !m.fitsWhenEmpty(t.step) || !m.hasCapacity(t.step) || !p.acceptsStart(now, m, t) {
+		if m.Service != j.offer.Service || !m.fitsWhenEmpty(t.step) || !m.hasCapacity(t.step) || !p.acceptsStart(now, m, t) || !p.leaseFits(now, m, j) {
 			continue
 		}
 		if t.step.MaxPerMinion > 0 && m.stepRuns(t.ref) >= t.step.MaxPerMinion {
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -44,8 +44,17 @@
 	return time.Duration(float64(rest) * minClockRate)
 }
 
-// maySendStarts reports whether tasks of the job may be started now: a whole lease would end
-// in time. A minion doesn't shorten the lease that it has.
-func (p *Pool) maySendStarts(now time.Time, j *job) bool {
-	return p.periodFor(now, j) >= p.cfg.Timing.Lease
+// minStartLease is the shortest lease with which a task is started: time for two polls that
+// renew it.
+const minStartLease = 400 * time.Millisecond
+
+// leaseFits reports whether a task of the job may be started on the minion now: a lease of
+// some length ends in time, and so does the one that the minion has. A minion doesn't shorten
+// it.
+func (p *Pool) leaseFits(now time.Time, m *minion, j *job) bool {
+	period := p.periodFor(now, j)
+	if period >= p.cfg.Timing.Lease {
+		return true // no owner grants longer ones
+	}
+	return period >= minStartLease && m.maxLeaseEnd <= m.clockMS(now)+period.Milliseconds()
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -209,13 +209,16 @@
 	if c := cmp.Or(cmp.Compare(rec.Incarnation, m.Incarnation), cmp.Compare(rec.Seq, m.Seq)); c <= 0 {
 		return false
 	}
-	if rec.Incarnation != 0 && rec.Incarnation == m.Incarnation && !sameIncarnation(m.MinionRecord, rec) {
+	if rec.Incarnation != 0 && rec.Incarnation == m.Incarnation && !sameIncarnation(m.MinionRecord, rec, direct) {
 		return false // not from the minion: its service, place and capacity last as long as its process
 	}
+	if !direct && rec.Incarnation == m.Incarnation {
+		rec.Slots, rec.Version = m.Slots, m.Version
+	}
 	same := m.MinionRecord
-	same.Seq = rec.Seq
+	same.Seq, same.Slots, same.Version = rec.Seq, rec.Slots, rec.Version
 	if equalRecords(same, rec) {
-		m.Seq = rec.Seq
+		m.MinionRecord = same // nothing that is passed on has changed
 		return false
 	}
 	r.snapshotVersion++
@@ -224,11 +227,27 @@
 	return true
 }
 
-// sameIncarnation reports whether two records of one ID and incarnation differ only in
-// what a minion changes while it runs.
-func sameIncarnation(a, b peer.MinionRecord) bool {
-	a.Seq, a.Draining, a.Left = b.Seq, b.Draining, b.Left
-	return equalRecords(a, b)
+// sameIncarnation reports whether a known record and a newer one of the same ID and
+// incarnation differ only in what a minion changes while it runs. Other hosts pass on records
+// without slots and version; a minion's own announcement has what an earlier one had.
+func sameIncarnation(known, newer peer.MinionRecord, direct bool) bool {
+	known.Seq, known.Draining, known.Left = newer.Seq, newer.Draining, newer.Left
+	if known.Slots == 0 || newer.Slots == 0 && !direct {
+		known.Slots = newer.Slots
+	}
+	if known.Version == "" || newer.Version == "" && !direct {
+		known.Version = newer.Version
+	}
+	return equalRecords(known, newer)
+}
+
+// ShowsDraining reports whether a minion's announcement that it is draining has taken
+// effect: the record says so, or is that of a later incarnation. It also returns true for
+// other announcements. One that another writer's announcement with a higher sequence number
+// hides has no effect, and must not be acknowledged.
+func (r *Roster) ShowsDraining(rec peer.MinionRecord) bool {
+	m := r.minions[rec.ID]
+	return !rec.Draining || m != nil && (m.Draining || m.Left || m.Incarnation > rec.Incarnation)
 }
 
 func equalRecords(a, b peer.MinionRecord) bool {
@@ -238,7 +257,7 @@
 	a.Labels, b.Labels = nil, nil
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Seq == b.Seq && a.Service == b.Service && a.Address == b.Address &&
 		a.FailureDomain == b.FailureDomain && a.Draining == b.Draining && a.Left == b.Left && a.CPU == b.CPU &&
-		a.MemoryMB == b.MemoryMB && a.Accelerators == b.Accelerators
+		a.MemoryMB == b.MemoryMB && a.Accelerators == b.Accelerators && a.Slots == b.Slots && a.Version == b.Version
 }
 
 // Minion returns the record of a minion, and whether it is known.
