fleet, platform: DELETE ends a job at whatever entry host it is

DELETE of a job was answered 410 without looking for it, and the job ran on.

The host that gets a DELETE asks all entry hosts by JobCancel with Deleted set. Each ends the job where it is open or dispatched, stops its runs and remembers it, so that no offer or request under way starts it again. The answer is 200, 410 if no host had the job, and 503 if that could not be confirmed. The caller that waits for the job is answered 410.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,7 @@
 	EntryJobReoffered     ID = 2113
 	EntryRequestInvalid   ID = 2114
 	EntryJobSucceeded     ID = 2115
+	JobDeleted            ID = 2150
 	PoolMinionDraining    ID = 3101
 	PoolMinionRestarted   ID = 3102
 	PoolMinionUnreachable ID = 3103
@@ -142,6 +143,7 @@
 	{EntryJobReoffered, slog.LevelInfo, "job offered to another dispatcher", "None."},
 	{EntryRequestInvalid, slog.LevelInfo, "caller's request refused as invalid", "Report the error to the caller's team."},
 	{EntryJobSucceeded, slog.LevelInfo, "job answered with success", "None."},
+	{JobDeleted, slog.LevelInfo, "job deleted by its caller", "None."},
 	{PoolMinionDraining, slog.LevelInfo, "minion draining", "None."},
 	{PoolMinionRestarted, slog.LevelInfo, "minion restarted", "None."},
 	{PoolMinionUnreachable, slog.LevelWarn, "minion unreachable", "Check the minion's process and its network."},
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -64,6 +64,8 @@
 	waiters            map[uint64]chan entry.Outcome // callers that wait for an outcome, by number
 	lastWaiter         uint64                        // newest number in waiters
 	unackedResults     map[offerKey]*pendingResult
+	deletions          map[string]*deletion    // by job: deletions in progress that were begun here
+	deletedJobs        offerMemory             // jobs that were deleted, without sender and offer
 	endedOffers        offerMemory             // offers that have ended or were cancelled
 	sentLogIndex       map[string]uint64       // by subscribed host: index up to which the roster log was sent
 	signs              map[string]*sign        // by host, as long as it is in lastMessageAt
@@ -115,7 +117,7 @@
 		roster: roster.New(self), jobTable: entry.New(now, self.Name, self.FailureDomain, lastOffer, out.logEvent),
 		shards: make(map[int]*shard), shardCount: 1, minionsPerShard: claim.MinionsPerShard(0), cellLayout: peer.CellLayout{Cells: 1},
 		waiters: make(map[uint64]chan entry.Outcome), unackedResults: make(map[offerKey]*pendingResult),
-		sentLogIndex: make(map[string]uint64), promised: make(map[string]bool), signs: make(map[string]*sign), lastMessageAt: make(map[string]time.Time), incarnations: make(map[string]incarnations), startedAt: now,
+		sentLogIndex: make(map[string]uint64), promised: make(map[string]bool), signs: make(map[string]*sign), deletions: make(map[string]*deletion), lastMessageAt: make(map[string]time.Time), incarnations: make(map[string]incarnations), startedAt: now,
 	}
 }
 
@@ -143,6 +145,7 @@
 			x.pool.Tick(now)
 		}
 		c.resendResults(now)
+		c.tickDeletions(now)
 	}
 	c.tickHeartbeats(now)
 }
@@ -191,10 +194,18 @@
 		c.roster.UpdateLoad(now, from, m.Shard, m.Load)
 		c.jobTable.UpdateLoad(now, from, m.Shard, m.Load)
 	case *peer.JobResult:
+		if m.Offer == 0 {
+			c.handleDeletionAnswer(now, from, m)
+			return
+		}
 		c.jobTable.HandleResult(now, from, m)
 	case *peer.JobResultAck:
 		delete(c.unackedResults, offerKey{from, m.Job, m.Offer})
 	case *peer.JobCancel:
+		if m.Deleted {
+			c.handleDeletion(now, from, m.Job)
+			return
+		}
 		c.endedOffers.add(now, offerKey{from, m.Job, m.Offer})
 		if x := c.shards[m.Shard]; x != nil {
 			x.pool.Cancel(now, from, m)
--- a/internal/fleet/inputs.go
+++ b/internal/fleet/inputs.go
@@ -19,7 +19,7 @@
 
 // submit accepts or refuses a caller's job. It sends the outcome to out, which must
 // have a buffer of one. The result identifies the caller for callerDisconnected; it
-// is 0 if the job is refused because of a suspension.
+// is 0 if the job is refused because of a suspension, or was deleted.
 func (c *core) submit(now time.Time, o peer.JobOffer, deadline time.Time, out chan entry.Outcome) (waiter uint64) {
 	if !c.resumedAt.IsZero() && now.Sub(c.resumedAt) < staleRequestWindow {
 		refusal := entry.Outcome{Outcome: peer.JobRefused, RetryMS: busyRetryAfter.Milliseconds(), Reason: "the request may have waited while the host was suspended"}
@@ -28,6 +28,10 @@
 		out <- refusal
 		return 0
 	}
+	if c.isDeleted(o.Job) {
+		out <- entry.Outcome{Outcome: peer.JobDeleted, Reason: "the job was deleted"}
+		return 0
+	}
 	c.lastWaiter++
 	c.waiters[c.lastWaiter] = out
 	c.jobTable.Submit(now, o, deadline, c.lastWaiter)
--- a/internal/fleet/offers.go
+++ b/internal/fleet/offers.go
@@ -38,6 +38,10 @@
 	if c.endedOffers.contains(key) {
 		return
 	}
+	if c.isDeleted(o.Job) {
+		c.endOffer(now, key, peer.JobResult{Job: o.Job, Offer: o.Offer, Outcome: peer.JobDeleted, Reason: "the job was deleted"})
+		return
+	}
 	x := c.shards[o.Shard]
 	switch c.ageOf(now, from, o) {
 	case offerAgeUnknown:
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -109,6 +109,27 @@
 // busyRetryAfter is the delay after which a refused caller may retry.
 const busyRetryAfter = 500 * time.Millisecond
 
+// DeleteJob ends a job that its caller has deleted, at whatever entry host it is. It returns
+// within deletionTimeout or when ctx ends.
+func (h *Host) DeleteJob(ctx context.Context, id string) Deletion {
+	out := make(chan Deletion, 1)
+	ok := h.enqueue(func(now time.Time) {
+		if !h.core.deleteJob(now, id, out) {
+			out <- DeletionUnconfirmed
+		}
+	})
+	if !ok {
+		return DeletionUnconfirmed
+	}
+	select {
+	case d := <-out:
+		return d
+	case <-ctx.Done():
+	case <-h.done:
+	}
+	return DeletionUnconfirmed
+}
+
 // announceTimeout bounds how long Announce waits for the core.
 const announceTimeout = 500 * time.Millisecond
 
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -172,6 +172,8 @@
 		return "refused, not run"
 	case peer.JobUnknown:
 		return "abandoned, may have run"
+	case peer.JobDeleted:
+		return "deleted by its caller"
 	}
 	return "ended"
 }
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -199,6 +199,7 @@
 	JobRefused                        // no task was started, and none will be because of this offer
 	JobMoved                          // the host does not dispatch the shard, or no longer does; the job should be offered to the next dispatcher
 	JobUnknown                        // the job was abandoned, and some of its tasks may have run
+	JobDeleted                        // the caller has deleted the job; its tasks are stopped
 )
 
 // JobResult ends an offer. The dispatcher repeats it until it receives a JobResultAck.
@@ -222,10 +223,16 @@
 // JobCancel withdraws an offer. The dispatcher ends the job, unless it has an offer of
 // the job from another host as well, and answers with a JobResult. The sender repeats the
 // JobCancel until then.
+//
+// With Deleted set it says that the job was deleted by its caller, and Offer is 0. It is sent
+// to all entry hosts. The receiver ends the job where it is open or dispatched, accepts it no
+// more, and answers with a JobResult for offer 0: JobDeleted if it had the job, JobUnknown
+// otherwise.
 type JobCancel struct {
-	Job   string `msgpack:"j"`
-	Offer uint64 `msgpack:"o"`
-	Shard int    `msgpack:"h"`
+	Job     string `msgpack:"j"`
+	Offer   uint64 `msgpack:"o"`
+	Shard   int    `msgpack:"h"`
+	Deleted bool   `msgpack:"d,omitempty"`
 }
 
 // Kind implements Body.
