--- a/internal/fleet/sim_faults_test.go
+++ b/internal/fleet/sim_faults_test.go
@@ -15,7 +15,7 @@
 		sim.killHost, sim.killHost, sim.powerOffHost, sim.suspendHost, sim.suspendHost, sim.shutDownHost, sim.cutHost, sim.cutDomain,
 		sim.cutOneWay, sim.crashMinion, sim.crashMinion, sim.cutMinion, sim.slowMinion, sim.hangMinion, sim.failRuns, sim.delayOrders, sim.delayOrders,
 		sim.loseAnswers, sim.drainMinion, sim.killAllHosts, sim.cutControlHosts, sim.overloadHosts, sim.overloadHosts, sim.killEntryHostThenCut,
-		sim.restartMinion, sim.announceAsOtherWriter, sim.deleteJobs, sim.deleteJobs,
+		sim.restartMinion, sim.announceAsOtherWriter, sim.deleteJobs, sim.deleteJobs, sim.submitJobsAtBounds,
 	}
 	faults[sim.rng.IntN(len(faults))](duration)
 }
