--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,17 +131,6 @@
 	prevWithdrawnAt time.Time              // when the withdrawal of prevOffer was last sent
 }
 
-// pendingCancel is a cancellation that is repeated until the offer's result arrives.
-// Messages on a connection that is reset are lost, so no number of copies is enough: a
-// caller that has left may have sent the job again to another host, and its runs here
-// must not go on beside the new ones.
-type pendingCancel struct {
-	offerRef
-	job        string
-	repeatedAt time.Time
-	until      time.Time // when the dispatcher has ended the job by itself, at its deadline
-}
-
 // Table holds the open jobs of one host.
 type Table struct {
 	self             string
@@ -153,7 +142,7 @@
 	handedOver       map[dispatcherID]bool          // handed a job over since the list was last replaced
 	sent             map[dispatcherID]*sentLoad     // offered since the dispatcher's last load report
 	flight           map[dispatcherID]unackedOffers // result of unacked; nil: must be computed again
-	cancels          []*pendingCancel
+	cancels          pendingCancels
 	lastOffer        uint64 // number of the newest offer
 	rng              *rand.Rand
 	ready            Ready
@@ -258,14 +247,7 @@
 	if deadline.After(until) {
 		until = deadline
 	}
-	c := &pendingCancel{offerRef: ref, job: job, until: until}
-	t.cancels = append(t.cancels, c)
-	t.sendCancel(now, c)
-}
-
-// matches reports whether the cancellation is that of an offer.
-func (c *pendingCancel) matches(host, job string, number uint64) bool {
-	return c.host == host && c.job == job && c.number == number
+	t.sendCancel(now, t.cancels.add(ref, job, until))
 }
 
 func (t *Table) sendCancel(now time.Time, c *pendingCancel) {
@@ -344,8 +326,8 @@
 	if j != nil && j.prevOffer.host == from && j.prevOffer.number == a.Offer {
 		return
 	}
-	if i := slices.IndexFunc(t.cancels, func(c *pendingCancel) bool { return c.matches(from, a.Job, a.Offer) }); i >= 0 {
-		t.sendCancel(now, t.cancels[i])
+	if c := t.cancels.find(from, a.Job, a.Offer); c != nil {
+		t.sendCancel(now, c)
 		return
 	}
 	t.startCancel(now, offerRef{dispatcherID: dispatcherID{from, a.Shard}, number: a.Offer}, a.Job, now.Add(unknownJobCancelPeriod))
@@ -355,7 +337,7 @@
 // ignores results of offers that are no longer current.
 func (t *Table) HandleResult(now time.Time, from string, r *peer.JobResult) {
 	t.send(from, &peer.JobResultAck{Job: r.Job, Offer: r.Offer})
-	t.cancels = slices.DeleteFunc(t.cancels, func(c *pendingCancel) bool { return c.matches(from, r.Job, r.Offer) })
+	t.cancels.remove(from, r.Job, r.Offer)
 	j := t.jobs[r.Job]
 	if j == nil {
 		return
@@ -549,17 +531,9 @@
 	for _, j := range t.sortedJobs() {
 		t.tickJob(now, j)
 	}
-	pending := t.cancels[:0]
-	for _, c := range t.cancels {
-		if now.After(c.until) {
-			continue
-		}
-		if now.Sub(c.repeatedAt) >= resendInterval {
-			t.sendCancel(now, c)
-		}
-		pending = append(pending, c)
+	for _, c := range t.cancels.due(now) {
+		t.sendCancel(now, c)
 	}
-	t.cancels = pending
 }
 
 func (t *Table) tickJob(now time.Time, j *openJob) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	PoolMinionWarm        ID = 2133
 	EntryOfferWithdrawn   ID = 2140
 	EntryJobNotStarted    ID = 2141
+	JobDeleted            ID = 2150
 	PoolMinionDraining    ID = 3101
 	PoolMinionRestarted   ID = 3102
 	PoolMinionUnreachable ID = 3103
@@ -169,6 +170,7 @@
 	{PoolMinionWarm, slog.LevelInfo, "minion is no longer cold", "None."},
 	{EntryOfferWithdrawn, slog.LevelInfo, "offer withdrawn from a dispatcher", "If frequent, look at the dispatcher's load and link."},
 	{EntryJobNotStarted, slog.LevelInfo, "job of an unavailable dispatcher has not started", "None: it is refused or offered elsewhere."},
+	{JobDeleted, slog.LevelInfo, "job deleted by its caller", "None."},
 	{PoolMinionDraining, slog.LevelInfo, "minion draining", "None."},
 	{PoolMinionRestarted, slog.LevelInfo, "minion restarted", "None."},
 	{PoolMinionUnreachable, slog.LevelWarn, "minion unreachable", "Check the minion's process and its network."},
--- a/internal/fleet/inputs.go
+++ b/internal/fleet/inputs.go
@@ -19,7 +19,7 @@
 
 // submit accepts or refuses a caller's job. It sends the outcome to out, which must
 // have a buffer of one. The result identifies the caller for callerDisconnected; it
-// is 0 if the job is refused because of a suspension or of overload.
+// is 0 if the job is refused because of a suspension or of overload, or was deleted.
 func (c *core) submit(now time.Time, o peer.JobOffer, deadline time.Time, out chan entry.Outcome) (waiter uint64) {
 	var refusal entry.Outcome
 	switch {
@@ -34,6 +34,10 @@
 		out <- refusal
 		return 0
 	}
+	if c.isDeleted(o.Job) {
+		out <- entry.Outcome{Outcome: peer.JobDeleted, Reason: "the job was deleted"}
+		return 0
+	}
 	c.lastWaiter++
 	c.waiters[c.lastWaiter] = out
 	c.jobTable.Submit(now, o, deadline, c.lastWaiter)
@@ -53,13 +57,15 @@
 }
 
 // minionAnnounced records a minion's announcement if it is newer than the known one. A
-// changed record is passed on to the pool of the minion's shard.
-func (c *core) minionAnnounced(now time.Time, m peer.MinionRecord) {
+// changed record is passed on to the pool of the minion's shard. The result is false if the
+// announcement says that the minion is draining and has no effect.
+func (c *core) minionAnnounced(now time.Time, m peer.MinionRecord) bool {
 	if c.roster.ApplyAnnouncement(m) {
 		c.logEvent(event.AnnouncementChanged, slog.String("minion", m.ID), slog.Bool("draining", m.Draining), slog.Bool("gone", m.Left), slog.Uint64("seq", m.Seq),
 			slog.Int64("born", m.Incarnation), slog.Int64("cpu", m.CPU), slog.Int64("mem_mb", m.MemoryMB))
 		c.minionChanged(now, m)
 	}
+	return c.roster.ShowsDraining(m)
 }
 
 // minionLeft records that a minion has announced its stop. Minions that the roster
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -48,9 +48,6 @@
 		return
 	}
 	for _, r := range p.waitingJobs(now) {
-		if !p.maySendStarts(now, r.job) {
-			continue
-		}
 		if p.dispatchJob(now, r.job, free) {
 			free = p.largestFreeCPU()
 		}
@@ -113,7 +110,7 @@
 	bestStep, bestInterferes := 0, false
 	kinds := false
 	for _, m := range p.ordered {
-		if m.Service != j.offer.Service || !m.hasCapacity(t.step) || !m.fitsWhenEmpty(t.step) || !p.acceptsStart(now, m, t) {
+		if m.Service != j.offer.Service || !m.hasCapacity(t.step) || !m.fitsWhenEmpty(t.step) || !p.acceptsStart(now, m, t) || !p.leaseFits(now, m, j) {
 			continue
 		}
 		if t.step.MaxPerMinion > 0 && m.stepRuns(t.ref) >= t.step.MaxPerMinion {
