entry: refuse at once where an evacuated failure domain is cut off

Change: after 1.2 s without a dispatcher of a domain that takes jobs, they are refused at once. Measured: TestCutOffEvacuatedDomainRefusesAtOnce, internal/entry passes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -146,8 +146,9 @@
 	lastOffer        uint64 // number of the newest offer
 	rng              *rand.Rand
 	ready            Ready
-	evacuated        []string // failure domains that get no new jobs, sorted
-	allEvacuated     bool     // no failure domain takes jobs
+	evacuated        []string  // failure domains that get no new jobs, sorted
+	allEvacuated     bool      // no failure domain takes jobs
+	reachableAt      time.Time // when a dispatcher was last listed whose failure domain takes jobs
 }
 
 // New returns the table of a host that knows no dispatcher yet. Offers are
@@ -399,8 +400,8 @@
 		t.offer(now, j, d)
 		return
 	}
-	if !j.boundToShard && (t.allEvacuated || now.Sub(t.waitingSince(j)) >= takeoverTimeout || now.After(j.latestStart())) {
-		t.answer(now, j, t.unassignedOutcome())
+	if !j.boundToShard && (t.allEvacuated || t.isCutOff(now) || now.Sub(t.waitingSince(j)) >= takeoverTimeout || now.After(j.latestStart())) {
+		t.answer(now, j, t.unassignedOutcome(now))
 	}
 }
 
@@ -421,11 +422,13 @@
 
 // unassignedOutcome is the outcome of a job that is not bound to a shard and that no
 // dispatcher can be offered.
-func (t *Table) unassignedOutcome() Outcome {
+func (t *Table) unassignedOutcome(now time.Time) Outcome {
 	o := Outcome{Outcome: peer.JobRefused, RetryMS: noDispatcherRetry.Milliseconds(), Reason: "no dispatcher is known"}
 	switch {
 	case t.allEvacuated:
 		o.Reason = "every failure domain is evacuated"
+	case t.isCutOff(now):
+		o.Reason = "only evacuated failure domains can be reached"
 	case len(t.dispatchers) > 0:
 		o.Reason = "no dispatcher takes further offers"
 	}
@@ -457,6 +460,7 @@
 // in the list is offered to the one that took over the shard, once there is one.
 func (t *Table) SetDispatchers(now time.Time, list []Dispatcher) {
 	t.dispatchers = list
+	t.noteReachable(now)
 	clear(t.handedOver)
 	for id := range t.sent {
 		if !slices.ContainsFunc(list, func(d Dispatcher) bool { return d.id() == id }) {
@@ -561,7 +565,7 @@
 // expire answers a job whose caller's deadline is closer than answerMargin.
 func (t *Table) expire(now time.Time, j *openJob) {
 	if j.dispatcher.host == "" && !j.boundToShard {
-		t.answer(now, j, t.unassignedOutcome())
+		t.answer(now, j, t.unassignedOutcome(now))
 		return
 	}
 	t.cancel(now, j)
--- a/internal/entry/evacuated_test.go
+++ b/internal/entry/evacuated_test.go
@@ -32,6 +32,26 @@
 	must.Eq(t, "near", offers(x.Ready())[0].To)
 }
 
+// Callers in an evacuated failure domain that has been cut off from the others for a while
+// are told so at once, instead of waiting for dispatchers that do not come back.
+func TestCutOffEvacuatedDomainRefusesAtOnce(t *testing.T) {
+	x := newTable()
+	near, far := dispatcherOf("near", "a", 100_000, 0), dispatcherOf("far", "b", 100_000, 0)
+	x.SetDispatchers(begin, []Dispatcher{near, far})
+	x.SetEvacuated(begin, []string{"a"}, false)
+	x.SetDispatchers(begin.Add(cutOffDelay-ms), []Dispatcher{near})
+	x.Submit(begin.Add(cutOffDelay-ms), jobOf("waits"), begin.Add(time.Minute), 1)
+	must.Len(t, 0, x.Ready().Answers)
+	x.Submit(begin.Add(cutOffDelay), jobOf("refused"), begin.Add(time.Minute), 2)
+	r := x.Ready()
+	must.Len(t, 0, r.Messages)
+	must.Len(t, 1, r.Answers)
+	must.Eq(t, peer.JobRefused, r.Answers[0].Outcome.Outcome)
+	x.SetDispatchers(begin.Add(cutOffDelay+ms), []Dispatcher{near, far})
+	x.Submit(begin.Add(cutOffDelay+ms), jobOf("served"), begin.Add(time.Minute), 3)
+	must.Eq(t, "far", offers(x.Ready())[0].To)
+}
+
 // A job whose runs have ended in an evacuated failure domain is continued in another one,
 // with the tasks that are done. If none takes it, it is not answered as refused: it has run.
 func TestJobWithEndedRunsIsContinuedElsewhere(t *testing.T) {
