--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -69,6 +69,19 @@
 	})
 }
 
+// CanRelieve reports whether another host of the cell would claim a shard that self hands over:
+// it then has less in proportion to what it carries than self has now.
+func CanRelieve(self Candidate, others []Candidate, shard, shardCount int) bool {
+	cell := append([]Candidate{self}, others...)
+	held := make(map[string]int)
+	for i := range shardCount {
+		if holder, _ := Holder(cell, i, shardCount); holder != nil {
+			held[holder.Host]++
+		}
+	}
+	return !self.ShuttingDown && receiver(cell, &self, held, shard) != nil
+}
+
 // holdsAny reports whether a candidate claims any shard of a layout.
 func holdsAny(c *Candidate, shardCount int) bool {
 	return slices.ContainsFunc(c.Claims, func(x peer.Claim) bool { return x.ShardCount == shardCount })
--- a/internal/claim/handover_test.go
+++ b/internal/claim/handover_test.go
@@ -94,3 +94,16 @@
 	must.False(t, BestHolder(cell[1], []Candidate{cell[0], cell[2]}, 0))
 	must.True(t, BestHolder(cell[1], cell[2:], 0))
 }
+
+// A host that is the bottleneck hands a shard over only if another one then has less in
+// proportion to what it carries: where all are alike and have one shard each, none is handed
+// back and forth.
+func TestRelievedByHostsThatCarryMore(t *testing.T) {
+	weak := Candidate{Host: "weak", Carries: 30, Claims: claims(3, peer.ClaimServing, 0)}
+	must.True(t, CanRelieve(weak, []Candidate{{Host: "strong", Carries: 100}}, 0, 3))
+	must.True(t, CanRelieve(weak, []Candidate{{Host: "strong", Carries: 100, Claims: claims(3, peer.ClaimServing, 1)}}, 0, 3))
+	must.False(t, CanRelieve(weak, []Candidate{{Host: "alike", Carries: 30}}, 0, 3))
+	must.False(t, CanRelieve(weak, []Candidate{{Host: "stopping", Carries: 100, ShuttingDown: true}}, 0, 3))
+	several := Candidate{Host: "weak", Carries: 30, Claims: claims(3, peer.ClaimServing, 0, 1, 2)}
+	must.True(t, CanRelieve(several, []Candidate{{Host: "alike", Carries: 30}}, 1, 3))
+}
--- a/internal/entry/moved.go
+++ b/internal/entry/moved.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/laburnumwalk/laburnumwalk/internal/claim"
 	"github.com/laburnumwalk/laburnumwalk/internal/peer"
 )
@@ -72,3 +74,13 @@
 	}
 	return best == d.Shard
 }
+
+// HostRestarted reoffers the jobs of a dispatcher host that has restarted: its
+// new process does not know them.
+func (t *Table) HostRestarted(now time.Time, host string) {
+	for _, j := range t.sortedJobs() {
+		if j.dispatcher.host == host {
+			t.reoffer(now, j, "dispatcher restarted")
+		}
+	}
+}
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -27,6 +27,18 @@
 		}
 	}
 	c.handOverIfOverloaded(now, self, others)
+	c.relieve(now, self, others)
+}
+
+// relieve hands a shard over when this host's processor has been the bottleneck for
+// handOverAfter and another host can take the shard (claim.CanRelieve).
+func (c *core) relieve(now time.Time, self claim.Candidate, others []claim.Candidate) {
+	x := c.shardToHandOver(now)
+	if x == nil || x.phase != peer.ClaimServing || now.Before(c.nextHandOverAt) || !claim.CanRelieve(self, others, x.number, c.shardCount) {
+		return
+	}
+	c.nextHandOverAt = now.Add(claim.HandOverPause)
+	c.handOver(now, x, overloadedReason)
 }
 
 // followRelayout makes this host's shards finish while a new shard layout is announced,
