--- a/review/kit3/address.go
+++ b/review/kit3/address.go
@@ -72,7 +72,7 @@
 					d.book.note("%v", err)
 				}
 				ip := d.controls[i%len(d.controls)]
-				code, _, err := d.call("PUT", "http://"+ip+":"+controlPort+"/-/instances/"+m.id, "", string(body), time.Second)
+				code, _, err := d.call("PUT", "http://"+at(ip, controlPort)+"/-/instances/"+m.id, "", string(body), time.Second)
 				d.book.note("another writer's ping under %s to %s: %d %v: %s", m.id, ip, code, err, body)
 				time.Sleep(2 * time.Second)
 			}
--- a/review/kit3/cancel.go
+++ b/review/kit3/cancel.go
@@ -89,7 +89,7 @@
 	acked := false
 	for i := 0; !acked && time.Since(sent) < 12*time.Second; i++ {
 		f := d.fronts[i%len(d.fronts)]
-		code, _, err := d.call("DELETE", "http://"+f+":"+frontPort+"/p/"+j.id, host, "", 2*time.Second)
+		code, _, err := d.call("DELETE", "http://"+at(f, frontPort)+"/p/"+j.id, host, "", 2*time.Second)
 		d.book.note("cancel %s at %s: %d %v", j.id, f, code, err)
 		if code/100 == 2 || code == 410 {
 			acked = true
--- a/review/kit3/fleet.go
+++ b/review/kit3/fleet.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,15 +22,33 @@
 )
 
 const (
-	program     = "target/laburnum-host"
-	frontPort   = "8161"
-	readyPort   = "8167"
-	controlPort = "8166"
-	peerPort    = "7720"
-	beat        = 1500 * time.Millisecond
-	host        = "h.example"
+	program = "target/laburnum-host"
+	beat    = 1500 * time.Millisecond
+	host    = "h.example"
 )
 
+// Ports are the same on all machines. newDeployment replaces those that are not free.
+var frontPort, readyPort, controlPort, peerPort, metricsPort = 8161, 8167, 8166, 7720, 9464
+
+// freePort returns the first port from p on that is free at all addresses.
+func freePort(p int, addresses []string) (int, error) {
+next:
+	for end := p + 100; p < end; p++ {
+		for _, ip := range addresses {
+			l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(p)))
+			if err != nil {
+				continue next
+			}
+			_ = l.Close()
+		}
+		return p, nil
+	}
+	return 0, fmt.Errorf("no free port below %d", p)
+}
+
+// at returns an address with a port.
+func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
 // deployment is a small deployment of real processes on loopback addresses.
 type deployment struct {
 	book     *book
@@ -67,6 +86,11 @@
 		d.fronts = append(d.fronts, ip)
 		d.zoneOf[ip] = zone
 	}
+	for i, port := range []*int{&frontPort, &readyPort, &controlPort, &peerPort, &metricsPort} {
+		if *port, err = freePort(*port+100*i, append(append([]string{d.network + ".4"}, d.controls...), d.fronts...)); err != nil {
+			return nil, err
+		}
+	}
 	return d, nil
 }
 
@@ -76,18 +100,18 @@
 func (d *deployment) settings(ip string, first bool) (string, error) {
 	s := map[string]any{
 		"name": ip, "ip": ip, "failure_domain": d.zoneOf[ip], "region": "r", "failure_domains": []string{"za", "zb", "zc"},
-		"metrics_port": 9464, "peer_port": peerPort, "tolerated_losses": 1, "link_mbps": 1000, "processor_share": 0.4, "processor_cores": 1, "memory_mb": 284,
+		"metrics_port": metricsPort, "peer_port": strconv.Itoa(peerPort), "tolerated_losses": 1, "link_mbps": 1000, "processor_share": 0.4, "processor_cores": 1, "memory_mb": 284,
 		"separate_interfering": true, "stop_grace_s": 6, "first_start": first, "log": map[string]string{"level": "info"},
 	}
 	var seeds []string
 	for _, c := range d.controls[:min(3, len(d.controls))] {
-		seeds = append(seeds, c+":"+controlPort)
+		seeds = append(seeds, at(c, controlPort))
 	}
 	s["seeds"] = seeds
 	if d.isControl(ip) {
-		s["control"], s["control_address"], s["data_folder"] = true, ip+":"+controlPort, filepath.Join(d.folder, "data-"+ip)
+		s["control"], s["control_address"], s["data_folder"] = true, at(ip, controlPort), filepath.Join(d.folder, "data-"+ip)
 	} else {
-		s["entry"], s["caller_address"], s["ready_address"] = true, ip+":"+frontPort, ip+":"+readyPort
+		s["entry"], s["caller_address"], s["ready_address"] = true, at(ip, frontPort), at(ip, readyPort)
 	}
 	text, err := json.Marshal(s)
 	if err != nil {
@@ -186,7 +210,7 @@
 func (d *deployment) declareText(text string, within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); {
 		ip := d.controls[rand.IntN(len(d.controls))]
-		code, _, err := d.call("PUT", "http://"+ip+":"+controlPort+"/-/config", "", text, 4*time.Second)
+		code, _, err := d.call("PUT", "http://"+at(ip, controlPort)+"/-/config", "", text, 4*time.Second)
 		d.book.note("manifest %.14s to %s: %d %v", text, ip, code, err)
 		if code == 200 {
 			return true
@@ -213,7 +237,7 @@
 	for {
 		path, body := m.announcement()
 		for _, i := range rand.Perm(len(d.controls)) {
-			if code, _, _ := d.call("PUT", "http://"+d.controls[i]+":"+controlPort+path, "", body, time.Second); code == 200 {
+			if code, _, _ := d.call("PUT", "http://"+at(d.controls[i], controlPort)+path, "", body, time.Second); code == 200 {
 				break
 			}
 		}
@@ -244,7 +268,7 @@
 func (d *deployment) try(j *jobEntry, front string, deadline time.Duration) string {
 	d.book.note("send %s to %s", j.id, front)
 	prefix, hostName := cmp.Or(j.prefix, "/q/"), cmp.Or(j.host, host)
-	code, body, err := d.call("POST", "http://"+front+":"+frontPort+prefix+j.id, hostName, j.body(), deadline)
+	code, body, err := d.call("POST", "http://"+at(front, frontPort)+prefix+j.id, hostName, j.body(), deadline)
 	answer := fmt.Sprint(code)
 	switch {
 	case err != nil:
--- a/review/kit3/hostcase.go
+++ b/review/kit3/hostcase.go
@@ -45,7 +45,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	for _, c := range d.controls {
-		code, body, err := d.call("GET", "http://"+c+":"+controlPort+"/-/config", "", "", 2*time.Second)
+		code, body, err := d.call("GET", "http://"+at(c, controlPort)+"/-/config", "", "", 2*time.Second)
 		d.book.note("manifest read at %s: %d %v %.200s", c, code, err, body)
 	}
 	return nil
--- a/review/kit3/writer.go
+++ b/review/kit3/writer.go
@@ -63,7 +63,7 @@
 				return err
 			}
 			ip := d.controls[i%len(d.controls)]
-			code, _, err := d.call("PUT", "http://"+ip+":"+controlPort+"/-/instances/"+m.id, "", string(body), time.Second)
+			code, _, err := d.call("PUT", "http://"+at(ip, controlPort)+"/-/instances/"+m.id, "", string(body), time.Second)
 			d.book.note("another writer's ping under %s to %s: %d %v: %s", m.id, ip, code, err, body)
 		}
 	}
